--- /dev/null
+++ b/drill/src/wire.rs
@@ -0,0 +1,316 @@
+//! The wire: decodes batches into calls of the decision module and encodes what it decides.
+
+use kelpcart::interface::*;
+use kelpcart::{Gateway, Span, Time};
+use serde_json::{Map, Value, json};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+type Fields = Map<String, Value>;
+type Found<T> = Result<T, String>;
+
+#[derive(Default)]
+pub struct Host {
+    running: BTreeMap<u64, Running>,
+}
+
+struct Running {
+    gateway: Gateway,
+    wake: Option<Time>,
+}
+
+impl Host {
+    /// Plays one batch and gives the reply line.
+    pub fn batch(&mut self, line: &str) -> Found<String> {
+        let batch: Value = serde_json::from_str(line).map_err(|e| format!("not JSON: {e}"))?;
+        let batch = batch.as_object().ok_or("not an object")?;
+        let now = Time::from_micros(int(batch, "TUs")?);
+        let mut touched = Vec::new();
+        for event in list(batch, "inbox")? {
+            let mut named = event.as_object().ok_or("an event is not an object")?.iter();
+            let (Some((name, body)), None) = (named.next(), named.next()) else {
+                return Err("an event needs exactly one name".into());
+            };
+            let body = body.as_object().ok_or_else(|| format!("{name}: not an object"))?;
+            let who = int(body, "Who").map_err(|e| format!("{name}: {e}"))?;
+            self.event(now, name, who, body).map_err(|e| format!("{name}: {e}"))?;
+            if !touched.contains(&who) {
+                touched.push(who);
+            }
+        }
+        let mut orders = Vec::new();
+        for who in touched {
+            if let Some(running) = self.running.get_mut(&who) {
+                running.pull(now, who, &mut orders);
+            }
+        }
+        Ok(json!({ "orders": orders }).to_string())
+    }
+
+    fn event(&mut self, now: Time, name: &str, who: u64, body: &Fields) -> Found<()> {
+        if name == "Up" {
+            let set = settings(object(body, "Settings")?)?;
+            let gateway = Gateway::new(set, int(body, "Entropy")?, now);
+            self.running.insert(who, Running { gateway, wake: None });
+            return Ok(());
+        }
+        let running = self.running.get_mut(&who).ok_or_else(|| format!("instance {who} is not running"))?;
+        let gateway = &mut running.gateway;
+        match name {
+            "Update" => match text(body, "Form")? {
+                "error" => gateway.list_failed(now),
+                form @ ("diff" | "snapshot" | "disk") => {
+                    let entries: Found<Vec<Member>> = list(body, "Entries")?.iter().map(member).collect();
+                    gateway.members(now, form != "diff", entries?);
+                }
+                form => return Err(format!("unknown Form {form}")),
+            },
+            "Ingress" => gateway.txn(now, txn(body)?),
+            "ReportBack" => gateway.outcome(now, outcome(body)?),
+            "Hangup" => gateway.hangup(int(body, "Req")?),
+            "Outdated" => {
+                let file = optional(body, "File", int)?;
+                gateway.purged(now, file, optional(body, "Group", int)?.unwrap_or(0), span(body, "AgeUs")?);
+            }
+            "Reminder" => {
+                if running.wake.is_some_and(|at| at <= now) {
+                    running.wake = None;
+                }
+            }
+            "PowerOff" => {
+                self.running.remove(&who);
+            }
+            "First" | "StatusBack" | "Message" => {}
+            _ => return Err("no such event".into()),
+        }
+        Ok(())
+    }
+}
+
+impl Running {
+    fn pull(&mut self, now: Time, who: u64, orders: &mut Vec<Value>) {
+        while let Some(decision) = self.gateway.poll(now) {
+            orders.push(encode(who, decision));
+        }
+        let next = self.gateway.next_wake();
+        if self.wake.is_none_or(|at| next < at) {
+            let wait = (next - now).as_micros().max(1);
+            self.wake = Some(now + Span::from_micros(wait));
+            orders.push(json!({"Timer": {"Who": who, "SpanUs": wait, "Tag": 0}}));
+        }
+    }
+}
+
+fn encode(who: u64, decision: Decision) -> Value {
+    match decision {
+        Decision::Hop { txn, member, fill: None, limit } => {
+            json!({"PassOn": {"Who": who, "Req": txn, "Cache": &*member, "TryUntilUs": limit.as_micros()}})
+        }
+        Decision::Hop { txn, member, fill: Some(fill), limit } => {
+            let mode = u8::from(fill.join) + 8 * u8::from(fill.renew);
+            let age = fill.oldest.map_or(0, Span::as_micros);
+            json!({"ServeVia": {"Who": who, "Req": txn, "Cache": &*member, "Keep": fill.keep,
+                "Supplier": &*fill.source, "Mode": mode, "TryUntilUs": limit.as_micros(), "AgeUs": age}})
+        }
+        Decision::Cancel { txn, hop } => json!({"DropAttempt": {"Who": who, "Req": txn, "SeqNo": hop}}),
+        Decision::Reject { txn, come_back } => {
+            let wait = come_back.map_or(0, Span::as_micros);
+            json!({"Refuse": {"Who": who, "Req": txn, "RetryInUs": wait}})
+        }
+        Decision::Abort { txn } => json!({"ReportFailure": {"Who": who, "Req": txn}}),
+        Decision::Subscribe => json!({"Watch": {"Who": who, "On": true}}),
+    }
+}
+
+fn txn(body: &Fields) -> Found<Txn> {
+    Ok(Txn {
+        id: int(body, "Req")?,
+        rule: int(body, "Service")? as usize,
+        object: int(body, "File")?,
+        group: optional(body, "Tag", int)?.unwrap_or(0),
+        part: optional(body, "Segment", int)?.unwrap_or(0),
+        write: optional(body, "Mutates", flag)?.unwrap_or(false),
+        size: optional(body, "BytesK", number)?.filter(|&kb| kb > 0.0),
+        left: span(body, "LeftUs")?,
+    })
+}
+
+fn outcome(body: &Fields) -> Found<Outcome> {
+    let end = match text(body, "StateCode")? {
+        "success" => HopEnd::Completed,
+        "failure" => HopEnd::Errored,
+        "overloaded" => HopEnd::TurnedAway,
+        "timed_out" => HopEnd::TimedOut,
+        "unreachable" => HopEnd::Unreachable,
+        "broken" => HopEnd::Broken,
+        "withdrawn" => HopEnd::Withdrawn,
+        "void" => HopEnd::NeverSent,
+        "absent" => HopEnd::Lacking,
+        code => return Err(format!("unknown StateCode {code}")),
+    };
+    let note = match optional(body, "Note", int)?.unwrap_or(0) {
+        0 => None,
+        1 => Some(Note::Held),
+        2 => Some(Note::Filled),
+        3 => Some(Note::FilledByOrigin),
+        4 => Some(Note::Joined),
+        5 => Some(Note::Old),
+        6 => Some(Note::SourceRefused),
+        7 => Some(Note::SourceLost),
+        8 => Some(Note::SourceLacks),
+        9 => Some(Note::NoPlace),
+        10 => Some(Note::OriginFailed),
+        code => return Err(format!("unknown Note {code}")),
+    };
+    let pressure = body.get("Pressure").and_then(Value::as_object);
+    let reported = |name: &str| pressure.and_then(|p| p.get(name)).and_then(Value::as_f64);
+    Ok(Outcome {
+        txn: int(body, "Req")?,
+        hop: int(body, "SeqNo")? as u32,
+        end,
+        took: span(body, "DurationUs")?,
+        closed: optional(body, "Terminal", flag)?.unwrap_or(false),
+        note,
+        first_byte: optional(body, "FirstByteUs", int)?.filter(|&us| us > 0).map(Span::from_micros),
+        load: Load { held: reported("active"), link: reported("x1") },
+    })
+}
+
+fn member(entry: &Value) -> Found<Member> {
+    let entry = entry.as_object().ok_or("an entry is not an object")?;
+    let state = match text(entry, "Availability")? {
+        "up" => MemberState::Up,
+        "draining" => MemberState::Draining,
+        "removed" => MemberState::Gone,
+        state => return Err(format!("unknown Availability {state}")),
+    };
+    Ok(Member {
+        id: Arc::from(text(entry, "Cache")?),
+        zone: optional(entry, "Campus", int)?.unwrap_or(0) as usize,
+        kind: optional(entry, "Type", int)?.unwrap_or(0) as usize,
+        cell: optional(entry, "Group", int)?.unwrap_or(0),
+        state,
+        size: optional(entry, "Share", number)?.unwrap_or(0.0),
+        started: optional(entry, "StartedAtUs", int)?.filter(|&at| at > 0).map(Time::from_micros),
+    })
+}
+
+fn settings(all: &Fields) -> Found<Settings> {
+    let family = object(all, "FamilyInfo")?;
+    let limits = object(all, "PolicyLimits")?;
+    let contract = object(all, "Contract")?;
+    let zone = int(all, "Locality")? as usize;
+    let kind = |name| Ok::<_, String>(whole(family, name)?.and_then(|k| usize::try_from(k).ok()));
+    let classes = list(all, "Classes")?;
+    let over = span(contract, "TipAfterUs")?;
+    Ok(Settings {
+        gateways: int(all, "Instances")? as u32,
+        zone_gateways: at(family, "CrewByZone", zone).and_then(Value::as_u64).unwrap_or(0) as u32,
+        zone,
+        rules: classes.iter().enumerate().map(|(i, c)| rule(c, i, family)).collect::<Found<_>>()?,
+        parent_kind: kind("ParentKind")?,
+        origin_kind: kind("OriginKind")?,
+        client_pace: optional(family, "ClientKbPerS", number)?.unwrap_or(0.0),
+        sized: text(all, "Weights")? == "nominal",
+        direct: optional(family, "BypassAllowed", flag)?.unwrap_or(false),
+        joins: optional(family, "CanJoin", flag)?.unwrap_or(false),
+        notes: match text(family, "Detail")? {
+            "all" => Notes::All,
+            "hit" => Notes::Hit,
+            _ => Notes::Off,
+        },
+        cancel: flag(limits, "Cancel")?,
+        parallel: flag(limits, "ParallelTries")?,
+        come_back: flag(limits, "RetryAfter")?,
+        longest_come_back: span(limits, "MaxRetryAfterUs")?,
+        max_hops: int(limits, "MaxAttempts")? as u32,
+        connect_limit: span(limits, "ConnectTimeoutUs")?,
+        answer_slack: span(contract, "GraceToAnswerUs")?,
+        cold: ColdStart {
+            from: number(contract, "ColdFrom")?,
+            within: span(contract, "ColdUs")?,
+            multiple: number(contract, "FallMultiple")?,
+            over,
+        },
+        cold_parent: ColdStart {
+            from: number(family, "ParentColdFrom")?,
+            within: span(family, "UpperColdUs")?,
+            multiple: number(family, "ParentFallMultiple")?,
+            over,
+        },
+        purge_done: span(family, "GoneEverywhereUs")?,
+        list_asked: text(all, "Discovery")? == "ask",
+        list_within: span(contract, "AskWithinUs")?,
+        tick: span(all, "TickUs")?,
+    })
+}
+
+fn rule(class: &Value, i: usize, family: &Fields) -> Found<RemapRule> {
+    let class = class.as_object().ok_or("a class is not an object")?;
+    let of = |name| at(family, name, i);
+    Ok(RemapRule {
+        effect: match text(class, "Repeat")? {
+            "pure" => Effect::Repeatable,
+            "token" => Effect::Keyed,
+            "side_effect" => Effect::Unrepeatable,
+            effect => return Err(format!("unknown Repeat {effect}")),
+        },
+        group: match text(class, "DedupScope")? {
+            "all" => RepeatGroup::All,
+            "zone" => RepeatGroup::Zone,
+            "cell" => RepeatGroup::Cell,
+            group => return Err(format!("unknown DedupScope {group}")),
+        },
+        memory: span(class, "MemorySpanUs")?,
+        sla: span(class, "SloUs")?,
+        sla_stretch: optional(class, "AimStretch", number)?.unwrap_or(0.0),
+        limit: span(class, "DeadlineUs")?,
+        fresh: Span::from_micros(of("LifetimeByClassUs").and_then(Value::as_u64).unwrap_or(0)),
+        grace: Span::from_micros(of("UsableAfterUs").and_then(Value::as_u64).unwrap_or(0)),
+        write: of("PassOn").and_then(Value::as_bool).unwrap_or(false),
+    })
+}
+
+fn at<'a>(body: &'a Fields, name: &str, i: usize) -> Option<&'a Value> {
+    body.get(name)?.as_array()?.get(i)
+}
+
+fn need<'a>(body: &'a Fields, name: &str) -> Found<&'a Value> {
+    body.get(name).filter(|v| !v.is_null()).ok_or_else(|| format!("{name} is missing"))
+}
+
+fn optional<T>(body: &Fields, name: &str, read: fn(&Fields, &str) -> Found<T>) -> Found<Option<T>> {
+    body.get(name).filter(|v| !v.is_null()).map(|_| read(body, name)).transpose()
+}
+
+fn int(body: &Fields, name: &str) -> Found<u64> {
+    need(body, name)?.as_u64().ok_or_else(|| format!("{name} is not a whole number"))
+}
+
+fn whole(body: &Fields, name: &str) -> Found<Option<i64>> {
+    optional(body, name, |b, n| need(b, n)?.as_i64().ok_or_else(|| format!("{n} is not a whole number")))
+}
+
+fn span(body: &Fields, name: &str) -> Found<Span> {
+    int(body, name).map(Span::from_micros)
+}
+
+fn number(body: &Fields, name: &str) -> Found<f64> {
+    need(body, name)?.as_f64().ok_or_else(|| format!("{name} is not a number"))
+}
+
+fn flag(body: &Fields, name: &str) -> Found<bool> {
+    need(body, name)?.as_bool().ok_or_else(|| format!("{name} is not true or false"))
+}
+
+fn text<'a>(body: &'a Fields, name: &str) -> Found<&'a str> {
+    need(body, name)?.as_str().ok_or_else(|| format!("{name} is not a text"))
+}
+
+fn list<'a>(body: &'a Fields, name: &str) -> Found<&'a Vec<Value>> {
+    need(body, name)?.as_array().ok_or_else(|| format!("{name} is not a list"))
+}
+
+fn object<'a>(body: &'a Fields, name: &str) -> Found<&'a Fields> {
+    need(body, name)?.as_object().ok_or_else(|| format!("{name} is not an object"))
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,202 @@
+//! What a host tells the module and what it gets back, in the project's own words and apart from any
+//! protocol. Ids are the host's; the module only compares and hashes them.
+
+use crate::time::{Span, Time};
+use std::sync::Arc;
+
+pub type TxnId = u64;
+pub type MemberId = Arc<str>;
+
+/// What a restart allows: at least `from` of the capacity at once, all of it `within` the span. More than
+/// `multiple` of what it can do, kept up `over` a span, pushes it over.
+#[derive(Clone, Debug, Default)]
+pub struct ColdStart {
+    pub from: f64,
+    pub within: Span,
+    pub multiple: f64,
+    pub over: Span,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Repeatable,
+    Keyed,
+    Unrepeatable,
+}
+
+/// The caches that drop repeats of a keyed txn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatGroup {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct RemapRule {
+    pub effect: Effect,
+    pub group: RepeatGroup,
+    pub memory: Span,
+    pub sla: Span,
+    /// The SLA time grows by this multiple of the txn's own sending time.
+    pub sla_stretch: f64,
+    pub limit: Span,
+    /// Zero: a copy is good until it is purged.
+    pub fresh: Span,
+    /// How much older than fresh a copy may be when asked for.
+    pub grace: Span,
+    /// Never kept, runs at the origin.
+    pub write: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Notes {
+    All,
+    Hit,
+    Off,
+}
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub gateways: u32,
+    /// Gateways in the own zone.
+    pub zone_gateways: u32,
+    pub zone: usize,
+    pub rules: Vec<RemapRule>,
+    pub parent_kind: Option<usize>,
+    pub origin_kind: Option<usize>,
+    /// KB a second of one transfer to a client; zero where it is not told.
+    pub client_pace: f64,
+    /// Members' sizes are told, in transfers at `client_pace`.
+    pub sized: bool,
+    /// A hop may go straight to a parent or the origin.
+    pub direct: bool,
+    pub joins: bool,
+    pub notes: Notes,
+    pub cancel: bool,
+    pub parallel: bool,
+    pub come_back: bool,
+    pub longest_come_back: Span,
+    pub max_hops: u32,
+    pub connect_limit: Span,
+    pub answer_slack: Span,
+    pub cold: ColdStart,
+    pub cold_parent: ColdStart,
+    /// When all members have dropped what was purged.
+    pub purge_done: Span,
+    /// The list must be asked for.
+    pub list_asked: bool,
+    pub list_within: Span,
+    pub tick: Span,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberState {
+    Up,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub id: MemberId,
+    pub zone: usize,
+    pub kind: usize,
+    pub cell: u64,
+    pub state: MemberState,
+    pub size: f64,
+    /// `None`: long ago.
+    pub started: Option<Time>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Txn {
+    pub id: TxnId,
+    pub rule: usize,
+    pub object: u64,
+    pub group: u64,
+    pub part: u64,
+    pub write: bool,
+    /// KB to be sent; `None` where it is not told.
+    pub size: Option<f64>,
+    /// How long until the client gives this try up.
+    pub left: Span,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HopEnd {
+    Completed,
+    Errored,
+    TurnedAway,
+    TimedOut,
+    Unreachable,
+    Broken,
+    Withdrawn,
+    NeverSent,
+    Lacking,
+}
+
+impl HopEnd {
+    pub fn proves_not_run(self) -> bool {
+        matches!(self, HopEnd::TurnedAway | HopEnd::Unreachable | HopEnd::NeverSent | HopEnd::Lacking)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Note {
+    Held,
+    Filled,
+    FilledByOrigin,
+    Joined,
+    Old,
+    SourceRefused,
+    SourceLost,
+    SourceLacks,
+    NoPlace,
+    OriginFailed,
+}
+
+/// Load that came with an outcome; `None` where it is not reported.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    /// Txns that the member holds.
+    pub held: Option<f64>,
+    /// Of a cache: transfers on its zone's link over those that fit. Of a parent: fetches out.
+    pub link: Option<f64>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    pub txn: TxnId,
+    /// Counted from 0 in a txn.
+    pub hop: u32,
+    pub end: HopEnd,
+    pub took: Span,
+    /// The txn has its final answer.
+    pub closed: bool,
+    pub note: Option<Note>,
+    /// Time to the source's first byte or to the fill's failure.
+    pub first_byte: Option<Span>,
+    pub load: Load,
+}
+
+/// What a cache is to do when it lacks a fresh copy.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fill {
+    pub source: MemberId,
+    /// 0: pass through; 1 to 3: the rank at which the copy is kept.
+    pub keep: u8,
+    pub join: bool,
+    pub renew: bool,
+    /// `None`: the remap rule's fresh time.
+    pub oldest: Option<Span>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    Hop { txn: TxnId, member: MemberId, fill: Option<Fill>, limit: Time },
+    Cancel { txn: TxnId, hop: u32 },
+    Reject { txn: TxnId, come_back: Option<Span> },
+    Abort { txn: TxnId },
+    Subscribe,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,9 @@
+//! kelpcart decides where a txn goes, where a missing object is filled from, and when to give up.
+
+mod histogram;
+pub mod interface;
+mod logic;
+mod time;
+
+pub use logic::Gateway;
+pub use time::{Span, Time};
--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,712 @@
+//! All decisions of a gateway. The host calls the input methods (`members`, `txn`, `outcome`, `hangup`,
+//! `purged`) as things happen; they only update what is known. It then calls `poll` until that gives `None`
+//! and comes back by `next_wake` at the latest. The types of both directions are in `interface.rs`.
+
+use crate::histogram::Histogram;
+use crate::interface::*;
+use crate::time::{Span, Time};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64;
+
+// The weight controller, by the design page.
+const SECOND: Span = Span::from_millis(1000);
+const STEP: f64 = 15.0;
+const JITTER: f64 = 2.0;
+const STANDBY: f64 = 5.0;
+const FULL: f64 = 100.0;
+const WINDOW_STEPS: u32 = 3;
+const CLEAN_WINDOWS: u32 = 3;
+const LATENCY_POINTS_PER_MS: f64 = 0.4;
+const ERROR_POINTS: f64 = 50.0;
+// Open points of the design: signal weights, thresholds, the least sample that is judged.
+const FAILED_WEIGHT: f64 = 1.5;
+const TIMEOUT_WEIGHT: f64 = 1.5;
+const FIRST_BYTE_WEIGHT: f64 = 0.5;
+const ERROR_THRESHOLD: f64 = 0.05;
+const NEAR_BASELINE: f64 = 1.5;
+const LEAST_FILLS: f64 = 8.0;
+// The edge bound, over the fair share of this gateway's load in flight.
+const BOUND: f64 = 2.0;
+// Health, further hops and guards.
+const STRIKES: u32 = 2;
+const FURTHER_HOPS: f64 = 0.15;
+const FURTHER_BURST: f64 = 6.0;
+const COLD_MARGIN: f64 = 0.7;
+const HOP_SLA: f64 = 2.0;
+const OVERDUE: f64 = 0.6;
+const SCANS: f64 = 0.125;
+
+#[derive(Clone, Copy, PartialEq)]
+enum Role {
+    Edge,
+    Parent,
+    Origin,
+}
+
+/// What the weight controller keeps of a parent, from this gateway's own fills.
+struct Weight {
+    weight: f64,
+    recent: Histogram,
+    settled: Histogram,
+    fills: f64,
+    failed: f64,
+    late: f64,
+    clean: u32,
+    broken: bool,
+}
+
+struct Cache {
+    m: Member,
+    key: u64,
+    role: Role,
+    load: f64,
+    out: u32,
+    strikes: u32,
+    trial_at: Option<Time>,
+    answered: Time,
+    spent: VecDeque<(Time, f64, (TxnId, u32))>,
+    work: f64,
+    rate: f64,
+    par: Weight,
+}
+
+struct Hop {
+    member: usize,
+    source: Option<usize>,
+    sent: Time,
+    due: Time,
+    load: f64,
+    booked: bool,
+    cancelled: bool,
+}
+
+struct Open {
+    txn: Txn,
+    limit: Time,
+    hops: u32,
+    out: u32,
+    avoid: Vec<usize>,
+    /// The member and time of the first hop that may have run.
+    may_have_run: Option<(usize, Time)>,
+}
+
+/// What is measured of a remap rule's txns.
+struct Row {
+    sending: f64,
+    size: f64,
+}
+
+struct Purge {
+    object: Option<u64>,
+    group: u64,
+    at: Time,
+}
+
+pub struct Gateway {
+    set: Settings,
+    rng: Pcg64Mcg,
+    caches: Vec<Cache>,
+    by_id: BTreeMap<MemberId, usize>,
+    open: BTreeMap<TxnId, Open>,
+    hops: BTreeMap<(TxnId, u32), Hop>,
+    rows: Vec<Row>,
+    ready: VecDeque<TxnId>,
+    cancels: VecDeque<(TxnId, u32)>,
+    purges: Vec<Purge>,
+    seen: [HashSet<u64>; 2],
+    turned: Time,
+    further: f64,
+    arrivals: f64,
+    arrival_rate: f64,
+    next_scan: Time,
+    next_step: Time,
+    steps: u32,
+    subscribe_at: Option<Time>,
+}
+
+fn unit(hash: u64) -> f64 {
+    ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+}
+
+fn hash(a: u64, b: u64, c: u64) -> u64 {
+    let mut bytes = [0; 24];
+    bytes[..8].copy_from_slice(&a.to_le_bytes());
+    bytes[8..16].copy_from_slice(&b.to_le_bytes());
+    bytes[16..].copy_from_slice(&c.to_le_bytes());
+    xxh3_64(&bytes)
+}
+
+impl Weight {
+    fn new(weight: f64) -> Weight {
+        let h = Histogram::new(0.004, 1.5, 18);
+        let settled = h.clone();
+        Weight { weight, recent: h, settled, fills: 0.0, failed: 0.0, late: 0.0, clean: 0, broken: false }
+    }
+
+    /// Shares of failed fills and timeouts, and p95 and median over the settled ones, in the window.
+    fn signals(&self) -> [f64; 4] {
+        if self.fills < 1.0 {
+            return [0.0; 4];
+        }
+        let over = |part: f64| match (self.recent.quantile(part), self.settled.quantile(part)) {
+            (Some(now), Some(base)) if self.recent.count() >= LEAST_FILLS => {
+                (now.as_secs_f64() / (base.as_secs_f64() * NEAR_BASELINE) - 1.0).max(0.0)
+            }
+            _ => 0.0,
+        };
+        let n = self.fills.max(LEAST_FILLS / 2.0);
+        [self.failed / n, self.late / n, over(0.95), over(0.5)]
+    }
+
+    /// One step a second. `common` is what every parent shows alike: it lies elsewhere (the own link, the
+    /// origin behind them all) and is not booked against one of them.
+    fn step(&mut self, common: &[f64; 4], window_ends: bool, jitter: f64) {
+        let mut own = self.signals();
+        for (signal, shared) in own.iter_mut().zip(common) {
+            *signal -= shared;
+        }
+        let [failed, late, p95, p50] = own;
+        let score = (1.0 - FAILED_WEIGHT * failed)
+            .min(1.0 - TIMEOUT_WEIGHT * late)
+            .min(1.0 - FIRST_BYTE_WEIGHT * p95)
+            .max(0.0);
+        let base = self.settled.quantile(0.95).map_or(0.0, |s| s.as_secs_f64() * NEAR_BASELINE * 1e3);
+        let target = score * FULL - p95 * base * LATENCY_POINTS_PER_MS - (failed + late) * ERROR_POINTS;
+        let target = target.clamp(0.0, FULL);
+        self.broken |= failed > ERROR_THRESHOLD || late > ERROR_THRESHOLD || p50 > 0.0;
+        if window_ends {
+            self.clean = if self.broken { 0 } else { self.clean + 1 };
+            self.broken = false;
+            self.recent.halve();
+            (self.fills, self.failed, self.late) = (self.fills / 2.0, self.failed / 2.0, self.late / 2.0);
+        }
+        if target < self.weight {
+            self.weight -= (self.weight - target).min(STEP) + jitter;
+        } else if target > self.weight && self.clean >= CLEAN_WINDOWS {
+            self.weight += (target - self.weight).min(STEP / 2.0) + jitter;
+        }
+        self.weight = self.weight.clamp(STANDBY, FULL);
+        if self.settled.count() > 600.0 {
+            self.settled.halve();
+        }
+    }
+}
+
+impl Gateway {
+    pub fn new(set: Settings, seed: u64, now: Time) -> Gateway {
+        let rows = set.rules.iter().map(|r| Row { sending: r.sla.as_secs_f64() / 2.0, size: 0.0 }).collect();
+        Gateway {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            caches: Vec::new(),
+            by_id: BTreeMap::new(),
+            open: BTreeMap::new(),
+            hops: BTreeMap::new(),
+            rows,
+            ready: VecDeque::new(),
+            cancels: VecDeque::new(),
+            purges: Vec::new(),
+            seen: [HashSet::new(), HashSet::new()],
+            turned: now,
+            further: FURTHER_BURST,
+            arrivals: 0.0,
+            arrival_rate: 0.0,
+            next_scan: now,
+            next_step: now + SECOND,
+            steps: 0,
+            subscribe_at: set.list_asked.then_some(now),
+            set,
+        }
+    }
+
+    /// News of the list; with `whole`, members that it does not name are gone.
+    pub fn members(&mut self, now: Time, whole: bool, list: Vec<Member>) {
+        if whole {
+            for c in &mut self.caches {
+                c.m.state = MemberState::Gone;
+            }
+        }
+        for m in list {
+            let role = match Some(m.kind) {
+                k if k == self.set.parent_kind => Role::Parent,
+                k if k == self.set.origin_kind => Role::Origin,
+                _ => Role::Edge,
+            };
+            let cold = m.started.is_some_and(|at| now - at < self.set.cold_parent.within);
+            let weight = if cold { STANDBY } else { FULL };
+            if let Some(&i) = self.by_id.get(&m.id) {
+                let c = &mut self.caches[i];
+                if m.started != c.m.started && m.started.is_some() {
+                    (c.strikes, c.trial_at, c.par) = (0, None, Weight::new(weight));
+                    c.spent.clear();
+                }
+                (c.m, c.role) = (m, role);
+                continue;
+            }
+            self.by_id.insert(Arc::clone(&m.id), self.caches.len());
+            self.caches.push(Cache {
+                key: xxh3_64(m.id.as_bytes()),
+                m,
+                role,
+                load: 0.0,
+                out: 0,
+                strikes: 0,
+                trial_at: None,
+                answered: now,
+                spent: VecDeque::new(),
+                work: 0.0,
+                rate: 0.0,
+                par: Weight::new(weight),
+            });
+        }
+    }
+
+    /// The list service failed or ended the subscription.
+    pub fn list_failed(&mut self, now: Time) {
+        self.subscribe_at = self.set.list_asked.then(|| now + self.set.list_within * SCANS);
+    }
+
+    pub fn txn(&mut self, now: Time, txn: Txn) {
+        self.arrivals += 1.0;
+        self.further = (self.further + FURTHER_HOPS).min(self.further_cap());
+        if let (Some(kb), Some(row)) = (txn.size, self.rows.get_mut(txn.rule)) {
+            let sending = if self.set.client_pace > 0.0 { kb / self.set.client_pace } else { row.sending };
+            let part = if row.size == 0.0 { 1.0 } else { 0.02 };
+            row.size += (kb - row.size) * part;
+            row.sending += (sending - row.sending) * part;
+        }
+        let id = txn.id;
+        let limit = now + txn.left;
+        let open = Open { txn, limit, hops: 0, out: 0, avoid: Vec::new(), may_have_run: None };
+        self.open.insert(id, open);
+        self.ready.push_back(id);
+    }
+
+    pub fn hangup(&mut self, id: TxnId) {
+        self.open.remove(&id);
+    }
+
+    pub fn purged(&mut self, now: Time, object: Option<u64>, group: u64, ago: Span) {
+        self.purges.push(Purge { object, group, at: now.back(ago) });
+    }
+
+    pub fn outcome(&mut self, now: Time, o: Outcome) {
+        let Some(hop) = self.hops.remove(&(o.txn, o.hop)) else { return };
+        let c = &mut self.caches[hop.member];
+        c.load = (c.load - hop.load).max(0.0);
+        c.out = c.out.saturating_sub(1);
+        let silent = match o.end {
+            HopEnd::Unreachable | HopEnd::Broken => true,
+            HopEnd::TimedOut => c.answered <= hop.sent,
+            HopEnd::Withdrawn | HopEnd::NeverSent => false,
+            _ => {
+                (c.answered, c.strikes, c.trial_at) = (now, 0, None);
+                false
+            }
+        };
+        if silent {
+            self.strike(now, hop.member);
+        }
+        let mut culprit = hop.member;
+        if let Some(p) = hop.source {
+            if o.note == Some(Note::Held) {
+                self.caches[p].spent.retain(|s| s.2 != (o.txn, o.hop));
+            }
+            let timed_out = o.end == HopEnd::TimedOut && !silent && !hop.booked;
+            match o.note {
+                Some(Note::SourceRefused | Note::SourceLost | Note::OriginFailed) => culprit = p,
+                _ if timed_out => culprit = p,
+                _ => {}
+            }
+            let par = &mut self.caches[p].par;
+            match o.note {
+                Some(Note::Filled) => {
+                    par.fills += 1.0;
+                    if let Some(first) = o.first_byte {
+                        par.recent.record(first);
+                        par.settled.record(first);
+                    }
+                }
+                Some(Note::FilledByOrigin) => par.fills += 1.0,
+                Some(Note::SourceRefused | Note::SourceLost) => {
+                    par.fills += 1.0;
+                    par.failed += 1.0;
+                }
+                _ if timed_out => {
+                    par.fills += 1.0;
+                    par.late += 1.0;
+                }
+                _ => {}
+            }
+            match o.note {
+                Some(Note::Filled | Note::FilledByOrigin | Note::SourceRefused | Note::OriginFailed) => {
+                    let c = &mut self.caches[p];
+                    (c.answered, c.strikes, c.trial_at) = (now, 0, None);
+                }
+                Some(Note::SourceLost) => self.strike(now, p),
+                _ if timed_out => self.strike(now, p),
+                _ => {}
+            }
+        }
+        let Some(open) = self.open.get_mut(&o.txn) else { return };
+        if o.closed {
+            self.open.remove(&o.txn);
+            return;
+        }
+        open.out = open.out.saturating_sub(1);
+        open.avoid.push(culprit);
+        if !o.end.proves_not_run() && open.may_have_run.is_none_or(|(_, at)| hop.sent < at) {
+            open.may_have_run = Some((hop.member, hop.sent));
+        }
+        if open.out == 0 {
+            self.ready.push_back(o.txn);
+        }
+    }
+
+    /// Evidence that a member takes work and answers nothing, or can't be reached. After a few in a row it
+    /// is passed over but for a trial now and then. Guards against crashes, hangs and cut links that the list
+    /// does not know of; harmful only if a member is merely slow and nothing else answers from it.
+    fn strike(&mut self, now: Time, i: usize) {
+        let c = &mut self.caches[i];
+        c.strikes += 1;
+        if c.strikes >= STRIKES {
+            let rest = self.set.connect_limit * 2f64.powi((c.strikes - STRIKES).min(3) as i32);
+            c.trial_at = Some(now + rest);
+        }
+    }
+
+    fn further_cap(&self) -> f64 {
+        FURTHER_BURST.max(FURTHER_HOPS * FURTHER_BURST * self.arrival_rate)
+    }
+
+    pub fn poll(&mut self, now: Time) -> Option<Decision> {
+        if self.subscribe_at.is_some_and(|at| at <= now) {
+            self.subscribe_at = None;
+            return Some(Decision::Subscribe);
+        }
+        if now >= self.next_step {
+            self.step(now);
+        }
+        if now >= self.next_scan {
+            self.scan(now);
+        }
+        if let Some((txn, hop)) = self.cancels.pop_front() {
+            return Some(Decision::Cancel { txn, hop });
+        }
+        while let Some(id) = self.ready.pop_front() {
+            if let Some(open) = self.open.remove(&id) {
+                return Some(self.decide(now, open));
+            }
+        }
+        None
+    }
+
+    pub fn next_wake(&self) -> Time {
+        let next = if self.hops.is_empty() { self.next_step } else { self.next_step.min(self.next_scan) };
+        self.subscribe_at.map_or(next, |at| at.min(next))
+    }
+
+    fn step(&mut self, now: Time) {
+        while self.next_step <= now {
+            self.next_step += SECOND;
+        }
+        self.steps += 1;
+        self.arrival_rate += (self.arrivals - self.arrival_rate) * 0.3;
+        self.arrivals = 0.0;
+        let purge_done = self.set.purge_done;
+        self.purges.retain(|p| now - p.at < purge_done + SECOND);
+        if now - self.turned > self.set.cold_parent.within.max(SECOND) {
+            self.turned = now;
+            self.seen.swap(0, 1);
+            self.seen[0].clear();
+        }
+        let mut common = [f64::INFINITY; 4];
+        for c in self.caches.iter().filter(|c| c.role == Role::Parent && c.m.state == MemberState::Up) {
+            for (shared, signal) in common.iter_mut().zip(c.par.signals()) {
+                *shared = shared.min(signal);
+            }
+        }
+        let alone = self.caches.iter().filter(|c| c.role == Role::Parent).count() < 2;
+        if alone || common[0].is_infinite() {
+            common = [0.0; 4];
+        }
+        for c in &mut self.caches {
+            c.rate += (c.work - c.rate) * 0.2;
+            c.work = 0.0;
+            if c.role == Role::Parent {
+                let jitter = self.rng.random_range(-JITTER..=JITTER);
+                c.par.step(&common, self.steps.is_multiple_of(WINDOW_STEPS), jitter);
+            }
+        }
+    }
+
+    /// Finds members that have gone silent and takes repeatable hops away from them.
+    fn scan(&mut self, now: Time) {
+        self.next_scan = now + self.set.connect_limit * SCANS;
+        let mut overdue = vec![0u32; self.caches.len()];
+        for hop in self.hops.values_mut().filter(|h| h.due <= now) {
+            let c = &self.caches[hop.member];
+            if c.answered <= hop.sent && now - c.answered > self.set.connect_limit {
+                overdue[hop.member] += 1;
+            }
+        }
+        for (i, &n) in overdue.iter().enumerate() {
+            if n >= STRIKES && self.caches[i].trial_at.is_none() {
+                self.caches[i].strikes = STRIKES - 1;
+                self.strike(now, i);
+            }
+        }
+        if !self.set.cancel {
+            return;
+        }
+        for (&(id, seq), hop) in &mut self.hops {
+            let stuck = |i: usize| {
+                let c = &self.caches[i];
+                c.trial_at.is_some() && c.answered <= hop.sent
+            };
+            if hop.cancelled || hop.due > now || !(stuck(hop.member) || hop.source.is_some_and(stuck)) {
+                continue;
+            }
+            let Some(open) = self.open.get(&id) else { continue };
+            let repeatable =
+                self.set.rules.get(open.txn.rule).is_some_and(|r| r.effect == Effect::Repeatable);
+            if repeatable && open.hops < self.set.max_hops && self.further >= 1.0 {
+                hop.cancelled = true;
+                self.cancels.push_back((id, seq));
+            }
+        }
+    }
+
+    /// The txn's own sending time, as far as it is told.
+    fn sending(&self, txn: &Txn) -> f64 {
+        match txn.size {
+            Some(kb) if self.set.client_pace > 0.0 => kb / self.set.client_pace,
+            _ => self.rows.get(txn.rule).map_or(0.0, |r| r.sending),
+        }
+    }
+
+    /// Guards a member that has just started: this gateway's equal part of what all may send it together in
+    /// any span of the stated length. The capacity is its size, else what warm ones of its role have borne.
+    fn has_room(&self, now: Time, i: usize, cost: f64) -> bool {
+        let c = &self.caches[i];
+        let (cold, sharers) = match c.role {
+            Role::Parent => (&self.set.cold_parent, self.set.gateways),
+            _ => (&self.set.cold, self.set.zone_gateways),
+        };
+        let Some(age) = c.m.started.map(|at| now - at).filter(|&age| age < cold.within) else { return true };
+        let sharers = sharers.max(1) as f64;
+        let capacity = if self.set.sized {
+            c.m.size
+        } else {
+            let peers = self.caches.iter().filter(|p| p.role == c.role && p.m.zone == c.m.zone);
+            peers.map(|p| p.rate).fold(0.0, f64::max) * sharers
+        };
+        let present = cold.from + (1.0 - cold.from) * (age / cold.within);
+        let budget = cold.multiple * present * capacity * cold.over.as_secs_f64() / sharers * COLD_MARGIN;
+        let since = now.back(cold.over);
+        let spent: f64 = c.spent.iter().filter(|s| s.0 >= since).map(|s| s.1).sum();
+        spent + cost <= budget
+    }
+
+    /// Listed as up, and not passed over for its silence; a trial is let through when it is due.
+    fn usable(&self, now: Time, i: usize) -> bool {
+        let c = &self.caches[i];
+        c.m.state == MemberState::Up && c.trial_at.is_none_or(|at| at <= now)
+    }
+
+    /// Members of a role in the object's hash order, by weighted rendezvous where sizes are told.
+    fn order(&self, role: Role, txn: &Txn) -> Vec<usize> {
+        let in_zone = |c: &Cache| role != Role::Edge || c.m.zone == self.set.zone;
+        let listed = |c: &Cache| c.m.state != MemberState::Gone && c.role == role && in_zone(c);
+        let mut order: Vec<(f64, usize)> = (0..self.caches.len())
+            .filter(|&i| listed(&self.caches[i]))
+            .map(|i| {
+                let c = &self.caches[i];
+                let size = if self.set.sized { c.m.size.max(1e-6) } else { 1.0 };
+                (-unit(hash(txn.object, txn.part, c.key)).ln() / size, i)
+            })
+            .collect();
+        order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        order.into_iter().map(|(_, i)| i).collect()
+    }
+
+    fn source(&self, now: Time, open: &Open) -> Option<usize> {
+        let cost = self.sending(&open.txn);
+        let mut order = self.order(Role::Parent, &open.txn);
+        order.retain(|&i| self.usable(now, i) && !open.avoid.contains(&i) && self.has_room(now, i, cost));
+        let fraction = unit(hash(open.txn.object, open.txn.part, 0));
+        let by_weight = order.iter().find(|&&i| self.caches[i].par.weight / FULL > fraction);
+        by_weight.or(order.last()).copied().or_else(|| self.origin(now, open))
+    }
+
+    fn origin(&self, now: Time, open: &Open) -> Option<usize> {
+        self.order(Role::Origin, &open.txn).into_iter().find(|&i| self.usable(now, i))
+    }
+
+    /// The first cache in hash order within the bound; else the least loaded.
+    fn edge(&self, now: Time, open: &Open, cost: f64, load: f64) -> Option<usize> {
+        let mut order = self.order(Role::Edge, &open.txn);
+        order.retain(|&i| {
+            self.usable(now, i)
+                && !open.avoid.contains(&i)
+                && self.has_room(now, i, cost)
+                && self.in_group(open, now, i)
+        });
+        let size = |i: usize| if self.set.sized { self.caches[i].m.size.max(1e-6) } else { 1.0 };
+        let total: f64 = order.iter().map(|&i| self.caches[i].load).sum::<f64>() + load;
+        let sizes: f64 = order.iter().map(|&i| size(i)).sum();
+        let fits = |i: usize| {
+            let held = self.caches[i].load;
+            held == 0.0 || held + load <= BOUND * total * size(i) / sizes
+        };
+        let spare = |i: &usize| self.caches[*i].load / size(*i);
+        order
+            .iter()
+            .copied()
+            .find(|&i| fits(i))
+            .or_else(|| order.iter().copied().min_by(|a, b| spare(a).total_cmp(&spare(b))))
+    }
+
+    /// A keyed txn that may have run stays among the caches that drop its repeats, while they remember it.
+    fn in_group(&self, open: &Open, now: Time, i: usize) -> bool {
+        let Some((first, at)) = open.may_have_run else { return true };
+        let (rule, a, b) = (&self.set.rules[open.txn.rule], &self.caches[first].m, &self.caches[i].m);
+        match rule.effect {
+            Effect::Repeatable => true,
+            Effect::Unrepeatable => false,
+            Effect::Keyed => {
+                now - at < rule.memory
+                    && match rule.group {
+                        RepeatGroup::All => true,
+                        RepeatGroup::Zone => a.zone == b.zone,
+                        RepeatGroup::Cell => a.cell == b.cell,
+                    }
+            }
+        }
+    }
+
+    /// The oldest copy that will do: younger than any purge of the object or its group, for as long as some
+    /// member may hold an older one. Zero would mean no limit.
+    fn oldest(&self, now: Time, txn: &Txn, rule: &RemapRule, stale: bool) -> Option<Span> {
+        let hits = |p: &&Purge| match p.object {
+            Some(object) => object == txn.object,
+            None => p.group == txn.group,
+        };
+        let purge = self.purges.iter().filter(hits).map(|p| now - p.at).min();
+        let fresh = rule.fresh > Span::ZERO;
+        let most = if stale && fresh { rule.fresh + rule.grace } else { rule.fresh };
+        let least = |s: Span| s.max(Span::from_micros(1));
+        match purge {
+            Some(age) if fresh => Some(least(age.min(most))),
+            Some(age) => Some(least(age)),
+            None => (most > rule.fresh).then_some(most),
+        }
+    }
+
+    fn decide(&mut self, now: Time, mut open: Open) -> Decision {
+        let id = open.txn.id;
+        let Some(rule) = self.set.rules.get(open.txn.rule).cloned() else {
+            return Decision::Abort { txn: id };
+        };
+        let sending = self.sending(&open.txn);
+        let paid = open.hops == 0 || self.further >= 1.0;
+        let in_time = now + Span::from_secs_f64(sending * 0.5) < open.limit;
+        let fixed = rule.effect == Effect::Unrepeatable && open.may_have_run.is_some();
+        let plan = (paid && in_time && !fixed && open.hops < self.set.max_hops)
+            .then(|| self.plan(now, &open, &rule))
+            .flatten();
+        let Some((member, source, fill)) = plan else { return self.give_up(&open, &rule) };
+        let sla = rule.sla + Span::from_secs_f64(sending * rule.sla_stretch);
+        let limit = match rule.effect {
+            Effect::Repeatable => open.limit.min(now + sla * HOP_SLA),
+            _ => open.limit,
+        };
+        if open.hops > 0 {
+            self.further -= 1.0;
+        }
+        let load = open.txn.size.unwrap_or(1.0);
+        let mean = self.rows[open.txn.rule].sending;
+        let key = (id, open.hops);
+        for (i, cost) in [(Some(member), mean), (source, sending)] {
+            let Some(i) = i else { continue };
+            let c = &mut self.caches[i];
+            c.work += cost;
+            if let Some(at) = &mut c.trial_at {
+                *at = now + self.set.connect_limit;
+            }
+            if c.m.started.is_some() {
+                c.spent.push_back((now, cost.max(0.001), key));
+                let old = now.back(self.set.cold.over);
+                while c.spent.front().is_some_and(|s| s.0 < old) {
+                    c.spent.pop_front();
+                }
+            }
+        }
+        self.caches[member].load += load;
+        self.caches[member].out += 1;
+        let due = now + sla * OVERDUE;
+        self.hops.insert(key, Hop { member, source, sent: now, due, load, booked: false, cancelled: false });
+        open.hops += 1;
+        open.out += 1;
+        self.open.insert(id, open);
+        Decision::Hop { txn: id, member: Arc::clone(&self.caches[member].m.id), fill, limit }
+    }
+
+    /// Where the next hop goes: cache, fill source and how the copy is kept.
+    fn plan(
+        &mut self,
+        now: Time,
+        open: &Open,
+        rule: &RemapRule,
+    ) -> Option<(usize, Option<usize>, Option<Fill>)> {
+        let txn = &open.txn;
+        let mean = self.rows[txn.rule].sending;
+        let write = txn.write || rule.write;
+        if write && self.set.direct {
+            let origin = self.origin(now, open).filter(|&i| self.in_group(open, now, i));
+            return origin.map(|i| (i, None, None));
+        }
+        let member = self.edge(now, open, mean, txn.size.unwrap_or(1.0));
+        let source = if write { self.origin(now, open) } else { self.source(now, open) };
+        let Some(member) = member else {
+            // No cache of the own zone can take it: straight to the fill source, where that is allowed.
+            let source = source.filter(|&i| self.set.direct && self.in_group(open, now, i))?;
+            return Some((source, None, Some(self.fill(now, open, rule, source, 0))));
+        };
+        let known = hash(txn.object, txn.part, 1);
+        let again = self.seen[0].contains(&known) || self.seen[1].contains(&known);
+        self.seen[1].insert(known);
+        let source = source.unwrap_or(member);
+        let keep = if write { 0 } else { 1 + again as u8 };
+        let fill = self.fill(now, open, rule, source, keep);
+        Some((member, (source != member).then_some(source), Some(fill)))
+    }
+
+    fn fill(&self, now: Time, open: &Open, rule: &RemapRule, source: usize, keep: u8) -> Fill {
+        let c = &self.caches[source];
+        let warm = c.m.started.is_none_or(|at| now - at > self.set.cold_parent.within);
+        Fill {
+            source: Arc::clone(&c.m.id),
+            keep,
+            join: self.set.joins,
+            renew: warm && rule.fresh > Span::ZERO,
+            oldest: self.oldest(now, &open.txn, rule, open.hops > 0),
+        }
+    }
+
+    /// Nothing more will be tried: the answer goes out at once, a rejection where a repeat is harmless.
+    fn give_up(&mut self, open: &Open, rule: &RemapRule) -> Decision {
+        let txn = open.txn.id;
+        let harmless = open.may_have_run.is_none()
+            || rule.effect == Effect::Repeatable
+            || rule.effect == Effect::Keyed && rule.group == RepeatGroup::All;
+        if !harmless {
+            return Decision::Abort { txn };
+        }
+        let wait = self.set.connect_limit * self.rng.random_range(0.5..1.5);
+        let come_back = self.set.come_back.then(|| wait.min(self.set.longest_come_back));
+        Decision::Reject { txn, come_back }
+    }
+}
