--- a/src/logic.rs
+++ b/src/logic.rs
@@ -314,7 +314,7 @@
             if o.note == Some(Note::Held) {
                 self.caches[p].spent.retain(|s| s.2 != (o.txn, o.hop));
             }
-            let timed_out = o.end == HopEnd::TimedOut && !silent && !hop.booked;
+            let timed_out = o.end == HopEnd::TimedOut && !silent && self.caches[p].answered <= hop.sent;
             match o.note {
                 Some(Note::SourceRefused | Note::SourceLost | Note::OriginFailed) => culprit = p,
                 _ if timed_out => culprit = p,
