--- a/src/logic.rs
+++ b/src/logic.rs
@@ -35,7 +35,6 @@
 const FURTHER_HOPS: f64 = 0.15;
 const FURTHER_BURST: f64 = 6.0;
 const COLD_MARGIN: f64 = 0.7;
-const HOP_SLA: f64 = 2.0;
 const OVERDUE: f64 = 0.6;
 const SCANS: f64 = 0.125;
 
@@ -619,10 +618,7 @@
             .flatten();
         let Some((member, source, fill)) = plan else { return self.give_up(&open, &rule) };
         let sla = rule.sla + Span::from_secs_f64(sending * rule.sla_stretch);
-        let limit = match rule.effect {
-            Effect::Repeatable => open.limit.min(now + sla * HOP_SLA),
-            _ => open.limit,
-        };
+        let limit = open.limit;
         if open.hops > 0 {
             self.further -= 1.0;
         }
