--- a/src/logic.rs
+++ b/src/logic.rs
@@ -30,6 +30,11 @@
 const LEAST_FILLS: f64 = 8.0;
 // The edge bound, over the fair share of this gateway's load in flight.
 const BOUND: f64 = 2.0;
+// The gate of a cache: what this gateway may have in flight there, in mean txns. Txns over a cache's size
+// that still keep their SLA time; the share kept at a cut and the part of a txn gained by each in time.
+const GATE_OVER: f64 = 2.5;
+const GATE_CUT: f64 = 0.8;
+const GATE_GAIN: f64 = 0.1;
 // Health, further hops and guards.
 const STRIKES: u32 = 2;
 const FURTHER_HOPS: f64 = 0.15;
@@ -69,6 +74,8 @@
     spent: VecDeque<(Time, f64, (TxnId, u32))>,
     work: f64,
     rate: f64,
+    gate: f64,
+    cut: Time,
     par: Weight,
 }
 
@@ -77,6 +84,7 @@
     source: Option<usize>,
     sent: Time,
     due: Time,
+    sla: Span,
     load: f64,
     booked: bool,
     cancelled: bool,
@@ -118,6 +126,7 @@
     seen: [HashSet<u64>; 2],
     turned: Time,
     further: f64,
+    mean_load: f64,
     arrivals: f64,
     arrival_rate: f64,
     next_scan: Time,
@@ -210,6 +219,7 @@
             seen: [HashSet::new(), HashSet::new()],
             turned: now,
             further: FURTHER_BURST,
+            mean_load: 0.0,
             arrivals: 0.0,
             arrival_rate: 0.0,
             next_scan: now,
@@ -244,6 +254,7 @@
                 (c.m, c.role) = (m, role);
                 continue;
             }
+            let m_size = m.size;
             self.by_id.insert(Arc::clone(&m.id), self.caches.len());
             self.caches.push(Cache {
                 key: xxh3_64(m.id.as_bytes()),
@@ -257,6 +268,8 @@
                 spent: VecDeque::new(),
                 work: 0.0,
                 rate: 0.0,
+                gate: GATE_OVER * if self.set.sized { m_size / self.set.zone_gateways.max(1) as f64 } else { 4.0 },
+                cut: now,
                 par: Weight::new(weight),
             });
         }
@@ -276,6 +289,8 @@
             row.size += (kb - row.size) * part;
             row.sending += (sending - row.sending) * part;
         }
+        let load = txn.size.unwrap_or(1.0);
+        self.mean_load += (load - self.mean_load) * if self.mean_load == 0.0 { 1.0 } else { 0.02 };
         let id = txn.id;
         let limit = now + txn.left;
         let open = Open { txn, limit, hops: 0, out: 0, avoid: Vec::new(), may_have_run: None };
@@ -308,6 +323,7 @@
         if silent {
             self.strike(now, hop.member);
         }
+        self.adjust(now, &hop, &o);
         let mut culprit = hop.member;
         if let Some(p) = hop.source {
             if o.note == Some(Note::Held) {
@@ -364,6 +380,25 @@
         }
     }
 
+    /// Guards against work piling up at a cache, whatever fills it: overload, retries, large objects, a slow
+    /// machine. What comes late or is turned away shrinks the gate, what was held and in time widens it.
+    /// Harmful where txns are late for other reasons, so fills don't count.
+    fn adjust(&mut self, now: Time, hop: &Hop, o: &Outcome) {
+        let c = &mut self.caches[hop.member];
+        let held = matches!(o.note, None | Some(Note::Held | Note::Old));
+        let late = match o.end {
+            HopEnd::Completed if held => o.took > hop.sla,
+            HopEnd::TurnedAway if o.note.is_none() => true,
+            _ => return,
+        };
+        if !late {
+            c.gate += GATE_GAIN;
+        } else if hop.sent >= c.cut {
+            c.cut = now;
+            c.gate = (c.gate * GATE_CUT).max(1.0);
+        }
+    }
+
     /// Evidence that a member takes work and answers nothing, or can't be reached. After a few in a row it
     /// is passed over but for a trial now and then. Guards against crashes, hangs and cut links that the list
     /// does not know of; harmful only if a member is merely slow and nothing else answers from it.
@@ -556,6 +591,10 @@
         let size = |i: usize| if self.set.sized { self.caches[i].m.size.max(1e-6) } else { 1.0 };
         let total: f64 = order.iter().map(|&i| self.caches[i].load).sum::<f64>() + load;
         let sizes: f64 = order.iter().map(|&i| size(i)).sum();
+        order.retain(|&i| {
+            let c = &self.caches[i];
+            c.load == 0.0 || c.load + load <= c.gate * self.mean_load
+        });
         let fits = |i: usize| {
             let held = self.caches[i].load;
             held == 0.0 || held + load <= BOUND * total * size(i) / sizes
@@ -643,7 +682,7 @@
         self.caches[member].load += load;
         self.caches[member].out += 1;
         let due = now + sla * OVERDUE;
-        self.hops.insert(key, Hop { member, source, sent: now, due, load, booked: false, cancelled: false });
+        self.hops.insert(key, Hop { member, source, sent: now, due, sla, load, booked: false, cancelled: false });
         open.hops += 1;
         open.out += 1;
         self.open.insert(id, open);
@@ -669,7 +708,8 @@
         let Some(member) = member else {
             // No cache of the own zone can take it: straight to the fill source, where that is allowed.
             let source = source.filter(|&i| self.set.direct && self.in_group(open, now, i))?;
-            return Some((source, None, Some(self.fill(now, open, rule, source, 0))));
+            let behind = self.origin(now, open).unwrap_or(source);
+            return Some((source, None, Some(self.fill(now, open, rule, behind, 0))));
         };
         let known = hash(txn.object, txn.part, 1);
         let again = self.seen[0].contains(&known) || self.seen[1].contains(&known);
