--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,6 +33,7 @@
 // The gate of a cache: what this gateway may have in flight there, in mean txns. Txns over a cache's size
 // that still keep their SLA time; the share kept at a cut and the part of a txn gained by each in time.
 const GATE_OVER: f64 = 2.5;
+const UNSIZED_GATE: f64 = 6.0;
 const GATE_CUT: f64 = 0.8;
 const GATE_GAIN: f64 = 0.1;
 // Health, further hops and guards.
@@ -67,7 +68,6 @@
     key: u64,
     role: Role,
     load: f64,
-    out: u32,
     strikes: u32,
     trial_at: Option<Time>,
     answered: Time,
@@ -86,7 +86,7 @@
     due: Time,
     sla: Span,
     load: f64,
-    booked: bool,
+    fill_load: f64,
     cancelled: bool,
 }
 
@@ -96,6 +96,8 @@
     hops: u32,
     out: u32,
     avoid: Vec<usize>,
+    /// A cache was asked only for what it holds, and lacked it.
+    looked: bool,
     /// The member and time of the first hop that may have run.
     may_have_run: Option<(usize, Time)>,
 }
@@ -127,6 +129,7 @@
     turned: Time,
     further: f64,
     mean_load: f64,
+    miss_share: f64,
     arrivals: f64,
     arrival_rate: f64,
     next_scan: Time,
@@ -220,6 +223,7 @@
             turned: now,
             further: FURTHER_BURST,
             mean_load: 0.0,
+            miss_share: 0.5,
             arrivals: 0.0,
             arrival_rate: 0.0,
             next_scan: now,
@@ -255,20 +259,20 @@
                 continue;
             }
             let m_size = m.size;
+            let sharers = if role == Role::Edge { self.set.zone_gateways } else { self.set.gateways }.max(1) as f64;
             self.by_id.insert(Arc::clone(&m.id), self.caches.len());
             self.caches.push(Cache {
                 key: xxh3_64(m.id.as_bytes()),
                 m,
                 role,
                 load: 0.0,
-                out: 0,
                 strikes: 0,
                 trial_at: None,
                 answered: now,
                 spent: VecDeque::new(),
                 work: 0.0,
                 rate: 0.0,
-                gate: GATE_OVER * if self.set.sized { m_size / self.set.zone_gateways.max(1) as f64 } else { 4.0 },
+                gate: GATE_OVER * if self.set.sized { m_size / sharers } else { UNSIZED_GATE },
                 cut: now,
                 par: Weight::new(weight),
             });
@@ -293,7 +297,7 @@
         self.mean_load += (load - self.mean_load) * if self.mean_load == 0.0 { 1.0 } else { 0.02 };
         let id = txn.id;
         let limit = now + txn.left;
-        let open = Open { txn, limit, hops: 0, out: 0, avoid: Vec::new(), may_have_run: None };
+        let open = Open { txn, limit, hops: 0, out: 0, avoid: Vec::new(), looked: false, may_have_run: None };
         self.open.insert(id, open);
         self.ready.push_back(id);
     }
@@ -308,9 +312,17 @@
 
     pub fn outcome(&mut self, now: Time, o: Outcome) {
         let Some(hop) = self.hops.remove(&(o.txn, o.hop)) else { return };
+        self.adjust(now, &hop, &o);
+        if let Some(p) = hop.source {
+            self.caches[p].load -= hop.fill_load;
+            match o.note {
+                Some(Note::Held | Note::Old) => self.miss_share += (0.0 - self.miss_share) * 0.01,
+                Some(Note::Filled | Note::FilledByOrigin) => self.miss_share += (1.0 - self.miss_share) * 0.01,
+                _ => {}
+            }
+        }
         let c = &mut self.caches[hop.member];
-        c.load = (c.load - hop.load).max(0.0);
-        c.out = c.out.saturating_sub(1);
+        c.load -= hop.load;
         let silent = match o.end {
             HopEnd::Unreachable | HopEnd::Broken => true,
             HopEnd::TimedOut => c.answered <= hop.sent,
@@ -323,7 +335,6 @@
         if silent {
             self.strike(now, hop.member);
         }
-        self.adjust(now, &hop, &o);
         let mut culprit = hop.member;
         if let Some(p) = hop.source {
             if o.note == Some(Note::Held) {
@@ -371,7 +382,11 @@
             return;
         }
         open.out = open.out.saturating_sub(1);
-        open.avoid.push(culprit);
+        if o.end == HopEnd::Lacking && hop.source.is_none() {
+            open.looked = true;
+        } else {
+            open.avoid.push(culprit);
+        }
         if !o.end.proves_not_run() && open.may_have_run.is_none_or(|(_, at)| hop.sent < at) {
             open.may_have_run = Some((hop.member, hop.sent));
         }
@@ -380,25 +395,34 @@
         }
     }
 
-    /// Guards against work piling up at a cache, whatever fills it: overload, retries, large objects, a slow
-    /// machine. What comes late or is turned away shrinks the gate, what was held and in time widens it.
-    /// Harmful where txns are late for other reasons, so fills don't count.
+    /// Guards against work piling up at a cache, a parent or the link before it, whatever fills it: overload,
+    /// retries, large objects, a slow machine. What comes late or is turned away shrinks the gate of the place
+    /// that it went through, what comes in time widens it. Harmful where txns are late for other reasons, so
+    /// fills don't count against the cache nor hits against the parent.
     fn adjust(&mut self, now: Time, hop: &Hop, o: &Outcome) {
-        let c = &mut self.caches[hop.member];
-        let held = matches!(o.note, None | Some(Note::Held | Note::Old));
-        let late = match o.end {
-            HopEnd::Completed if held => o.took > hop.sla,
-            HopEnd::TurnedAway if o.note.is_none() => true,
-            _ => return,
-        };
-        if !late {
-            c.gate += GATE_GAIN;
-        } else if hop.sent >= c.cut {
-            c.cut = now;
-            c.gate = (c.gate * GATE_CUT).max(1.0);
+        let filled = !matches!(o.note, None | Some(Note::Held | Note::Old | Note::Joined | Note::NoPlace));
+        let place = if filled { hop.source } else { Some(hop.member) };
+        let (Some(place), mean) = (place, self.mean_load.max(1e-6)) else { return };
+        let c = &mut self.caches[place];
+        match o.end {
+            HopEnd::Completed if o.took <= hop.sla => {
+                if c.load >= c.gate * mean / 2.0 {
+                    c.gate += GATE_GAIN;
+                }
+            }
+            HopEnd::Completed | HopEnd::TurnedAway | HopEnd::Errored if hop.sent >= c.cut => {
+                c.cut = now;
+                c.gate = (c.gate.min(c.load / mean + 1.0) * GATE_CUT).max(1.0);
+            }
+            _ => {}
         }
     }
 
+    fn passes(&self, i: usize, load: f64) -> bool {
+        let c = &self.caches[i];
+        c.load <= 0.0 || c.load + load <= c.gate * self.mean_load
+    }
+
     /// Evidence that a member takes work and answers nothing, or can't be reached. After a few in a row it
     /// is passed over but for a trial now and then. Guards against crashes, hangs and cut links that the list
     /// does not know of; harmful only if a member is merely slow and nothing else answers from it.
@@ -570,9 +594,14 @@
         let cost = self.sending(&open.txn);
         let mut order = self.order(Role::Parent, &open.txn);
         order.retain(|&i| self.usable(now, i) && !open.avoid.contains(&i) && self.has_room(now, i, cost));
+        let load = open.txn.size.unwrap_or(1.0) * if open.looked { 1.0 } else { self.miss_share };
+        if order.is_empty() {
+            return self.origin(now, open);
+        }
+        order.retain(|&i| self.passes(i, load));
         let fraction = unit(hash(open.txn.object, open.txn.part, 0));
         let by_weight = order.iter().find(|&&i| self.caches[i].par.weight / FULL > fraction);
-        by_weight.or(order.last()).copied().or_else(|| self.origin(now, open))
+        by_weight.or(order.last()).copied()
     }
 
     fn origin(&self, now: Time, open: &Open) -> Option<usize> {
@@ -591,10 +620,7 @@
         let size = |i: usize| if self.set.sized { self.caches[i].m.size.max(1e-6) } else { 1.0 };
         let total: f64 = order.iter().map(|&i| self.caches[i].load).sum::<f64>() + load;
         let sizes: f64 = order.iter().map(|&i| size(i)).sum();
-        order.retain(|&i| {
-            let c = &self.caches[i];
-            c.load == 0.0 || c.load + load <= c.gate * self.mean_load
-        });
+        order.retain(|&i| self.passes(i, load));
         let fits = |i: usize| {
             let held = self.caches[i].load;
             held == 0.0 || held + load <= BOUND * total * size(i) / sizes
@@ -680,9 +706,12 @@
             }
         }
         self.caches[member].load += load;
-        self.caches[member].out += 1;
+        let fill_load = if open.looked { load } else { load * self.miss_share };
+        if let Some(p) = source {
+            self.caches[p].load += fill_load;
+        }
         let due = now + sla * OVERDUE;
-        self.hops.insert(key, Hop { member, source, sent: now, due, sla, load, booked: false, cancelled: false });
+        self.hops.insert(key, Hop { member, source, sent: now, due, sla, load, fill_load, cancelled: false });
         open.hops += 1;
         open.out += 1;
         self.open.insert(id, open);
@@ -714,6 +743,10 @@
         let known = hash(txn.object, txn.part, 1);
         let again = self.seen[0].contains(&known) || self.seen[1].contains(&known);
         self.seen[1].insert(known);
+        // No room for a fill: ask the cache for what it holds, once.
+        if source.is_none() && open.looked {
+            return None;
+        }
         let source = source.unwrap_or(member);
         let keep = if write { 0 } else { 1 + again as u8 };
         let fill = self.fill(now, open, rule, source, keep);
