--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,6 +34,7 @@
 // that still keep their SLA time; the share kept at a cut and the part of a txn gained by each in time.
 const GATE_OVER: f64 = 2.5;
 const UNSIZED_GATE: f64 = 6.0;
+const LARGE: f64 = 0.95;
 const GATE_CUT: f64 = 0.8;
 const GATE_GAIN: f64 = 0.1;
 // Health, further hops and guards.
@@ -106,6 +107,7 @@
 struct Row {
     sending: f64,
     size: f64,
+    held: Histogram,
 }
 
 struct Purge {
@@ -208,7 +210,8 @@
 
 impl Gateway {
     pub fn new(set: Settings, seed: u64, now: Time) -> Gateway {
-        let rows = set.rules.iter().map(|r| Row { sending: r.sla.as_secs_f64() / 2.0, size: 0.0 }).collect();
+        let row = |r: &RemapRule| Row { sending: r.sla.as_secs_f64() / 2.0, size: 0.0, held: Histogram::new(0.004, 1.5, 18) };
+        let rows = set.rules.iter().map(row).collect();
         Gateway {
             rng: Pcg64Mcg::seed_from_u64(seed),
             caches: Vec::new(),
@@ -377,6 +380,15 @@
             }
         }
         let Some(open) = self.open.get_mut(&o.txn) else { return };
+        if let (Some(Note::Held), Some(row)) = (o.note, self.rows.get_mut(open.txn.rule)) {
+            row.held.record(o.took);
+            if row.held.count() > 300.0 {
+                row.held.halve();
+            }
+            if open.txn.size.is_none() {
+                row.sending += (o.took.as_secs_f64() - row.sending) * 0.02;
+            }
+        }
         if o.closed {
             self.open.remove(&o.txn);
             return;
@@ -537,6 +549,14 @@
         }
     }
 
+    /// The SLA time of a txn; where its size is not told, that of a large one of its rule, so that being
+    /// large does not look like being late.
+    fn sla(&self, txn: &Txn, rule: &RemapRule) -> Span {
+        let large = || self.rows[txn.rule].held.quantile(LARGE).unwrap_or(rule.sla).as_secs_f64();
+        let sending = if txn.size.is_some() { self.sending(txn) } else { large() };
+        rule.sla + Span::from_secs_f64(sending * rule.sla_stretch)
+    }
+
     /// The txn's own sending time, as far as it is told.
     fn sending(&self, txn: &Txn) -> f64 {
         match txn.size {
@@ -682,7 +702,7 @@
             .then(|| self.plan(now, &open, &rule))
             .flatten();
         let Some((member, source, fill)) = plan else { return self.give_up(&open, &rule) };
-        let sla = rule.sla + Span::from_secs_f64(sending * rule.sla_stretch);
+        let sla = self.sla(&open.txn, &rule);
         let limit = open.limit;
         if open.hops > 0 {
             self.further -= 1.0;
