--- a/src/logic.rs
+++ b/src/logic.rs
@@ -35,7 +35,7 @@
 const GATE_OVER: f64 = 2.5;
 const UNSIZED_GATE: f64 = 6.0;
 const LARGE: f64 = 0.95;
-const GATE_CUT: f64 = 0.8;
+const GATE_CUT: f64 = 0.95;
 const GATE_GAIN: f64 = 0.1;
 // Health, further hops and guards.
 const STRIKES: u32 = 2;
@@ -76,7 +76,6 @@
     work: f64,
     rate: f64,
     gate: f64,
-    cut: Time,
     par: Weight,
 }
 
@@ -276,7 +275,6 @@
                 work: 0.0,
                 rate: 0.0,
                 gate: GATE_OVER * if self.set.sized { m_size / sharers } else { UNSIZED_GATE },
-                cut: now,
                 par: Weight::new(weight),
             });
         }
@@ -315,7 +313,7 @@
 
     pub fn outcome(&mut self, now: Time, o: Outcome) {
         let Some(hop) = self.hops.remove(&(o.txn, o.hop)) else { return };
-        self.adjust(now, &hop, &o);
+        self.adjust(&hop, &o);
         if let Some(p) = hop.source {
             self.caches[p].load -= hop.fill_load;
             match o.note {
@@ -411,7 +409,7 @@
     /// retries, large objects, a slow machine. What comes late or is turned away shrinks the gate of the place
     /// that it went through, what comes in time widens it. Harmful where txns are late for other reasons, so
     /// fills don't count against the cache nor hits against the parent.
-    fn adjust(&mut self, now: Time, hop: &Hop, o: &Outcome) {
+    fn adjust(&mut self, hop: &Hop, o: &Outcome) {
         let filled = !matches!(o.note, None | Some(Note::Held | Note::Old | Note::Joined | Note::NoPlace));
         let place = if filled { hop.source } else { Some(hop.member) };
         let (Some(place), mean) = (place, self.mean_load.max(1e-6)) else { return };
@@ -422,10 +420,7 @@
                     c.gate += GATE_GAIN;
                 }
             }
-            HopEnd::Completed | HopEnd::TurnedAway | HopEnd::Errored if hop.sent >= c.cut => {
-                c.cut = now;
-                c.gate = (c.gate.min(c.load / mean + 1.0) * GATE_CUT).max(1.0);
-            }
+            HopEnd::Completed | HopEnd::TurnedAway | HopEnd::Errored => c.gate = (c.gate * GATE_CUT).max(1.0),
             _ => {}
         }
     }
