--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -107,7 +107,7 @@
             json!({"PassOn": {"Who": who, "Req": txn, "Cache": &*member, "TryUntilUs": limit.as_micros()}})
         }
         Decision::Hop { txn, member, fill: Some(fill), limit } => {
-            let mode = u8::from(fill.join) + 8 * u8::from(fill.renew);
+            let mode = u8::from(fill.join) + 2 * u8::from(fill.held_only) + 8 * u8::from(fill.renew);
             let age = fill.oldest.map_or(0, Span::as_micros);
             json!({"ServeVia": {"Who": who, "Req": txn, "Cache": &*member, "Keep": fill.keep,
                 "Supplier": &*fill.source, "Mode": mode, "TryUntilUs": limit.as_micros(), "AgeUs": age}})
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -187,6 +187,8 @@
     /// 0: pass through; 1 to 3: the rank at which the copy is kept.
     pub keep: u8,
     pub join: bool,
+    /// The source gives only what it holds.
+    pub held_only: bool,
     pub renew: bool,
     /// `None`: the remap rule's fresh time.
     pub oldest: Option<Span>,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,6 +34,7 @@
 // that still keep their SLA time; the share kept at a cut and the part of a txn gained by each in time.
 const GATE_OVER: f64 = 2.5;
 const UNSIZED_GATE: f64 = 6.0;
+const ORIGIN_SICK: f64 = 0.3;
 const LARGE: f64 = 0.95;
 const GATE_CUT: f64 = 0.95;
 const GATE_GAIN: f64 = 0.1;
@@ -87,6 +88,7 @@
     sla: Span,
     load: f64,
     fill_load: f64,
+    to_origin: bool,
     cancelled: bool,
 }
 
@@ -98,6 +100,9 @@
     avoid: Vec<usize>,
     /// A cache was asked only for what it holds, and lacked it.
     looked: bool,
+    /// The parent holds no copy either, or the origin failed behind it.
+    parent_lacks: bool,
+    origin_failed: bool,
     /// The member and time of the first hop that may have run.
     may_have_run: Option<(usize, Time)>,
 }
@@ -131,6 +136,8 @@
     further: f64,
     mean_load: f64,
     miss_share: f64,
+    origin: Option<usize>,
+    origin_bad: f64,
     arrivals: f64,
     arrival_rate: f64,
     next_scan: Time,
@@ -226,6 +233,8 @@
             further: FURTHER_BURST,
             mean_load: 0.0,
             miss_share: 0.5,
+            origin: None,
+            origin_bad: 0.0,
             arrivals: 0.0,
             arrival_rate: 0.0,
             next_scan: now,
@@ -262,6 +271,9 @@
             }
             let m_size = m.size;
             let sharers = if role == Role::Edge { self.set.zone_gateways } else { self.set.gateways }.max(1) as f64;
+            if role == Role::Origin {
+                self.origin = Some(self.caches.len());
+            }
             self.by_id.insert(Arc::clone(&m.id), self.caches.len());
             self.caches.push(Cache {
                 key: xxh3_64(m.id.as_bytes()),
@@ -298,7 +310,7 @@
         self.mean_load += (load - self.mean_load) * if self.mean_load == 0.0 { 1.0 } else { 0.02 };
         let id = txn.id;
         let limit = now + txn.left;
-        let open = Open { txn, limit, hops: 0, out: 0, avoid: Vec::new(), looked: false, may_have_run: None };
+        let open = Open { txn, limit, hops: 0, out: 0, avoid: Vec::new(), looked: false, parent_lacks: false, origin_failed: false, may_have_run: None };
         self.open.insert(id, open);
         self.ready.push_back(id);
     }
@@ -322,6 +334,9 @@
                 _ => {}
             }
         }
+        if let Some(origin) = self.origin.filter(|_| hop.to_origin) {
+            self.caches[origin].load -= hop.load;
+        }
         let c = &mut self.caches[hop.member];
         c.load -= hop.load;
         let silent = match o.end {
@@ -394,6 +409,10 @@
         open.out = open.out.saturating_sub(1);
         if o.end == HopEnd::Lacking && hop.source.is_none() {
             open.looked = true;
+        } else if o.note == Some(Note::SourceLacks) {
+            (open.looked, open.parent_lacks) = (true, true);
+        } else if o.note == Some(Note::OriginFailed) {
+            open.origin_failed = true;
         } else {
             open.avoid.push(culprit);
         }
@@ -410,8 +429,18 @@
     /// that it went through, what comes in time widens it. Harmful where txns are late for other reasons, so
     /// fills don't count against the cache nor hits against the parent.
     fn adjust(&mut self, hop: &Hop, o: &Outcome) {
-        let filled = !matches!(o.note, None | Some(Note::Held | Note::Old | Note::Joined | Note::NoPlace));
-        let place = if filled { hop.source } else { Some(hop.member) };
+        let slow_start = o.first_byte.is_some_and(|first| first > hop.sla * 0.5);
+        let place = match o.note {
+            None | Some(Note::Held | Note::Old | Note::Joined | Note::NoPlace) => Some(hop.member),
+            Some(Note::OriginFailed) => self.origin,
+            Some(Note::FilledByOrigin) if slow_start => self.origin,
+            Some(Note::FilledByOrigin) if hop.to_origin && o.took <= hop.sla => self.origin,
+            _ => hop.source,
+        };
+        if o.note == Some(Note::OriginFailed) || o.note == Some(Note::FilledByOrigin) {
+            let bad = slow_start || o.note == Some(Note::OriginFailed);
+            self.origin_bad += (f64::from(u8::from(bad)) - self.origin_bad) * 0.1;
+        }
         let (Some(place), mean) = (place, self.mean_load.max(1e-6)) else { return };
         let c = &mut self.caches[place];
         match o.end {
@@ -425,6 +454,13 @@
         }
     }
 
+    /// Origin fills fail or start late behind every parent alike. Then parents are asked for what they hold
+    /// first, ageing copies will do, and what must go on to the origin passes its gate: a slow or crowded
+    /// origin gets what it can answer in time. Costs a hop for each miss while it lasts.
+    fn origin_sick(&self) -> bool {
+        self.origin_bad > ORIGIN_SICK
+    }
+
     fn passes(&self, i: usize, load: f64) -> bool {
         let c = &self.caches[i];
         c.load <= 0.0 || c.load + load <= c.gate * self.mean_load
@@ -614,6 +650,10 @@
             return self.origin(now, open);
         }
         order.retain(|&i| self.passes(i, load));
+        let held_back = open.parent_lacks && self.origin.is_some_and(|o| !self.passes(o, load));
+        if open.origin_failed || held_back {
+            return None;
+        }
         let fraction = unit(hash(open.txn.object, open.txn.part, 0));
         let by_weight = order.iter().find(|&&i| self.caches[i].par.weight / FULL > fraction);
         by_weight.or(order.last()).copied()
@@ -725,8 +765,12 @@
         if let Some(p) = source {
             self.caches[p].load += fill_load;
         }
+        let to_origin = source.is_some() && open.parent_lacks;
+        if let Some(origin) = self.origin.filter(|_| to_origin) {
+            self.caches[origin].load += load;
+        }
         let due = now + sla * OVERDUE;
-        self.hops.insert(key, Hop { member, source, sent: now, due, sla, load, fill_load, cancelled: false });
+        self.hops.insert(key, Hop { member, source, sent: now, due, sla, load, fill_load, to_origin, cancelled: false });
         open.hops += 1;
         open.out += 1;
         self.open.insert(id, open);
@@ -759,7 +803,7 @@
         let again = self.seen[0].contains(&known) || self.seen[1].contains(&known);
         self.seen[1].insert(known);
         // No room for a fill: ask the cache for what it holds, once.
-        if source.is_none() && open.looked {
+        if source.is_none() && (open.looked || open.origin_failed && rule.grace == Span::ZERO) {
             return None;
         }
         let source = source.unwrap_or(member);
@@ -775,8 +819,9 @@
             source: Arc::clone(&c.m.id),
             keep,
             join: self.set.joins,
+            held_only: c.role == Role::Parent && self.origin_sick() && !open.parent_lacks,
             renew: warm && rule.fresh > Span::ZERO,
-            oldest: self.oldest(now, &open.txn, rule, open.hops > 0),
+            oldest: self.oldest(now, &open.txn, rule, open.hops > 0 || self.origin_sick()),
         }
     }
 
