--- a/src/logic.rs
+++ b/src/logic.rs
@@ -429,7 +429,7 @@
     /// that it went through, what comes in time widens it. Harmful where txns are late for other reasons, so
     /// fills don't count against the cache nor hits against the parent.
     fn adjust(&mut self, hop: &Hop, o: &Outcome) {
-        let slow_start = o.first_byte.is_some_and(|first| first > hop.sla * 0.5);
+        let slow_start = o.first_byte.is_some_and(|first| first > hop.sla * 0.8);
         let place = match o.note {
             None | Some(Note::Held | Note::Old | Note::Joined | Note::NoPlace) => Some(hop.member),
             Some(Note::OriginFailed) => self.origin,
