--- a/src/logic.rs
+++ b/src/logic.rs
@@ -35,6 +35,7 @@
 const GATE_OVER: f64 = 2.5;
 const UNSIZED_GATE: f64 = 6.0;
 const ORIGIN_SICK: f64 = 0.3;
+const BORNE_KEPT: f64 = 0.995;
 const LARGE: f64 = 0.95;
 const GATE_CUT: f64 = 0.95;
 const GATE_GAIN: f64 = 0.1;
@@ -89,6 +90,7 @@
     load: f64,
     fill_load: f64,
     to_origin: bool,
+    sending: f64,
     cancelled: bool,
 }
 
@@ -136,6 +138,8 @@
     further: f64,
     mean_load: f64,
     miss_share: f64,
+    /// Sending time a second that this gateway saw a warm cache and a warm parent complete, at most lately.
+    borne: [f64; 2],
     origin: Option<usize>,
     origin_bad: f64,
     arrivals: f64,
@@ -216,7 +220,11 @@
 
 impl Gateway {
     pub fn new(set: Settings, seed: u64, now: Time) -> Gateway {
-        let row = |r: &RemapRule| Row { sending: r.sla.as_secs_f64() / 2.0, size: 0.0, held: Histogram::new(0.004, 1.5, 18) };
+        let row = |r: &RemapRule| Row {
+            sending: r.sla.as_secs_f64() / 2.0,
+            size: 0.0,
+            held: Histogram::new(0.004, 1.5, 18),
+        };
         let rows = set.rules.iter().map(row).collect();
         Gateway {
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -233,6 +241,7 @@
             further: FURTHER_BURST,
             mean_load: 0.0,
             miss_share: 0.5,
+            borne: [0.0; 2],
             origin: None,
             origin_bad: 0.0,
             arrivals: 0.0,
@@ -270,7 +279,8 @@
                 continue;
             }
             let m_size = m.size;
-            let sharers = if role == Role::Edge { self.set.zone_gateways } else { self.set.gateways }.max(1) as f64;
+            let sharers =
+                if role == Role::Edge { self.set.zone_gateways } else { self.set.gateways }.max(1) as f64;
             if role == Role::Origin {
                 self.origin = Some(self.caches.len());
             }
@@ -310,7 +320,17 @@
         self.mean_load += (load - self.mean_load) * if self.mean_load == 0.0 { 1.0 } else { 0.02 };
         let id = txn.id;
         let limit = now + txn.left;
-        let open = Open { txn, limit, hops: 0, out: 0, avoid: Vec::new(), looked: false, parent_lacks: false, origin_failed: false, may_have_run: None };
+        let open = Open {
+            txn,
+            limit,
+            hops: 0,
+            out: 0,
+            avoid: Vec::new(),
+            looked: false,
+            parent_lacks: false,
+            origin_failed: false,
+            may_have_run: None,
+        };
         self.open.insert(id, open);
         self.ready.push_back(id);
     }
@@ -326,11 +346,19 @@
     pub fn outcome(&mut self, now: Time, o: Outcome) {
         let Some(hop) = self.hops.remove(&(o.txn, o.hop)) else { return };
         self.adjust(&hop, &o);
+        if o.end == HopEnd::Completed {
+            let filled = matches!(o.note, Some(Note::Filled | Note::FilledByOrigin));
+            for i in [Some(hop.member), hop.source.filter(|_| filled)].into_iter().flatten() {
+                self.caches[i].work += hop.sending;
+            }
+        }
         if let Some(p) = hop.source {
             self.caches[p].load -= hop.fill_load;
             match o.note {
                 Some(Note::Held | Note::Old) => self.miss_share += (0.0 - self.miss_share) * 0.01,
-                Some(Note::Filled | Note::FilledByOrigin) => self.miss_share += (1.0 - self.miss_share) * 0.01,
+                Some(Note::Filled | Note::FilledByOrigin) => {
+                    self.miss_share += (1.0 - self.miss_share) * 0.01
+                }
                 _ => {}
             }
         }
@@ -533,6 +561,19 @@
         if alone || common[0].is_infinite() {
             common = [0.0; 4];
         }
+        for (borne, role) in self.borne.iter_mut().zip([Role::Edge, Role::Parent]) {
+            let zone = self.set.zone;
+            let warm = |c: &&Cache| {
+                let cold = if role == Role::Parent { &self.set.cold_parent } else { &self.set.cold };
+                c.role == role
+                    && (role == Role::Parent || c.m.zone == zone)
+                    && c.m.state == MemberState::Up
+                    && c.m.started.is_none_or(|at| now - at >= cold.within)
+            };
+            let (sum, n) =
+                self.caches.iter().filter(warm).fold((0.0, 0.0), |(s, n), c| (s + c.rate, n + 1.0));
+            *borne = (*borne * BORNE_KEPT).max(sum / f64::max(n, 1.0));
+        }
         for c in &mut self.caches {
             c.rate += (c.work - c.rate) * 0.2;
             c.work = 0.0;
@@ -606,17 +647,13 @@
         };
         let Some(age) = c.m.started.map(|at| now - at).filter(|&age| age < cold.within) else { return true };
         let sharers = sharers.max(1) as f64;
-        let capacity = if self.set.sized {
-            c.m.size
-        } else {
-            let peers = self.caches.iter().filter(|p| p.role == c.role && p.m.zone == c.m.zone);
-            peers.map(|p| p.rate).fold(0.0, f64::max) * sharers
-        };
+        let capacity =
+            if self.set.sized { c.m.size } else { self.borne[usize::from(c.role == Role::Parent)] * sharers };
         let present = cold.from + (1.0 - cold.from) * (age / cold.within);
         let budget = cold.multiple * present * capacity * cold.over.as_secs_f64() / sharers * COLD_MARGIN;
         let since = now.back(cold.over);
         let spent: f64 = c.spent.iter().filter(|s| s.0 >= since).map(|s| s.1).sum();
-        spent + cost <= budget
+        spent + cost <= budget || spent == 0.0 && !self.set.sized && capacity == 0.0
     }
 
     /// Listed as up, and not passed over for its silence; a trial is let through when it is due.
@@ -748,7 +785,6 @@
         for (i, cost) in [(Some(member), mean), (source, sending)] {
             let Some(i) = i else { continue };
             let c = &mut self.caches[i];
-            c.work += cost;
             if let Some(at) = &mut c.trial_at {
                 *at = now + self.set.connect_limit;
             }
@@ -770,7 +806,21 @@
             self.caches[origin].load += load;
         }
         let due = now + sla * OVERDUE;
-        self.hops.insert(key, Hop { member, source, sent: now, due, sla, load, fill_load, to_origin, cancelled: false });
+        self.hops.insert(
+            key,
+            Hop {
+                member,
+                source,
+                sent: now,
+                due,
+                sla,
+                load,
+                fill_load,
+                to_origin,
+                sending,
+                cancelled: false,
+            },
+        );
         open.hops += 1;
         open.out += 1;
         self.open.insert(id, open);
