--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,7 +36,7 @@
 const UNSIZED_GATE: f64 = 6.0;
 const ORIGIN_SICK: f64 = 0.3;
 const BORNE_KEPT: f64 = 0.995;
-const LARGE: f64 = 0.95;
+const LARGE: f64 = 0.75;
 const GATE_CUT: f64 = 0.95;
 const GATE_GAIN: f64 = 0.1;
 // Health, further hops and guards.
@@ -113,7 +113,6 @@
 struct Row {
     sending: f64,
     size: f64,
-    held: Histogram,
 }
 
 struct Purge {
@@ -220,12 +219,7 @@
 
 impl Gateway {
     pub fn new(set: Settings, seed: u64, now: Time) -> Gateway {
-        let row = |r: &RemapRule| Row {
-            sending: r.sla.as_secs_f64() / 2.0,
-            size: 0.0,
-            held: Histogram::new(0.004, 1.5, 18),
-        };
-        let rows = set.rules.iter().map(row).collect();
+        let rows = set.rules.iter().map(|r| Row { sending: r.sla.as_secs_f64() / 2.0, size: 0.0 }).collect();
         Gateway {
             rng: Pcg64Mcg::seed_from_u64(seed),
             caches: Vec::new(),
@@ -422,10 +416,6 @@
         }
         let Some(open) = self.open.get_mut(&o.txn) else { return };
         if let (Some(Note::Held), Some(row)) = (o.note, self.rows.get_mut(open.txn.rule)) {
-            row.held.record(o.took);
-            if row.held.count() > 300.0 {
-                row.held.halve();
-            }
             if open.txn.size.is_none() {
                 row.sending += (o.took.as_secs_f64() - row.sending) * 0.02;
             }
@@ -621,11 +611,9 @@
         }
     }
 
-    /// The SLA time of a txn; where its size is not told, that of a large one of its rule, so that being
-    /// large does not look like being late.
+    /// The SLA time of a txn; where its size is not told, that of a large one of its rule.
     fn sla(&self, txn: &Txn, rule: &RemapRule) -> Span {
-        let large = || self.rows[txn.rule].held.quantile(LARGE).unwrap_or(rule.sla).as_secs_f64();
-        let sending = if txn.size.is_some() { self.sending(txn) } else { large() };
+        let sending = if txn.size.is_some() { self.sending(txn) } else { rule.sla.as_secs_f64() * LARGE };
         rule.sla + Span::from_secs_f64(sending * rule.sla_stretch)
     }
 
