--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 mod histogram;
 pub mod interface;
 mod logic;
+mod state;
 mod time;
 
 pub use logic::Gateway;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,6 +4,7 @@
 
 use crate::histogram::Histogram;
 use crate::interface::*;
+use crate::state::*;
 use crate::time::{Span, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -36,6 +37,9 @@
 const UNSIZED_GATE: f64 = 6.0;
 const ORIGIN_SICK: f64 = 0.3;
 const BORNE_KEPT: f64 = 0.995;
+// Parts by which running means follow.
+const SLOW: f64 = 0.02;
+const QUICK: f64 = 0.15;
 const LARGE: f64 = 0.75;
 const GATE_CUT: f64 = 0.95;
 const GATE_GAIN: f64 = 0.1;
@@ -47,80 +51,6 @@
 const OVERDUE: f64 = 0.6;
 const SCANS: f64 = 0.125;
 
-#[derive(Clone, Copy, PartialEq)]
-enum Role {
-    Edge,
-    Parent,
-    Origin,
-}
-
-/// What the weight controller keeps of a parent, from this gateway's own fills.
-struct Weight {
-    weight: f64,
-    recent: Histogram,
-    settled: Histogram,
-    fills: f64,
-    failed: f64,
-    late: f64,
-    clean: u32,
-    broken: bool,
-}
-
-struct Cache {
-    m: Member,
-    key: u64,
-    role: Role,
-    load: f64,
-    strikes: u32,
-    trial_at: Option<Time>,
-    answered: Time,
-    spent: VecDeque<(Time, f64, (TxnId, u32))>,
-    work: f64,
-    rate: f64,
-    gate: f64,
-    par: Weight,
-}
-
-struct Hop {
-    member: usize,
-    source: Option<usize>,
-    sent: Time,
-    due: Time,
-    sla: Span,
-    load: f64,
-    fill_load: f64,
-    to_origin: bool,
-    sending: f64,
-    cancelled: bool,
-}
-
-struct Open {
-    txn: Txn,
-    limit: Time,
-    hops: u32,
-    out: u32,
-    avoid: Vec<usize>,
-    /// A cache was asked only for what it holds, and lacked it.
-    looked: bool,
-    /// The parent holds no copy either, or the origin failed behind it.
-    parent_lacks: bool,
-    origin_failed: bool,
-    /// The member and time of the first hop that may have run.
-    may_have_run: Option<(usize, Time)>,
-}
-
-/// What is measured of a remap rule's txns.
-struct Row {
-    sending: f64,
-    size: f64,
-}
-
-struct Purge {
-    object: Option<u64>,
-    group: u64,
-    at: Time,
-}
-
 pub struct Gateway {
     set: Settings,
     rng: Pcg64Mcg,
@@ -149,18 +79,6 @@
     subscribe_at: Option<Time>,
 }
 
-fn unit(hash: u64) -> f64 {
-    ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
-}
-
-fn hash(a: u64, b: u64, c: u64) -> u64 {
-    let mut bytes = [0; 24];
-    bytes[..8].copy_from_slice(&a.to_le_bytes());
-    bytes[8..16].copy_from_slice(&b.to_le_bytes());
-    bytes[16..].copy_from_slice(&c.to_le_bytes());
-    xxh3_64(&bytes)
-}
-
 impl Weight {
     fn new(weight: f64) -> Weight {
         let h = Histogram::new(0.004, 1.5, 18);
@@ -219,14 +137,14 @@
 
 impl Gateway {
     pub fn new(set: Settings, seed: u64, now: Time) -> Gateway {
-        let rows = set.rules.iter().map(|r| Row { sending: r.sla.as_secs_f64() / 2.0, size: 0.0 }).collect();
+        let row = |r: &RemapRule| Row { sending: r.sla.as_secs_f64() / 2.0, told: false };
         Gateway {
             rng: Pcg64Mcg::seed_from_u64(seed),
             caches: Vec::new(),
             by_id: BTreeMap::new(),
             open: BTreeMap::new(),
             hops: BTreeMap::new(),
-            rows,
+            rows: set.rules.iter().map(row).collect(),
             ready: VecDeque::new(),
             cancels: VecDeque::new(),
             purges: Vec::new(),
@@ -272,27 +190,18 @@
                 (c.m, c.role) = (m, role);
                 continue;
             }
-            let m_size = m.size;
-            let sharers =
-                if role == Role::Edge { self.set.zone_gateways } else { self.set.gateways }.max(1) as f64;
+            let sharers = if role == Role::Edge { self.set.zone_gateways } else { self.set.gateways };
+            let gate = if self.set.sized { m.size / sharers.max(1) as f64 } else { UNSIZED_GATE } * GATE_OVER;
+            let i = self.caches.len();
             if role == Role::Origin {
-                self.origin = Some(self.caches.len());
+                self.origin = Some(i);
             }
-            self.by_id.insert(Arc::clone(&m.id), self.caches.len());
-            self.caches.push(Cache {
-                key: xxh3_64(m.id.as_bytes()),
-                m,
-                role,
-                load: 0.0,
-                strikes: 0,
-                trial_at: None,
-                answered: now,
-                spent: VecDeque::new(),
-                work: 0.0,
-                rate: 0.0,
-                gate: GATE_OVER * if self.set.sized { m_size / sharers } else { UNSIZED_GATE },
-                par: Weight::new(weight),
-            });
+            self.by_id.insert(Arc::clone(&m.id), i);
+            let (key, par, spent) = (xxh3_64(m.id.as_bytes()), Weight::new(weight), VecDeque::new());
+            let (load, work, rate, strikes, trial_at, answered) = (0.0, 0.0, 0.0, 0, None, now);
+            let cache =
+                Cache { m, key, role, load, strikes, trial_at, answered, spent, work, rate, gate, par };
+            self.caches.push(cache);
         }
     }
 
@@ -304,29 +213,16 @@
     pub fn txn(&mut self, now: Time, txn: Txn) {
         self.arrivals += 1.0;
         self.further = (self.further + FURTHER_HOPS).min(self.further_cap());
-        if let (Some(kb), Some(row)) = (txn.size, self.rows.get_mut(txn.rule)) {
-            let sending = if self.set.client_pace > 0.0 { kb / self.set.client_pace } else { row.sending };
-            let part = if row.size == 0.0 { 1.0 } else { 0.02 };
-            row.size += (kb - row.size) * part;
-            row.sending += (sending - row.sending) * part;
+        let sending = self.sending(&txn);
+        if let (Some(_), Some(row)) = (txn.size, self.rows.get_mut(txn.rule)) {
+            follow(&mut row.sending, sending, if row.told { SLOW } else { 1.0 });
+            row.told = true;
         }
         let load = txn.size.unwrap_or(1.0);
-        self.mean_load += (load - self.mean_load) * if self.mean_load == 0.0 { 1.0 } else { 0.02 };
-        let id = txn.id;
-        let limit = now + txn.left;
-        let open = Open {
-            txn,
-            limit,
-            hops: 0,
-            out: 0,
-            avoid: Vec::new(),
-            looked: false,
-            parent_lacks: false,
-            origin_failed: false,
-            may_have_run: None,
-        };
-        self.open.insert(id, open);
-        self.ready.push_back(id);
+        let part = if self.mean_load == 0.0 { 1.0 } else { SLOW };
+        follow(&mut self.mean_load, load, part);
+        self.ready.push_back(txn.id);
+        self.open.insert(txn.id, Open::new(txn.clone(), now + txn.left));
     }
 
     pub fn hangup(&mut self, id: TxnId) {
@@ -340,85 +236,66 @@
     pub fn outcome(&mut self, now: Time, o: Outcome) {
         let Some(hop) = self.hops.remove(&(o.txn, o.hop)) else { return };
         self.adjust(&hop, &o);
-        if o.end == HopEnd::Completed {
-            let filled = matches!(o.note, Some(Note::Filled | Note::FilledByOrigin));
-            for i in [Some(hop.member), hop.source.filter(|_| filled)].into_iter().flatten() {
-                self.caches[i].work += hop.sending;
-            }
-        }
-        if let Some(p) = hop.source {
-            self.caches[p].load -= hop.fill_load;
-            match o.note {
-                Some(Note::Held | Note::Old) => self.miss_share += (0.0 - self.miss_share) * 0.01,
-                Some(Note::Filled | Note::FilledByOrigin) => {
-                    self.miss_share += (1.0 - self.miss_share) * 0.01
-                }
-                _ => {}
-            }
-        }
+        let filled = matches!(o.note, Some(Note::Filled | Note::FilledByOrigin));
+        let held = matches!(o.note, Some(Note::Held | Note::Old));
         if let Some(origin) = self.origin.filter(|_| hop.to_origin) {
             self.caches[origin].load -= hop.load;
         }
         let c = &mut self.caches[hop.member];
         c.load -= hop.load;
+        if o.end == HopEnd::Completed {
+            c.work += hop.sending;
+        }
         let silent = match o.end {
             HopEnd::Unreachable | HopEnd::Broken => true,
             HopEnd::TimedOut => c.answered <= hop.sent,
-            HopEnd::Withdrawn | HopEnd::NeverSent => false,
-            _ => {
-                (c.answered, c.strikes, c.trial_at) = (now, 0, None);
-                false
-            }
+            _ => false,
         };
         if silent {
             self.strike(now, hop.member);
+        } else if !matches!(o.end, HopEnd::TimedOut | HopEnd::Withdrawn | HopEnd::NeverSent) {
+            c.heard(now);
         }
         let mut culprit = hop.member;
         if let Some(p) = hop.source {
-            if o.note == Some(Note::Held) {
-                self.caches[p].spent.retain(|s| s.2 != (o.txn, o.hop));
+            if held || filled {
+                follow(&mut self.miss_share, f64::from(u8::from(filled)), SLOW / 2.0);
             }
-            let timed_out = o.end == HopEnd::TimedOut && !silent && self.caches[p].answered <= hop.sent;
-            match o.note {
-                Some(Note::SourceRefused | Note::SourceLost | Note::OriginFailed) => culprit = p,
-                _ if timed_out => culprit = p,
-                _ => {}
+            let c = &mut self.caches[p];
+            c.load -= hop.fill_load;
+            if held {
+                c.spent.retain(|s| s.2 != (o.txn, o.hop));
             }
-            let par = &mut self.caches[p].par;
-            match o.note {
-                Some(Note::Filled) => {
-                    par.fills += 1.0;
-                    if let Some(first) = o.first_byte {
-                        par.recent.record(first);
-                        par.settled.record(first);
-                    }
-                }
-                Some(Note::FilledByOrigin) => par.fills += 1.0,
-                Some(Note::SourceRefused | Note::SourceLost) => {
-                    par.fills += 1.0;
-                    par.failed += 1.0;
-                }
-                _ if timed_out => {
-                    par.fills += 1.0;
-                    par.late += 1.0;
-                }
-                _ => {}
+            let refused = matches!(o.note, Some(Note::SourceRefused | Note::OriginFailed));
+            let timed_out = o.end == HopEnd::TimedOut && !silent && c.answered <= hop.sent;
+            let lost = timed_out || o.note == Some(Note::SourceLost);
+            if filled || lost || o.note == Some(Note::SourceRefused) {
+                c.par.fills += 1.0;
+                c.par.failed += f64::from(u8::from(!filled && !timed_out));
+                c.par.late += f64::from(u8::from(timed_out));
             }
-            match o.note {
-                Some(Note::Filled | Note::FilledByOrigin | Note::SourceRefused | Note::OriginFailed) => {
-                    let c = &mut self.caches[p];
-                    (c.answered, c.strikes, c.trial_at) = (now, 0, None);
-                }
-                Some(Note::SourceLost) => self.strike(now, p),
-                _ if timed_out => self.strike(now, p),
-                _ => {}
+            if let (Some(Note::Filled), Some(first)) = (o.note, o.first_byte) {
+                c.par.recent.record(first);
+                c.par.settled.record(first);
+            }
+            if filled {
+                c.work += hop.sending;
+            }
+            if filled || refused {
+                c.heard(now);
+            }
+            if refused || lost {
+                culprit = p;
+            }
+            if lost {
+                self.strike(now, p);
             }
         }
         let Some(open) = self.open.get_mut(&o.txn) else { return };
-        if let (Some(Note::Held), Some(row)) = (o.note, self.rows.get_mut(open.txn.rule)) {
-            if open.txn.size.is_none() {
-                row.sending += (o.took.as_secs_f64() - row.sending) * 0.02;
-            }
+        if let (Some(Note::Held), None) = (o.note, open.txn.size)
+            && let Some(row) = self.rows.get_mut(open.txn.rule)
+        {
+            follow(&mut row.sending, o.took.as_secs_f64(), SLOW);
         }
         if o.closed {
             self.open.remove(&o.txn);
@@ -457,7 +334,7 @@
         };
         if o.note == Some(Note::OriginFailed) || o.note == Some(Note::FilledByOrigin) {
             let bad = slow_start || o.note == Some(Note::OriginFailed);
-            self.origin_bad += (f64::from(u8::from(bad)) - self.origin_bad) * 0.1;
+            follow(&mut self.origin_bad, f64::from(u8::from(bad)), QUICK);
         }
         let (Some(place), mean) = (place, self.mean_load.max(1e-6)) else { return };
         let c = &mut self.caches[place];
@@ -532,7 +409,7 @@
             self.next_step += SECOND;
         }
         self.steps += 1;
-        self.arrival_rate += (self.arrivals - self.arrival_rate) * 0.3;
+        follow(&mut self.arrival_rate, self.arrivals, QUICK);
         self.arrivals = 0.0;
         let purge_done = self.set.purge_done;
         self.purges.retain(|p| now - p.at < purge_done + SECOND);
@@ -565,7 +442,7 @@
             *borne = (*borne * BORNE_KEPT).max(sum / f64::max(n, 1.0));
         }
         for c in &mut self.caches {
-            c.rate += (c.work - c.rate) * 0.2;
+            follow(&mut c.rate, c.work, QUICK);
             c.work = 0.0;
             if c.role == Role::Parent {
                 let jitter = self.rng.random_range(-JITTER..=JITTER);
@@ -658,8 +535,7 @@
             .filter(|&i| listed(&self.caches[i]))
             .map(|i| {
                 let c = &self.caches[i];
-                let size = if self.set.sized { c.m.size.max(1e-6) } else { 1.0 };
-                (-unit(hash(txn.object, txn.part, c.key)).ln() / size, i)
+                (-unit(hash(txn.object, txn.part, c.key)).ln() / c.size(self.set.sized), i)
             })
             .collect();
         order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
@@ -697,7 +573,7 @@
                 && self.has_room(now, i, cost)
                 && self.in_group(open, now, i)
         });
-        let size = |i: usize| if self.set.sized { self.caches[i].m.size.max(1e-6) } else { 1.0 };
+        let size = |i: usize| self.caches[i].size(self.set.sized);
         let total: f64 = order.iter().map(|&i| self.caches[i].load).sum::<f64>() + load;
         let sizes: f64 = order.iter().map(|&i| size(i)).sum();
         order.retain(|&i| self.passes(i, load));
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,123 @@
+//! What a gateway keeps between calls; plain records, filled and read by the decisions.
+
+use crate::histogram::Histogram;
+use crate::interface::{Member, Txn, TxnId};
+use crate::time::{Span, Time};
+use std::collections::VecDeque;
+use xxhash_rust::xxh3::xxh3_64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    Edge,
+    Parent,
+    Origin,
+}
+
+/// What the weight controller keeps of a parent, from this gateway's own fills.
+pub struct Weight {
+    pub weight: f64,
+    pub recent: Histogram,
+    pub settled: Histogram,
+    pub fills: f64,
+    pub failed: f64,
+    pub late: f64,
+    pub clean: u32,
+    pub broken: bool,
+}
+
+/// A member of the list: an edge cache, a parent or the origin.
+pub struct Cache {
+    pub m: Member,
+    pub key: u64,
+    pub role: Role,
+    /// In flight from this gateway: KB, or txns where sizes are not told.
+    pub load: f64,
+    /// Signs of silence in a row; while there are enough, the time of the next trial.
+    pub strikes: u32,
+    pub trial_at: Option<Time>,
+    pub answered: Time,
+    /// What was sent of late to one that may be cold: when, its sending time, by which hop.
+    pub spent: VecDeque<(Time, f64, (TxnId, u32))>,
+    /// Sending time completed since the last step, and a second on average.
+    pub work: f64,
+    pub rate: f64,
+    pub gate: f64,
+    pub par: Weight,
+}
+
+impl Cache {
+    pub fn heard(&mut self, now: Time) {
+        (self.answered, self.strikes, self.trial_at) = (now, 0, None);
+    }
+
+    pub fn size(&self, sized: bool) -> f64 {
+        if sized { self.m.size.max(1e-6) } else { 1.0 }
+    }
+}
+
+pub struct Hop {
+    pub member: usize,
+    pub source: Option<usize>,
+    pub sent: Time,
+    pub due: Time,
+    pub sla: Span,
+    /// Seconds that the txn takes to send.
+    pub sending: f64,
+    pub load: f64,
+    pub fill_load: f64,
+    pub to_origin: bool,
+    pub cancelled: bool,
+}
+
+pub struct Open {
+    pub txn: Txn,
+    pub limit: Time,
+    pub hops: u32,
+    pub out: u32,
+    pub avoid: Vec<usize>,
+    /// A cache was asked only for what it holds, and lacked it.
+    pub looked: bool,
+    /// The parent was asked only for what it holds, and lacked it.
+    pub parent_lacks: bool,
+    pub origin_failed: bool,
+    /// The member and time of the first hop that may have run.
+    pub may_have_run: Option<(usize, Time)>,
+}
+
+impl Open {
+    pub fn new(txn: Txn, limit: Time) -> Open {
+        let (looked, parent_lacks, origin_failed) = (false, false, false);
+        let (hops, out, avoid, may_have_run) = (0, 0, Vec::new(), None);
+        Open { txn, limit, hops, out, avoid, looked, parent_lacks, origin_failed, may_have_run }
+    }
+}
+
+/// What is measured of a remap rule's txns: their mean sending time in seconds.
+pub struct Row {
+    pub sending: f64,
+    pub told: bool,
+}
+
+pub struct Purge {
+    pub object: Option<u64>,
+    pub group: u64,
+    pub at: Time,
+}
+
+/// A share of 1, evenly spread over hashes.
+pub fn unit(hash: u64) -> f64 {
+    ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+}
+
+pub fn hash(a: u64, b: u64, c: u64) -> u64 {
+    let mut bytes = [0; 24];
+    bytes[..8].copy_from_slice(&a.to_le_bytes());
+    bytes[8..16].copy_from_slice(&b.to_le_bytes());
+    bytes[16..].copy_from_slice(&c.to_le_bytes());
+    xxh3_64(&bytes)
+}
+
+/// A running mean: moves `mean` by `part` of the way to `value`.
+pub fn follow(mean: &mut f64, value: f64, part: f64) {
+    *mean += (value - *mean) * part;
+}
