--- a/src/logic.rs
+++ b/src/logic.rs
@@ -115,18 +115,20 @@
             .max(0.0);
         let base = self.settled.quantile(0.95).map_or(0.0, |s| s.as_secs_f64() * NEAR_BASELINE * 1e3);
         let target = score * FULL - p95 * base * LATENCY_POINTS_PER_MS - (failed + late) * ERROR_POINTS;
-        let target = target.clamp(0.0, FULL);
+        let target = target.clamp(0.0, FULL).round();
         self.broken |= failed > ERROR_THRESHOLD || late > ERROR_THRESHOLD || p50 > 0.0;
         if window_ends {
             self.clean = if self.broken { 0 } else { self.clean + 1 };
             self.broken = false;
             self.recent.halve();
-            (self.fills, self.failed, self.late) = (self.fills / 2.0, self.failed / 2.0, self.late / 2.0);
         }
-        if target < self.weight {
-            self.weight -= (self.weight - target).min(STEP) + jitter;
-        } else if target > self.weight && self.clean >= CLEAN_WINDOWS {
-            self.weight += (target - self.weight).min(STEP / 2.0) + jitter;
+        (self.fills, self.failed, self.late) = (self.fills / 2.0, self.failed / 2.0, self.late / 2.0);
+        let way = target - self.weight;
+        let jitter = if way.abs() > JITTER { jitter } else { 0.0 };
+        if way < 0.0 {
+            self.weight += way.max(-STEP) + jitter;
+        } else if self.clean >= CLEAN_WINDOWS {
+            self.weight += way.min(STEP / 2.0) + jitter;
         }
         self.weight = self.weight.clamp(STANDBY, FULL);
         if self.settled.count() > 600.0 {
--- /dev/null
+++ b/tests/cases.rs
@@ -0,0 +1,203 @@
+//! Plain cases: each fails if the guard that it names is taken out.
+
+mod common;
+
+use common::*;
+use kelpcart::interface::*;
+use kelpcart::{Span, Time};
+use std::sync::Arc;
+
+fn homes(world: &mut World, now: Time, first: TxnId) -> Vec<String> {
+    (0..200)
+        .map(|i| {
+            let id = first + i;
+            let home = source(&world.ask(now, txn(id, 0, 1_000 + i)));
+            world.end(now, id, HopEnd::Completed, Some(Note::Held));
+            home
+        })
+        .collect()
+}
+
+/// Fills from `sick` end as `note`, all others are served by the parent, for some seconds.
+fn live(world: &mut World, from: u64, secs: u64, first: TxnId, sick: &str, note: Note) {
+    for i in 0..secs * 50 {
+        let now = at(from + i * 20);
+        let made = world.ask(now, txn(first + i, 0, 5_000 + i));
+        let Some(Decision::Hop { fill: Some(fill), .. }) = made.last() else { continue };
+        let (end, note) = if &*fill.source == sick {
+            (HopEnd::TurnedAway, note)
+        } else {
+            (HopEnd::Completed, Note::Filled)
+        };
+        let next = world.end(now, first + i, end, Some(note));
+        if let Some(Decision::Hop { .. }) = next.last() {
+            world.end(now, first + i, HopEnd::Completed, Some(Note::Filled));
+        }
+    }
+}
+
+fn share(homes: &[String], of: &str) -> f64 {
+    homes.iter().filter(|h| *h == of).count() as f64 / homes.len() as f64
+}
+
+#[test]
+fn weight_steps_down_and_returns_slowly() {
+    let mut world = World::new(settings());
+    let before = homes(&mut world, at(0), 0);
+    live(&mut world, 0, 2, 10_000, "p1", Note::SourceRefused);
+    let early = share(&homes(&mut world, at(2_001), 1_000), "p1");
+    live(&mut world, 2_010, 6, 20_000, "p1", Note::SourceRefused);
+    let down = share(&homes(&mut world, at(8_100), 2_000), "p1");
+    assert!(early < share(&before, "p1") && down < early, "{early} then {down}");
+    live(&mut world, 8_110, 6, 30_000, "", Note::Held);
+    let still = share(&homes(&mut world, at(14_200), 3_000), "p1");
+    assert!(still < early, "back after {still} with too few clean windows");
+    live(&mut world, 14_210, 30, 40_000, "", Note::Held);
+    assert_eq!(before, homes(&mut world, at(44_300), 4_000), "the old homes come back");
+}
+
+#[test]
+fn hash_order_is_stable_when_a_parent_leaves() {
+    let (mut world, mut fewer) = (World::new(settings()), World::new(settings()));
+    let third = member("p3", PARENT);
+    world.gateway.members(at(0), false, vec![third.clone()]);
+    fewer.gateway.members(at(0), false, vec![third.clone()]);
+    fewer.gateway.members(at(0), false, vec![Member { state: MemberState::Gone, ..third }]);
+    for (all, left) in homes(&mut world, at(1), 0).iter().zip(homes(&mut fewer, at(1), 0)) {
+        assert!(all == "p3" || *all == left);
+    }
+}
+
+#[test]
+fn a_slow_origin_behind_all_parents_moves_no_weight() {
+    let mut world = World::new(settings());
+    let before = homes(&mut world, at(0), 0);
+    live(&mut world, 0, 5, 10_000, "p1", Note::OriginFailed);
+    let after = homes(&mut world, at(5_100), 1_000);
+    assert_eq!(before, after);
+}
+
+#[test]
+fn cold_members_stay_within_their_budget() {
+    for (kind, id) in [(EDGE, "cold-e"), (PARENT, "cold-p")] {
+        let mut world = World::new(settings());
+        let cold = Member { started: Some(at(0)), ..member(id, kind) };
+        world.gateway.members(at(0), false, vec![cold]);
+        let mut spent = 0.0;
+        for i in 0..600 {
+            let made = world.ask(at(i), txn(i, 0, i));
+            let Some(Decision::Hop { member, fill: Some(fill), .. }) = made.last() else { continue };
+            if &**member == id || &*fill.source == id {
+                spent += 0.1;
+            }
+            world.end(at(i), i, HopEnd::Completed, Some(Note::Filled));
+        }
+        // Half of what two gateways may send in 2 s at the capacity reached after 0.6 s.
+        let share = if kind == EDGE { 0.2 + 0.8 * 0.06 } else { 0.1 + 0.9 * 0.03 };
+        assert!(spent <= 2.0 * share * 8.0 * 2.0 / 2.0, "{id} was sent {spent}");
+    }
+}
+
+#[test]
+fn purges_bound_the_age_of_copies() {
+    let mut world = World::new(settings());
+    world.gateway.purged(at(100), Some(1), 1, ms(50));
+    world.gateway.purged(at(100), None, 2, Span::ZERO);
+    let mut age = |now, id, object| place(&world.ask(now, txn(id, 0, object))[0]).1.unwrap().oldest;
+    assert_eq!(age(at(120), 1, 1), Some(ms(70)));
+    assert_eq!(age(at(100), 2, 10), Some(Span::from_micros(1)), "zero would be no limit");
+    assert_eq!(age(at(120), 3, 9), None, "another object of the group");
+    assert_eq!(age(at(9_000), 4, 1), None, "all have dropped it by then");
+}
+
+#[test]
+fn unrepeatable_txns_run_once() {
+    let mut world = World::new(settings());
+    assert_eq!(place(&world.ask(at(0), txn(1, 2, 1))[0]).0, "o");
+    let answer = world.end(at(900), 1, HopEnd::TimedOut, None);
+    assert_eq!(answer, [Decision::Abort { txn: 1 }]);
+    world.ask(at(0), txn(2, 2, 2));
+    let next = world.end(at(1), 2, HopEnd::TurnedAway, None);
+    assert!(!matches!(next[0], Decision::Abort { .. }), "proven not run");
+}
+
+#[test]
+fn keyed_txns_repeat_only_in_their_group_and_window() {
+    for (wait, out_of_window) in [(500, false), (3_100, true)] {
+        let mut world = World::new(settings());
+        let far = Txn { left: ms(9_000), ..txn(1, 1, 1) };
+        world.ask(at(0), far);
+        let next = world.end(at(wait), 1, HopEnd::Errored, None);
+        assert_eq!(matches!(next[0], Decision::Abort { .. }), out_of_window, "{next:?}");
+    }
+}
+
+#[test]
+fn draining_and_gone_members_get_nothing_new() {
+    let mut world = World::new(settings());
+    let changed = ["e1", "p1"].map(|id| {
+        let kind = if id == "e1" { EDGE } else { PARENT };
+        Member { state: MemberState::Draining, ..member(id, kind) }
+    });
+    world.gateway.members(at(0), false, changed.to_vec());
+    for i in 0..100 {
+        let (to, fill) = place(&world.ask(at(i), txn(i, 0, i))[0]);
+        assert!(to != "e1" && &*fill.unwrap().source != "p1");
+        world.end(at(i), i, HopEnd::Completed, Some(Note::Held));
+    }
+}
+
+#[test]
+fn silent_caches_lose_their_hops_and_get_only_trials() {
+    let mut world = World::new(settings());
+    let mut stuck = Vec::new();
+    for i in 0..400 {
+        let made = world.ask(at(i * 10), txn(i, 0, i));
+        for decision in &made {
+            match decision {
+                Decision::Cancel { txn, .. } => stuck.retain(|t| t != txn),
+                Decision::Hop { txn, member, .. } if &**member == "e1" => stuck.push(*txn),
+                Decision::Hop { .. } => {}
+                other => panic!("{other:?}"),
+            }
+        }
+        if stuck.last() != Some(&i) {
+            world.end(at(i * 10), i, HopEnd::Completed, Some(Note::Held));
+        }
+    }
+    assert!(stuck.len() < 25, "{} hops left at a silent cache", stuck.len());
+}
+
+#[test]
+fn a_full_zone_rejects_at_once_and_says_when_to_come_back() {
+    let mut world = World::new(settings());
+    let answers: Vec<Decision> = (0..200).flat_map(|i| world.ask(at(1), txn(i, 0, i))).collect();
+    let rejected = |d: &&Decision| matches!(d, Decision::Reject { come_back: Some(wait), .. } if *wait > Span::ZERO);
+    assert!(answers.iter().filter(rejected).count() > 100);
+    assert_eq!(answers.len(), 200);
+}
+
+#[test]
+fn a_sick_origin_makes_parents_give_what_they_hold_first() {
+    let mut world = World::new(settings());
+    for i in 0..30 {
+        world.ask(at(i), txn(i, 0, i));
+        world.end(at(i), i, HopEnd::TurnedAway, Some(Note::OriginFailed));
+    }
+    let fill = place(&world.ask(at(40), txn(900, 0, 900))[0]).1.unwrap();
+    assert!(fill.held_only);
+    let on = world.end(at(41), 900, HopEnd::Lacking, Some(Note::SourceLacks));
+    assert!(!place(&on[0]).1.unwrap().held_only);
+}
+
+#[test]
+fn with_every_parent_gone_the_origin_fills() {
+    let mut world = World::new(settings());
+    let gone = ["p1", "p2"].map(|id| Member { state: MemberState::Gone, ..member(id, PARENT) });
+    world.gateway.members(at(0), false, gone.to_vec());
+    assert_eq!(source(&world.ask(at(1), txn(1, 0, 1))), "o");
+    world.gateway.members(at(1), true, Vec::new());
+    assert!(matches!(world.ask(at(2), txn(2, 0, 2))[0], Decision::Reject { .. }));
+    world.gateway.members(at(3), true, vec![Member { id: Arc::from("p1"), ..member("p1", PARENT) }]);
+    assert_eq!(place(&world.ask(at(4), txn(3, 0, 3))[0]).0, "p1", "straight to the parent");
+}
--- /dev/null
+++ b/tests/common.rs
@@ -0,0 +1,127 @@
+//! A small world for the tests: one zone of caches, two parents and the origin, driven by hand.
+
+use kelpcart::interface::*;
+use kelpcart::{Gateway, Span, Time};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+pub const EDGE: usize = 0;
+pub const PARENT: usize = 1;
+pub const ORIGIN: usize = 2;
+
+pub fn ms(n: u64) -> Span {
+    Span::from_millis(n)
+}
+
+pub fn at(n: u64) -> Time {
+    Time::from_micros(60_000_000 + n * 1_000)
+}
+
+pub fn rule(effect: Effect) -> RemapRule {
+    RemapRule {
+        effect,
+        group: RepeatGroup::Zone,
+        memory: ms(3_000),
+        sla: ms(400),
+        sla_stretch: 1.5,
+        limit: ms(4_000),
+        fresh: Span::ZERO,
+        grace: Span::ZERO,
+        write: effect == Effect::Unrepeatable,
+    }
+}
+
+pub fn settings() -> Settings {
+    Settings {
+        gateways: 2,
+        zone_gateways: 2,
+        zone: 0,
+        rules: vec![rule(Effect::Repeatable), rule(Effect::Keyed), rule(Effect::Unrepeatable)],
+        parent_kind: Some(PARENT),
+        origin_kind: Some(ORIGIN),
+        client_pace: 1_000.0,
+        sized: true,
+        direct: true,
+        joins: true,
+        notes: Notes::All,
+        cancel: true,
+        parallel: false,
+        come_back: true,
+        longest_come_back: ms(1_000),
+        max_hops: 6,
+        connect_limit: ms(400),
+        answer_slack: ms(8),
+        cold: ColdStart { from: 0.2, within: ms(10_000), multiple: 2.0, over: ms(2_000) },
+        cold_parent: ColdStart { from: 0.1, within: ms(20_000), multiple: 2.0, over: ms(2_000) },
+        purge_done: ms(6_000),
+        list_asked: false,
+        list_within: ms(10_000),
+        tick: ms(2),
+    }
+}
+
+pub fn member(id: &str, kind: usize) -> Member {
+    let state = MemberState::Up;
+    Member { id: Arc::from(id), zone: 0, kind, cell: 0, state, size: 8.0, started: None }
+}
+
+pub fn fleet() -> Vec<Member> {
+    let edges = ["e1", "e2", "e3", "e4"].map(|id| member(id, EDGE));
+    let rest = [member("p1", PARENT), member("p2", PARENT), member("o", ORIGIN)];
+    edges.into_iter().chain(rest).collect()
+}
+
+pub fn txn(id: TxnId, rule: usize, object: u64) -> Txn {
+    let (group, part, write, size, left) = (object % 8, 0, false, Some(100.0), ms(2_000));
+    Txn { id, rule, object, group, part, write, size, left }
+}
+
+pub struct World {
+    pub gateway: Gateway,
+    hops: BTreeMap<TxnId, u32>,
+}
+
+impl World {
+    pub fn new(set: Settings) -> World {
+        let mut gateway = Gateway::new(set, 7, at(0));
+        gateway.members(at(0), true, fleet());
+        World { gateway, hops: BTreeMap::new() }
+    }
+
+    pub fn pull(&mut self, now: Time) -> Vec<Decision> {
+        let mut all = Vec::new();
+        while let Some(decision) = self.gateway.poll(now) {
+            if let Decision::Hop { txn, .. } = &decision {
+                *self.hops.entry(*txn).or_default() += 1;
+            }
+            all.push(decision);
+        }
+        all
+    }
+
+    pub fn ask(&mut self, now: Time, txn: Txn) -> Vec<Decision> {
+        self.gateway.txn(now, txn);
+        self.pull(now)
+    }
+
+    /// Ends the txn's last hop.
+    pub fn end(&mut self, now: Time, txn: TxnId, end: HopEnd, note: Option<Note>) -> Vec<Decision> {
+        let hop = self.hops[&txn] - 1;
+        let closed = end == HopEnd::Completed;
+        let (took, first_byte, load) = (ms(50), Some(ms(20)), Load::default());
+        self.gateway.outcome(now, Outcome { txn, hop, end, took, closed, note, first_byte, load });
+        self.pull(now)
+    }
+}
+
+pub fn place(decision: &Decision) -> (String, Option<Fill>) {
+    match decision {
+        Decision::Hop { member, fill, .. } => (member.to_string(), fill.clone()),
+        other => panic!("not a hop: {other:?}"),
+    }
+}
+
+/// The fill source of the first decision.
+pub fn source(decisions: &[Decision]) -> String {
+    place(&decisions[0]).1.expect("a fill").source.to_string()
+}
