--- a/src/logic.rs
+++ b/src/logic.rs
@@ -455,7 +455,7 @@
 
     /// Finds members that have gone silent and takes repeatable hops away from them.
     fn scan(&mut self, now: Time) {
-        self.next_scan = now + self.set.connect_limit * SCANS;
+        self.next_scan = now + (self.set.connect_limit * SCANS).max(self.set.tick).max(Span::from_millis(1));
         let mut overdue = vec![0u32; self.caches.len()];
         for hop in self.hops.values_mut().filter(|h| h.due <= now) {
             let c = &self.caches[hop.member];
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -7,6 +7,18 @@
 use kelpcart::{Span, Time};
 use std::sync::Arc;
 
+fn place(decision: &Decision) -> (String, Option<Fill>) {
+    match decision {
+        Decision::Hop { member, fill, .. } => (member.to_string(), fill.clone()),
+        other => panic!("not a hop: {other:?}"),
+    }
+}
+
+/// The fill source of the first decision.
+fn source(decisions: &[Decision]) -> String {
+    place(&decisions[0]).1.expect("a fill").source.to_string()
+}
+
 fn homes(world: &mut World, now: Time, first: TxnId) -> Vec<String> {
     (0..200)
         .map(|i| {
@@ -172,7 +184,8 @@
 fn a_full_zone_rejects_at_once_and_says_when_to_come_back() {
     let mut world = World::new(settings());
     let answers: Vec<Decision> = (0..200).flat_map(|i| world.ask(at(1), txn(i, 0, i))).collect();
-    let rejected = |d: &&Decision| matches!(d, Decision::Reject { come_back: Some(wait), .. } if *wait > Span::ZERO);
+    let rejected =
+        |d: &&Decision| matches!(d, Decision::Reject { come_back: Some(wait), .. } if *wait > Span::ZERO);
     assert!(answers.iter().filter(rejected).count() > 100);
     assert_eq!(answers.len(), 200);
 }
--- a/tests/common.rs
+++ b/tests/common.rs
@@ -113,15 +113,3 @@
         self.pull(now)
     }
 }
-
-pub fn place(decision: &Decision) -> (String, Option<Fill>) {
-    match decision {
-        Decision::Hop { member, fill, .. } => (member.to_string(), fill.clone()),
-        other => panic!("not a hop: {other:?}"),
-    }
-}
-
-/// The fill source of the first decision.
-pub fn source(decisions: &[Decision]) -> String {
-    place(&decisions[0]).1.expect("a fill").source.to_string()
-}
