--- a/src/logic.rs
+++ b/src/logic.rs
@@ -341,11 +341,8 @@
         let (Some(place), mean) = (place, self.mean_load.max(1e-6)) else { return };
         let c = &mut self.caches[place];
         match o.end {
-            HopEnd::Completed if o.took <= hop.sla => {
-                if c.load >= c.gate * mean / 2.0 {
-                    c.gate += GATE_GAIN;
-                }
-            }
+            HopEnd::Completed if o.took <= hop.sla && c.load < c.gate * mean / 2.0 => {}
+            HopEnd::Completed if o.took <= hop.sla => c.gate += GATE_GAIN,
             HopEnd::Completed | HopEnd::TurnedAway | HopEnd::Errored => c.gate = (c.gate * GATE_CUT).max(1.0),
             _ => {}
         }
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -79,7 +79,7 @@
         let ids: Vec<MemberId> = self.list.keys().cloned().collect();
         let Some(m) = self.list.get_mut(&ids[usize::from(pick) % ids.len()]) else { return };
         m.state = [MemberState::Up, MemberState::Draining, MemberState::Gone][usize::from(what) % 3];
-        if m.state == MemberState::Up && what % 2 == 0 {
+        if m.state == MemberState::Up && what.is_multiple_of(2) {
             m.started = Some(self.now.back(ms(u64::from(what) / 64)));
             let id = m.id.clone();
             self.sent.retain(|s| s.0 != id);
