--- a/src/logic.rs
+++ b/src/logic.rs
@@ -31,6 +31,7 @@
 const LEAST_FILLS: f64 = 8.0;
 // The edge bound, over the fair share of this gateway's load in flight.
 const BOUND: f64 = 2.0;
+const BOUND_FLOOR: f64 = 0.5;
 // The gate of a cache: what this gateway may have in flight there, in mean txns. Txns over a cache's size
 // that still keep their SLA time; the share kept at a cut and the part of a txn gained by each in time.
 const GATE_OVER: f64 = 2.5;
@@ -578,7 +579,8 @@
         order.retain(|&i| self.passes(i, load));
         let fits = |i: usize| {
             let held = self.caches[i].load;
-            held == 0.0 || held + load <= BOUND * total * size(i) / sizes
+            let gate = self.caches[i].gate * self.mean_load;
+            held <= 0.0 || held + load <= (BOUND * total * size(i) / sizes).max(gate * BOUND_FLOOR)
         };
         let spare = |i: &usize| self.caches[*i].load / size(*i);
         order
