--- a/src/logic.rs
+++ b/src/logic.rs
@@ -31,10 +31,10 @@
 const LEAST_FILLS: f64 = 8.0;
 // The edge bound, over the fair share of this gateway's load in flight.
 const BOUND: f64 = 2.0;
-const BOUND_FLOOR: f64 = 0.5;
+const BOUND_FLOOR: f64 = 0.8;
 // The gate of a cache: what this gateway may have in flight there, in mean txns. Txns over a cache's size
 // that still keep their SLA time; the share kept at a cut and the part of a txn gained by each in time.
-const GATE_OVER: f64 = 4.0;
+const GATE_OVER: f64 = 3.0;
 const UNSIZED_GATE: f64 = 6.0;
 const ORIGIN_SICK: f64 = 0.3;
 const BORNE_KEPT: f64 = 0.995;
@@ -42,7 +42,7 @@
 const SLOW: f64 = 0.02;
 const QUICK: f64 = 0.15;
 const LARGE: f64 = 0.75;
-const GATE_CUT: f64 = 0.85;
+const GATE_CUT: f64 = 0.9;
 const GATE_GAIN: f64 = 0.1;
 // Health, further hops and guards.
 const STRIKES: u32 = 2;
