--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -214,6 +214,11 @@
         sized: text(all, "Weights")? == "nominal",
         direct: optional(family, "BypassAllowed", flag)?.unwrap_or(false),
         joins: optional(family, "CanJoin", flag)?.unwrap_or(false),
+        sibs: match text(family, "Neighbours")? {
+            "any" => Reach::All,
+            "location" => Reach::Zone,
+            _ => Reach::Off,
+        },
         notes: match text(family, "Detail")? {
             "all" => Notes::All,
             "hit" => Notes::Hit,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -56,6 +56,14 @@
     Off,
 }
 
+/// The caches that may be a fill source.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    Off,
+    Zone,
+    All,
+}
+
 #[derive(Clone, Debug)]
 pub struct Settings {
     pub gateways: u32,
@@ -72,6 +80,7 @@
     /// A hop may go straight to a parent or the origin.
     pub direct: bool,
     pub joins: bool,
+    pub sibs: Reach,
     pub notes: Notes,
     pub cancel: bool,
     pub parallel: bool,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,7 +34,7 @@
 const BOUND_FLOOR: f64 = 0.8;
 // The gate of a cache: what this gateway may have in flight there, in mean txns. Txns over a cache's size
 // that still keep their SLA time; the share kept at a cut and the part of a txn gained by each in time.
-const GATE_OVER: f64 = 3.0;
+const GATE_OVER: f64 = 4.0;
 const UNSIZED_GATE: f64 = 6.0;
 const ORIGIN_SICK: f64 = 0.3;
 const BORNE_KEPT: f64 = 0.995;
@@ -42,7 +42,7 @@
 const SLOW: f64 = 0.02;
 const QUICK: f64 = 0.15;
 const LARGE: f64 = 0.75;
-const GATE_CUT: f64 = 0.9;
+const GATE_CUT: f64 = 0.85;
 const GATE_GAIN: f64 = 0.1;
 // Health, further hops and guards.
 const STRIKES: u32 = 2;
@@ -308,7 +308,8 @@
         if o.end == HopEnd::Lacking && hop.source.is_none() {
             open.looked = true;
         } else if o.note == Some(Note::SourceLacks) {
-            (open.looked, open.parent_lacks) = (true, true);
+            open.looked = true;
+            open.parent_lacks |= hop.source.is_some_and(|p| self.caches[p].role == Role::Parent);
         } else if o.note == Some(Note::OriginFailed) {
             open.origin_failed = true;
         } else {
@@ -528,8 +529,8 @@
     }
 
     /// Members of a role in the object's hash order, by weighted rendezvous where sizes are told.
-    fn order(&self, role: Role, txn: &Txn) -> Vec<usize> {
-        let in_zone = |c: &Cache| role != Role::Edge || c.m.zone == self.set.zone;
+    fn order(&self, role: Role, txn: &Txn, all_zones: bool) -> Vec<usize> {
+        let in_zone = |c: &Cache| all_zones || c.m.zone == self.set.zone;
         let listed = |c: &Cache| c.m.state != MemberState::Gone && c.role == role && in_zone(c);
         let mut order: Vec<(f64, usize)> = (0..self.caches.len())
             .filter(|&i| listed(&self.caches[i]))
@@ -544,7 +545,7 @@
 
     fn source(&self, now: Time, open: &Open) -> Option<usize> {
         let cost = self.sending(&open.txn);
-        let mut order = self.order(Role::Parent, &open.txn);
+        let mut order = self.order(Role::Parent, &open.txn, true);
         order.retain(|&i| self.usable(now, i) && !open.avoid.contains(&i) && self.has_room(now, i, cost));
         let load = open.txn.size.unwrap_or(1.0) * if open.looked { 1.0 } else { self.miss_share };
         if order.is_empty() {
@@ -561,12 +562,12 @@
     }
 
     fn origin(&self, now: Time, open: &Open) -> Option<usize> {
-        self.order(Role::Origin, &open.txn).into_iter().find(|&i| self.usable(now, i))
+        self.order(Role::Origin, &open.txn, true).into_iter().find(|&i| self.usable(now, i))
     }
 
     /// The first cache in hash order within the bound; else the least loaded.
     fn edge(&self, now: Time, open: &Open, cost: f64, load: f64) -> Option<usize> {
-        let mut order = self.order(Role::Edge, &open.txn);
+        let mut order = self.order(Role::Edge, &open.txn, false);
         order.retain(|&i| {
             self.usable(now, i)
                 && !open.avoid.contains(&i)
@@ -717,6 +718,7 @@
         let known = hash(txn.object, txn.part, 1);
         let again = self.seen[0].contains(&known) || self.seen[1].contains(&known);
         self.seen[1].insert(known);
+        let source = source.or_else(|| self.sib(now, open, member));
         // No room for a fill: ask the cache for what it holds, once.
         if source.is_none() && (open.looked || open.origin_failed && rule.grace == Span::ZERO) {
             return None;
@@ -727,6 +729,18 @@
         Some((member, (source != member).then_some(source), Some(fill)))
     }
 
+    /// Where no parent has room for a fill: the warm cache that comes first in the object's hash order over all
+    /// zones in reach gives what it holds. Guards against parents lost or crowded while copies stand elsewhere.
+    fn sib(&self, now: Time, open: &Open, member: usize) -> Option<usize> {
+        if self.set.sibs == Reach::Off || open.looked || open.origin_failed || open.txn.write {
+            return None;
+        }
+        let warm = |c: &Cache| c.m.started.is_none_or(|at| now - at > self.set.cold.within);
+        let order = self.order(Role::Edge, &open.txn, self.set.sibs == Reach::All);
+        let fits = |&i: &usize| i != member && self.usable(now, i) && warm(&self.caches[i]);
+        order.into_iter().find(|i| fits(i) && !open.avoid.contains(i))
+    }
+
     fn fill(&self, now: Time, open: &Open, rule: &RemapRule, source: usize, keep: u8) -> Fill {
         let c = &self.caches[source];
         let warm = c.m.started.is_none_or(|at| now - at > self.set.cold_parent.within);
@@ -734,7 +748,8 @@
             source: Arc::clone(&c.m.id),
             keep,
             join: self.set.joins,
-            held_only: c.role == Role::Parent && self.origin_sick() && !open.parent_lacks,
+            held_only: c.role == Role::Edge
+                || c.role == Role::Parent && self.origin_sick() && !open.parent_lacks,
             renew: warm && rule.fresh > Span::ZERO,
             oldest: self.oldest(now, &open.txn, rule, open.hops > 0 || self.origin_sick()),
         }
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -214,3 +214,15 @@
     world.gateway.members(at(3), true, vec![Member { id: Arc::from("p1"), ..member("p1", PARENT) }]);
     assert_eq!(place(&world.ask(at(4), txn(3, 0, 3))[0]).0, "p1", "straight to the parent");
 }
+
+#[test]
+fn with_no_room_at_any_parent_a_sibling_gives_what_it_holds() {
+    let mut world = World::new(settings());
+    let cold = ["p1", "p2"].map(|id| Member { started: Some(at(0)), size: 0.1, ..member(id, PARENT) });
+    world.gateway.members(at(0), false, cold.to_vec());
+    let (to, fill) = place(&world.ask(at(1), txn(1, 0, 1))[0]);
+    let fill = fill.unwrap();
+    assert!(fill.held_only && fill.source.starts_with('e') && *fill.source != *to);
+    let next = world.end(at(2), 1, HopEnd::Lacking, Some(Note::SourceLacks));
+    assert!(matches!(next[0], Decision::Reject { .. }), "{next:?}");
+}
--- a/tests/common.rs
+++ b/tests/common.rs
@@ -43,6 +43,7 @@
         sized: true,
         direct: true,
         joins: true,
+        sibs: Reach::All,
         notes: Notes::All,
         cancel: true,
         parallel: false,
