Gate the origin when it is the fill source of last resort

Also guards writes, which share the origin. Could hold back fills where the origin has room to spare.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -194,7 +194,11 @@
                 continue;
             }
             let sharers = if role == Role::Edge { self.set.zone_gateways } else { self.set.gateways };
-            let gate = if self.set.sized { m.size / sharers.max(1) as f64 } else { UNSIZED_GATE } * GATE_OVER;
+            let gate = if self.set.sized && role != Role::Origin {
+                m.size / sharers.max(1) as f64
+            } else {
+                UNSIZED_GATE
+            } * GATE_OVER;
             let i = self.caches.len();
             if role == Role::Origin {
                 self.origin = Some(i);
@@ -549,7 +553,7 @@
         order.retain(|&i| self.usable(now, i) && !open.avoid.contains(&i) && self.has_room(now, i, cost));
         let load = open.txn.size.unwrap_or(1.0) * if open.looked { 1.0 } else { self.miss_share };
         if order.is_empty() {
-            return self.origin(now, open);
+            return self.origin(now, open).filter(|&o| self.passes(o, load));
         }
         order.retain(|&i| self.passes(i, load));
         let held_back = open.parent_lacks && self.origin.is_some_and(|o| !self.passes(o, load));
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -233,3 +233,16 @@
     let next = world.end(at(2), i, HopEnd::Lacking, Some(Note::SourceLacks));
     assert!(matches!(next[0], Decision::Reject { .. }), "{next:?}");
 }
+
+#[test]
+fn an_origin_that_turns_fills_away_is_asked_for_fewer() {
+    let mut world = World::new(settings());
+    let gone = ["p1", "p2"].map(|id| Member { state: MemberState::Gone, ..member(id, PARENT) });
+    world.gateway.members(at(0), false, gone.to_vec());
+    for i in 0..60 {
+        world.ask(at(i), txn(i, 0, i));
+        world.end(at(i), i, HopEnd::TurnedAway, Some(Note::SourceRefused));
+    }
+    let made = (100..140).map(|i| place(&world.ask(at(100), txn(i, 0, i))[0]).1.unwrap());
+    assert!(made.filter(|fill| &*fill.source == "o").count() < 10);
+}
