--- a/src/logic.rs
+++ b/src/logic.rs
@@ -42,6 +42,8 @@
 const SLOW: f64 = 0.02;
 const QUICK: f64 = 0.15;
 const LARGE: f64 = 0.75;
+// Transfers on the zone's link over those that fit, from which fills' gates are narrowed in proportion.
+const LINK_FULL: f64 = 2.5;
 const GATE_CUT: f64 = 0.85;
 const GATE_GAIN: f64 = 0.1;
 // Health, further hops and guards.
@@ -72,6 +74,8 @@
     borne: [f64; 2],
     origin: Option<usize>,
     origin_bad: f64,
+    /// Transfers on the own zone's link over those that fit, as caches report it.
+    link: f64,
     arrivals: f64,
     arrival_rate: f64,
     next_scan: Time,
@@ -159,6 +163,7 @@
             borne: [0.0; 2],
             origin: None,
             origin_bad: 0.0,
+            link: 0.0,
             arrivals: 0.0,
             arrival_rate: 0.0,
             next_scan: now,
@@ -243,6 +248,10 @@
     pub fn outcome(&mut self, now: Time, o: Outcome) {
         let Some(hop) = self.hops.remove(&(o.txn, o.hop)) else { return };
         self.adjust(&hop, &o);
+        let near = self.caches[hop.member].role == Role::Edge;
+        if let Some(link) = o.load.link.filter(|_| near) {
+            follow(&mut self.link, link, QUICK);
+        }
         let filled = matches!(o.note, Some(Note::Filled | Note::FilledByOrigin));
         let held = matches!(o.note, Some(Note::Held | Note::Old));
         if let Some(origin) = self.origin.filter(|_| hop.to_origin) {
@@ -363,7 +372,8 @@
 
     fn passes(&self, i: usize, load: f64) -> bool {
         let c = &self.caches[i];
-        c.load <= 0.0 || c.load + load <= c.gate * self.mean_load
+        let link = if c.role == Role::Edge { 1.0 } else { (LINK_FULL / self.link.max(LINK_FULL)).min(1.0) };
+        c.load <= 0.0 || c.load + load <= c.gate * link * self.mean_load
     }
 
     /// Evidence that a member takes work and answers nothing, or can't be reached. After a few in a row it
