Siblings of other zones only while the own zone's link has room

The same link carries fills from parents and from other zones' siblings, so one full link shuts both.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -43,7 +43,7 @@
 const QUICK: f64 = 0.15;
 const LARGE: f64 = 0.75;
 // Transfers on the zone's link over those that fit, from which fills' gates are narrowed in proportion.
-const LINK_FULL: f64 = 2.5;
+const LINK_FULL: f64 = 2.0;
 const GATE_CUT: f64 = 0.85;
 const GATE_GAIN: f64 = 0.1;
 // Health, further hops and guards.
@@ -750,7 +750,9 @@
             return None;
         }
         let warm = |c: &Cache| c.m.started.is_none_or(|at| now - at > self.set.cold.within);
-        let order = self.order(Role::Edge, &open.txn, self.set.sibs == Reach::All);
+        // What stands in other zones comes over the own link: not while that is full.
+        let all = self.set.sibs == Reach::All && self.link < LINK_FULL;
+        let order = self.order(Role::Edge, &open.txn, all);
         let fits = |&i: &usize| i != member && self.usable(now, i) && warm(&self.caches[i]);
         order.into_iter().find(|i| fits(i) && !open.avoid.contains(i))
     }
