--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -172,7 +172,7 @@
         closed: optional(body, "Terminal", flag)?.unwrap_or(false),
         note,
         first_byte: optional(body, "FirstByteUs", int)?.filter(|&us| us > 0).map(Span::from_micros),
-        load: Load { held: reported("active"), link: reported("x1") },
+        load: Load { link: reported("x1") },
     })
 }
 
@@ -219,18 +219,11 @@
             "location" => Reach::Zone,
             _ => Reach::Off,
         },
-        notes: match text(family, "Detail")? {
-            "all" => Notes::All,
-            "hit" => Notes::Hit,
-            _ => Notes::Off,
-        },
         cancel: flag(limits, "Cancel")?,
-        parallel: flag(limits, "ParallelTries")?,
         come_back: flag(limits, "RetryAfter")?,
         longest_come_back: span(limits, "MaxRetryAfterUs")?,
         max_hops: int(limits, "MaxAttempts")? as u32,
         connect_limit: span(limits, "ConnectTimeoutUs")?,
-        answer_slack: span(contract, "GraceToAnswerUs")?,
         cold: ColdStart {
             from: number(contract, "ColdFrom")?,
             within: span(contract, "ColdUs")?,
@@ -269,7 +262,6 @@
         memory: span(class, "MemorySpanUs")?,
         sla: span(class, "SloUs")?,
         sla_stretch: optional(class, "AimStretch", number)?.unwrap_or(0.0),
-        limit: span(class, "DeadlineUs")?,
         fresh: Span::from_micros(of("LifetimeByClassUs").and_then(Value::as_u64).unwrap_or(0)),
         grace: Span::from_micros(of("UsableAfterUs").and_then(Value::as_u64).unwrap_or(0)),
         write: of("PassOn").and_then(Value::as_bool).unwrap_or(false),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -40,7 +40,6 @@
     pub sla: Span,
     /// The SLA time grows by this multiple of the txn's own sending time.
     pub sla_stretch: f64,
-    pub limit: Span,
     /// Zero: a copy is good until it is purged.
     pub fresh: Span,
     /// How much older than fresh a copy may be when asked for.
@@ -49,13 +48,6 @@
     pub write: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Notes {
-    All,
-    Hit,
-    Off,
-}
-
 /// The caches that may be a fill source.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
@@ -81,14 +73,11 @@
     pub direct: bool,
     pub joins: bool,
     pub sibs: Reach,
-    pub notes: Notes,
     pub cancel: bool,
-    pub parallel: bool,
     pub come_back: bool,
     pub longest_come_back: Span,
     pub max_hops: u32,
     pub connect_limit: Span,
-    pub answer_slack: Span,
     pub cold: ColdStart,
     pub cold_parent: ColdStart,
     /// When all members have dropped what was purged.
@@ -168,8 +157,6 @@
 /// Load that came with an outcome; `None` where it is not reported.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Load {
-    /// Txns that the member holds.
-    pub held: Option<f64>,
     /// Of a cache: transfers on its zone's link over those that fit. Of a parent: fetches out.
     pub link: Option<f64>,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -51,6 +51,7 @@
 const FURTHER_HOPS: f64 = 0.15;
 const FURTHER_BURST: f64 = 6.0;
 const COLD_MARGIN: f64 = 0.7;
+const COLD_MARGIN_UNSIZED: f64 = 0.5;
 const OVERDUE: f64 = 0.6;
 const SCANS: f64 = 0.125;
 
@@ -529,8 +530,9 @@
         let sharers = sharers.max(1) as f64;
         let capacity =
             if self.set.sized { c.m.size } else { self.borne[usize::from(c.role == Role::Parent)] * sharers };
+        let margin = if self.set.sized { COLD_MARGIN } else { COLD_MARGIN_UNSIZED };
         let present = cold.from + (1.0 - cold.from) * (age / cold.within);
-        let budget = cold.multiple * present * capacity * cold.over.as_secs_f64() / sharers * COLD_MARGIN;
+        let budget = cold.multiple * present * capacity * cold.over.as_secs_f64() / sharers * margin;
         let since = now.back(cold.over);
         let spent: f64 = c.spent.iter().filter(|s| s.0 >= since).map(|s| s.1).sum();
         spent + cost <= budget || spent == 0.0 && !self.set.sized && capacity == 0.0
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -56,9 +56,7 @@
     let mut set = settings();
     let bit = |n: u16| shape >> n & 1 == 1;
     (set.direct, set.cancel, set.come_back, set.joins) = (bit(0), bit(1), bit(2), bit(3));
-    if bit(4) {
-        set.notes = Notes::Off;
-    }
+    set.sibs = if bit(4) { Reach::Off } else { Reach::Zone };
     if bit(5) {
         set.parent_kind = None;
     }
