--- a/src/logic.rs
+++ b/src/logic.rs
@@ -31,6 +31,7 @@
 const LEAST_FILLS: f64 = 8.0;
 // The edge bound, over the fair share of this gateway's load in flight.
 const BOUND: f64 = 2.0;
+const SPREAD: usize = 2;
 const BOUND_FLOOR: f64 = 0.8;
 // The gate of a cache: what this gateway may have in flight there, in mean txns. Txns over a cache's size
 // that still keep their SLA time; the share kept at a cut and the part of a txn gained by each in time.
@@ -593,6 +594,8 @@
         let size = |i: usize| self.caches[i].size(self.set.sized);
         let total: f64 = order.iter().map(|&i| self.caches[i].load).sum::<f64>() + load;
         let sizes: f64 = order.iter().map(|&i| size(i)).sum();
+        // Further from home each spill is a miss that fills one more cache, which feeds a jam of fills.
+        order.truncate(SPREAD);
         order.retain(|&i| self.passes(i, load));
         let fits = |i: usize| {
             let held = self.caches[i].load;
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -248,3 +248,14 @@
     let to_origin = |d: &&Decision| matches!(d, Decision::Hop { fill: Some(f), .. } if &*f.source == "o");
     assert!(made.iter().filter(to_origin).count() < 10);
 }
+
+#[test]
+fn an_object_spills_to_two_caches_at_most() {
+    let mut world = World::new(settings());
+    let made: Vec<Decision> = (0..60).flat_map(|i| world.ask(at(1), txn(i, 0, 7))).collect();
+    let places: std::collections::BTreeSet<_> = made
+        .iter()
+        .filter_map(|d| if let Decision::Hop { member, .. } = d { Some(member.clone()) } else { None })
+        .collect();
+    assert_eq!(places.len(), 2);
+}
