--- a/src/logic.rs
+++ b/src/logic.rs
@@ -730,9 +730,6 @@
         let source = if write { self.origin(now, open) } else { self.source(now, open) };
         let Some(member) = member else {
             // No cache of the own zone can take it: straight to the fill source, where that is allowed.
-            if self.order(Role::Edge, txn, false).into_iter().any(|i| self.usable(now, i)) {
-                return None;
-            }
             let source = source.filter(|&i| self.set.direct && self.in_group(open, now, i))?;
             let behind = self.origin(now, open).unwrap_or(source);
             return Some((source, None, Some(self.fill(now, open, rule, behind, 0))));
