--- a/src/logic.rs
+++ b/src/logic.rs
@@ -772,7 +772,12 @@
             held_only: c.role == Role::Edge
                 || c.role == Role::Parent && self.origin_sick() && !open.parent_lacks,
             renew: warm && rule.fresh > Span::ZERO,
-            oldest: self.oldest(now, &open.txn, rule, open.hops > 0 || self.origin_sick()),
+            oldest: self.oldest(
+                now,
+                &open.txn,
+                rule,
+                open.hops > 0 || self.origin_sick() || self.link > LINK_FULL,
+            ),
         }
     }
 
