--- a/src/logic.rs
+++ b/src/logic.rs
@@ -53,7 +53,7 @@
 const FURTHER_BURST: f64 = 6.0;
 const COLD_MARGIN: f64 = 0.7;
 const COLD_MARGIN_UNSIZED: f64 = 0.5;
-const OVERDUE: f64 = 0.6;
+const OVERDUE: f64 = 0.35;
 const SCANS: f64 = 0.125;
 
 pub struct Gateway {
@@ -772,12 +772,7 @@
             held_only: c.role == Role::Edge
                 || c.role == Role::Parent && self.origin_sick() && !open.parent_lacks,
             renew: warm && rule.fresh > Span::ZERO,
-            oldest: self.oldest(
-                now,
-                &open.txn,
-                rule,
-                open.hops > 0 || self.origin_sick() || self.link > LINK_FULL,
-            ),
+            oldest: self.oldest(now, &open.txn, rule, open.hops > 0 || self.origin_sick()),
         }
     }
 
