--- a/src/logic.rs
+++ b/src/logic.rs
@@ -53,7 +53,7 @@
 const FURTHER_BURST: f64 = 6.0;
 const COLD_MARGIN: f64 = 0.7;
 const COLD_MARGIN_UNSIZED: f64 = 0.5;
-const OVERDUE: f64 = 0.35;
+const OVERDUE: f64 = 0.9;
 const SCANS: f64 = 0.125;
 
 pub struct Gateway {
