--- a/src/logic.rs
+++ b/src/logic.rs
@@ -785,7 +785,7 @@
         if !harmless {
             return Decision::Abort { txn };
         }
-        let wait = self.set.connect_limit * self.rng.random_range(0.25..0.75);
+        let wait = self.set.connect_limit * self.rng.random_range(0.1..0.4);
         let come_back = self.set.come_back.then(|| wait.min(self.set.longest_come_back));
         Decision::Reject { txn, come_back }
     }
