--- a/src/logic.rs
+++ b/src/logic.rs
@@ -51,6 +51,7 @@
 const STRIKES: u32 = 2;
 const FURTHER_HOPS: f64 = 0.15;
 const FURTHER_BURST: f64 = 6.0;
+const COME_BACK: std::ops::Range<f64> = 0.1..0.4;
 const COLD_MARGIN: f64 = 0.7;
 const COLD_MARGIN_UNSIZED: f64 = 0.5;
 const OVERDUE: f64 = 0.9;
@@ -785,7 +786,8 @@
         if !harmless {
             return Decision::Abort { txn };
         }
-        let wait = self.set.connect_limit * self.rng.random_range(0.1..0.4);
+        // Soon enough that the SLA time may still be met, spread so that they don't come at once.
+        let wait = rule.sla * self.rng.random_range(COME_BACK);
         let come_back = self.set.come_back.then(|| wait.min(self.set.longest_come_back));
         Decision::Reject { txn, come_back }
     }
