--- a/src/logic.rs
+++ b/src/logic.rs
@@ -46,7 +46,7 @@
 // Transfers on the zone's link over those that fit, from which fills' gates are narrowed in proportion.
 const LINK_FULL: f64 = 2.0;
 const GATE_CUT: f64 = 0.85;
-const GATE_GAIN: f64 = 0.1;
+const GATE_GAIN: f64 = 0.2;
 // Health, further hops and guards.
 const STRIKES: u32 = 2;
 const FURTHER_HOPS: f64 = 0.15;
