--- a/src/logic.rs
+++ b/src/logic.rs
@@ -42,7 +42,7 @@
 // Parts by which running means follow.
 const SLOW: f64 = 0.02;
 const QUICK: f64 = 0.15;
-const LARGE: f64 = 1.0;
+const LARGE: f64 = 0.75;
 // Transfers on the zone's link over those that fit, from which fills' gates are narrowed in proportion.
 const LINK_FULL: f64 = 2.0;
 const GATE_CUT: f64 = 0.85;
