Constants in order; a hop straight to a cold parent costs its own sending time

Guards the budget of cold parents against large objects sent straight to them, which were charged the mean of their rule.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,33 +29,43 @@
 const ERROR_THRESHOLD: f64 = 0.05;
 const NEAR_BASELINE: f64 = 1.5;
 const LEAST_FILLS: f64 = 8.0;
-// The edge bound, over the fair share of this gateway's load in flight.
+const SETTLED_FILLS: f64 = 600.0;
+// The edge bound over the fair share of this gateway's load in flight, its least part of the gate, and how
+// many caches of its order an object may use.
 const BOUND: f64 = 2.0;
-const SPREAD: usize = 2;
 const BOUND_FLOOR: f64 = 0.8;
-// The gate of a cache: what this gateway may have in flight there, in mean txns. Txns over a cache's size
-// that still keep their SLA time; the share kept at a cut and the part of a txn gained by each in time.
+const SPREAD: usize = 2;
+// Gates, in mean txns in flight: at first over the size's equal part (or over so many where it is not told),
+// the share kept at each late answer, the gain at each one in time.
 const GATE_OVER: f64 = 4.0;
 const UNSIZED_GATE: f64 = 3.0;
-const ORIGIN_SICK: f64 = 0.3;
-const BORNE_KEPT: f64 = 0.995;
-// Parts by which running means follow.
-const SLOW: f64 = 0.02;
-const QUICK: f64 = 0.15;
-const LARGE: f64 = 0.75;
-// Transfers on the zone's link over those that fit, from which fills' gates are narrowed in proportion.
-const LINK_FULL: f64 = 2.0;
 const GATE_CUT: f64 = 0.85;
 const GATE_GAIN: f64 = 0.1;
-// Health, further hops and guards.
+// Transfers on the zone's link over those that fit, from which fills' gates are narrowed in proportion.
+const LINK_FULL: f64 = 2.0;
+// Untold sizes: the sending time of a large txn over its rule's SLA time.
+const LARGE: f64 = 0.75;
+// A sick origin: share of its fills that fail or start after this part of the SLA time.
+const ORIGIN_SICK: f64 = 0.3;
+const SLOW_START: f64 = 0.8;
+// Health, further hops, rejections: signs in a row, part of the SLA time from which a hop is overdue, scans in
+// a connect limit, further hops a txn, their burst, the part of the SLA time after which to come back.
 const STRIKES: u32 = 2;
+const OVERDUE: f64 = 0.9;
+const SCANS: f64 = 0.125;
 const FURTHER_HOPS: f64 = 0.15;
 const FURTHER_BURST: f64 = 6.0;
 const COME_BACK: std::ops::Range<f64> = 0.1..0.4;
+// Cold members: the part of the budget that is used, and what a borne rate keeps each second.
 const COLD_MARGIN: f64 = 0.7;
 const COLD_MARGIN_UNSIZED: f64 = 0.5;
-const OVERDUE: f64 = 0.9;
-const SCANS: f64 = 0.125;
+const BORNE_KEPT: f64 = 0.995;
+// Parts by which running means follow.
+const SLOW: f64 = 0.02;
+const QUICK: f64 = 0.15;
+
+/// The member of a hop, its fill source, and the orders for a miss.
+type Plan = (usize, Option<usize>, Option<Fill>);
 
 pub struct Gateway {
     set: Settings,
@@ -139,7 +149,7 @@
             self.weight += way.min(STEP / 2.0) + jitter;
         }
         self.weight = self.weight.clamp(STANDBY, FULL);
-        if self.settled.count() > 600.0 {
+        if self.settled.count() > SETTLED_FILLS {
             self.settled.halve();
         }
     }
@@ -214,9 +224,8 @@
             self.by_id.insert(Arc::clone(&m.id), i);
             let (key, par, spent) = (xxh3_64(m.id.as_bytes()), Weight::new(weight), VecDeque::new());
             let (load, work, rate, strikes, trial_at, answered) = (0.0, 0.0, 0.0, 0, None, now);
-            let cache =
-                Cache { m, key, role, load, strikes, trial_at, answered, spent, work, rate, gate, par };
-            self.caches.push(cache);
+            let c = Cache { m, key, role, load, strikes, trial_at, answered, spent, work, rate, gate, par };
+            self.caches.push(c);
         }
     }
 
@@ -344,7 +353,7 @@
     /// that it went through, what comes in time widens it. Harmful where txns are late for other reasons, so
     /// fills don't count against the cache nor hits against the parent.
     fn adjust(&mut self, hop: &Hop, o: &Outcome) {
-        let slow_start = o.first_byte.is_some_and(|first| first > hop.sla * 0.8);
+        let slow_start = o.first_byte.is_some_and(|first| first > hop.sla * SLOW_START);
         let place = match o.note {
             None | Some(Note::Held | Note::Old | Note::Joined | Note::NoPlace) => Some(hop.member),
             Some(Note::OriginFailed) => self.origin,
@@ -375,7 +384,7 @@
 
     fn passes(&self, i: usize, load: f64) -> bool {
         let c = &self.caches[i];
-        let link = if c.role == Role::Edge { 1.0 } else { (LINK_FULL / self.link.max(LINK_FULL)).min(1.0) };
+        let link = if c.role == Role::Edge { 1.0 } else { LINK_FULL / self.link.max(LINK_FULL) };
         c.load <= 0.0 || c.load + load <= c.gate * link * self.mean_load
     }
 
@@ -661,14 +670,15 @@
             .flatten();
         let Some((member, source, fill)) = plan else { return self.give_up(&open, &rule) };
         let sla = self.sla(&open.txn, &rule);
-        let limit = open.limit;
         if open.hops > 0 {
             self.further -= 1.0;
         }
         let load = open.txn.size.unwrap_or(1.0);
         let mean = self.rows[open.txn.rule].sending;
         let key = (id, open.hops);
-        for (i, cost) in [(Some(member), mean), (source, sending)] {
+        // A parent is charged a txn's own sending time, a cache the mean of its rule.
+        let direct = self.caches[member].role != Role::Edge;
+        for (i, cost) in [(Some(member), if direct { sending } else { mean }), (source, sending)] {
             let Some(i) = i else { continue };
             let c = &mut self.caches[i];
             if let Some(at) = &mut c.trial_at {
@@ -692,34 +702,18 @@
             self.caches[origin].load += load;
         }
         let due = now + sla * OVERDUE;
-        self.hops.insert(
-            key,
-            Hop {
-                member,
-                source,
-                sent: now,
-                due,
-                sla,
-                load,
-                fill_load,
-                to_origin,
-                sending,
-                cancelled: false,
-            },
-        );
+        let (sent, cancelled) = (now, false);
+        let hop = Hop { member, source, sent, due, sla, sending, load, fill_load, to_origin, cancelled };
+        self.hops.insert(key, hop);
         open.hops += 1;
         open.out += 1;
+        let limit = open.limit;
         self.open.insert(id, open);
         Decision::Hop { txn: id, member: Arc::clone(&self.caches[member].m.id), fill, limit }
     }
 
     /// Where the next hop goes: cache, fill source and how the copy is kept.
-    fn plan(
-        &mut self,
-        now: Time,
-        open: &Open,
-        rule: &RemapRule,
-    ) -> Option<(usize, Option<usize>, Option<Fill>)> {
+    fn plan(&mut self, now: Time, open: &Open, rule: &RemapRule) -> Option<Plan> {
         let txn = &open.txn;
         let mean = self.rows[txn.rule].sending;
         let write = txn.write || rule.write;
