--- a/src/logic.rs
+++ b/src/logic.rs
@@ -662,9 +662,7 @@
             return Decision::Abort { txn: id };
         };
         let sending = self.sending(&open.txn);
-        // A hop after a mere look repeats no work and is free.
-        let free = open.hops == 0 || open.hops == 1 && open.looked;
-        let paid = free || self.further >= 1.0;
+        let paid = open.hops == 0 || self.further >= 1.0;
         let in_time = now + Span::from_secs_f64(sending * 0.5) < open.limit;
         let fixed = rule.effect == Effect::Unrepeatable && open.may_have_run.is_some();
         let plan = (paid && in_time && !fixed && open.hops < self.set.max_hops)
@@ -672,7 +670,7 @@
             .flatten();
         let Some((member, source, fill)) = plan else { return self.give_up(&open, &rule) };
         let sla = self.sla(&open.txn, &rule);
-        if !free {
+        if open.hops > 0 {
             self.further -= 1.0;
         }
         let load = open.txn.size.unwrap_or(1.0);
