--- a/src/logic.rs
+++ b/src/logic.rs
@@ -295,10 +295,9 @@
                 c.spent.retain(|s| s.2 != (o.txn, o.hop));
             }
             let refused = matches!(o.note, Some(Note::SourceRefused | Note::OriginFailed));
-            // Every timeout counts for the weight, less what all parents show alike; only silence is a strike.
-            let timed_out = o.end == HopEnd::TimedOut && !silent;
-            let lost = timed_out && c.answered <= hop.sent || o.note == Some(Note::SourceLost);
-            if filled || timed_out || lost || o.note == Some(Note::SourceRefused) {
+            let timed_out = o.end == HopEnd::TimedOut && !silent && c.answered <= hop.sent;
+            let lost = timed_out || o.note == Some(Note::SourceLost);
+            if filled || lost || o.note == Some(Note::SourceRefused) {
                 c.par.fills += 1.0;
                 c.par.failed += f64::from(u8::from(!filled && !timed_out));
                 c.par.late += f64::from(u8::from(timed_out));
