--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,8 +48,8 @@
 // A sick origin: share of its fills that fail or start after this part of the SLA time.
 const ORIGIN_SICK: f64 = 0.3;
 const SLOW_START: f64 = 0.8;
-// Health, further hops, rejections: signs in a row, part of the SLA time from which a hop is overdue, scans in
-// a connect limit, further hops a txn, their burst, the part of the SLA time after which to come back.
+// Health, further hops, rejections: signs in a row, part of the SLA time from which a hop is overdue, scan
+// over connect limit, further hops a txn, their burst, part of the SLA time after which to come back.
 const STRIKES: u32 = 2;
 const OVERDUE: f64 = 0.9;
 const SCANS: f64 = 0.125;
@@ -348,10 +348,10 @@
         }
     }
 
-    /// Guards against work piling up at a cache, a parent or the link before it, whatever fills it: overload,
-    /// retries, large objects, a slow machine. What comes late or is turned away shrinks the gate of the place
-    /// that it went through, what comes in time widens it. Harmful where txns are late for other reasons, so
-    /// fills don't count against the cache nor hits against the parent.
+    /// Guards against work piling up at a cache, a parent or the link before it, whatever fills it:
+    /// overload, retries, large objects, a slow machine. What comes late or is turned away shrinks the gate
+    /// of the place that it went through, what comes in time widens it. Harmful where txns are late for
+    /// other reasons, so fills don't count against the cache nor hits against the parent.
     fn adjust(&mut self, hop: &Hop, o: &Outcome) {
         let slow_start = o.first_byte.is_some_and(|first| first > hop.sla * SLOW_START);
         let place = match o.note {
@@ -743,8 +743,9 @@
         Some((member, (source != member).then_some(source), Some(fill)))
     }
 
-    /// Where no parent has room for a fill: the warm cache that comes first in the object's hash order over all
-    /// zones in reach gives what it holds. Guards against parents lost or crowded while copies stand elsewhere.
+    /// Where no parent has room for a fill: the warm cache that comes first in the object's hash order over
+    /// the zones in reach gives what it holds. Guards against parents lost or crowded while copies stand
+    /// elsewhere; adds load to siblings.
     fn sib(&self, now: Time, open: &Open, member: usize) -> Option<usize> {
         if self.set.sibs == Reach::Off || open.looked || open.origin_failed || open.txn.write {
             return None;
