--- a/src/logic.rs
+++ b/src/logic.rs
@@ -115,7 +115,7 @@
             }
             _ => 0.0,
         };
-        let n = self.fills.max(LEAST_FILLS / 2.0);
+        let n = self.fills.max(LEAST_FILLS * 2.0);
         [self.failed / n, self.late / n, over(0.95), over(0.5)]
     }
 
