--- a/src/logic.rs
+++ b/src/logic.rs
@@ -115,7 +115,7 @@
             }
             _ => 0.0,
         };
-        let n = self.fills.max(LEAST_FILLS * 2.0);
+        let n = self.fills.max(LEAST_FILLS / 2.0);
         [self.failed / n, self.late / n, over(0.95), over(0.5)]
     }
 
@@ -295,7 +295,7 @@
                 c.spent.retain(|s| s.2 != (o.txn, o.hop));
             }
             let refused = matches!(o.note, Some(Note::SourceRefused | Note::OriginFailed));
-            let timed_out = o.end == HopEnd::TimedOut && !silent && !hop.booked && c.answered <= hop.sent;
+            let timed_out = o.end == HopEnd::TimedOut && !silent && c.answered <= hop.sent;
             let lost = timed_out || o.note == Some(Note::SourceLost);
             if filled || lost || o.note == Some(Note::SourceRefused) {
                 c.par.fills += 1.0;
@@ -487,12 +487,6 @@
             if c.answered <= hop.sent && now - c.answered > self.set.connect_limit {
                 overdue[hop.member] += 1;
             }
-            // The cache answers others, so the fill is what is late: a timeout, told before it ends.
-            if let Some(p) = hop.source.filter(|_| !hop.booked && c.answered > hop.sent) {
-                hop.booked = true;
-                self.caches[p].par.fills += 1.0;
-                self.caches[p].par.late += 1.0;
-            }
         }
         for (i, &n) in overdue.iter().enumerate() {
             if n >= STRIKES && self.caches[i].trial_at.is_none() {
@@ -708,9 +702,8 @@
             self.caches[origin].load += load;
         }
         let due = now + sla * OVERDUE;
-        let (sent, cancelled, booked) = (now, false, false);
-        let hop =
-            Hop { member, source, sent, due, sla, sending, load, fill_load, to_origin, cancelled, booked };
+        let (sent, cancelled) = (now, false);
+        let hop = Hop { member, source, sent, due, sla, sending, load, fill_load, to_origin, cancelled };
         self.hops.insert(key, hop);
         open.hops += 1;
         open.out += 1;
--- a/src/state.rs
+++ b/src/state.rs
@@ -67,7 +67,6 @@
     pub fill_load: f64,
     pub to_origin: bool,
     pub cancelled: bool,
-    pub booked: bool,
 }
 
 pub struct Open {
