--- a/src/logic.rs
+++ b/src/logic.rs
@@ -155,6 +155,15 @@
     }
 }
 
+fn cold_start(set: &Settings, role: Role) -> &ColdStart {
+    if role == Role::Parent { &set.cold_parent } else { &set.cold }
+}
+
+/// The gateways that send to members of a role.
+fn sharers(set: &Settings, role: Role) -> f64 {
+    f64::from(if role == Role::Edge { set.zone_gateways } else { set.gateways }.max(1))
+}
+
 impl Gateway {
     pub fn new(set: Settings, seed: u64, now: Time) -> Gateway {
         let row = |r: &RemapRule| Row { sending: r.sla.as_secs_f64() / 2.0, told: false };
@@ -211,9 +220,8 @@
                 (c.m, c.role) = (m, role);
                 continue;
             }
-            let sharers = if role == Role::Edge { self.set.zone_gateways } else { self.set.gateways };
             let gate = if self.set.sized && role != Role::Origin {
-                m.size / sharers.max(1) as f64
+                m.size / sharers(&self.set, role)
             } else {
                 UNSIZED_GATE
             } * GATE_OVER;
@@ -458,7 +466,7 @@
         for (borne, role) in self.borne.iter_mut().zip([Role::Edge, Role::Parent]) {
             let zone = self.set.zone;
             let warm = |c: &&Cache| {
-                let cold = if role == Role::Parent { &self.set.cold_parent } else { &self.set.cold };
+                let cold = cold_start(&self.set, role);
                 c.role == role
                     && (role == Role::Parent || c.m.zone == zone)
                     && c.m.state == MemberState::Up
@@ -482,7 +490,7 @@
     fn scan(&mut self, now: Time) {
         self.next_scan = now + (self.set.connect_limit * SCANS).max(self.set.tick).max(Span::from_millis(1));
         let mut overdue = vec![0u32; self.caches.len()];
-        for hop in self.hops.values_mut().filter(|h| h.due <= now) {
+        for hop in self.hops.values().filter(|h| h.due <= now) {
             let c = &self.caches[hop.member];
             if c.answered <= hop.sent && now - c.answered > self.set.connect_limit {
                 overdue[hop.member] += 1;
@@ -533,12 +541,8 @@
     /// any span of the stated length. The capacity is its size, else what warm ones of its role have borne.
     fn has_room(&self, now: Time, i: usize, cost: f64) -> bool {
         let c = &self.caches[i];
-        let (cold, sharers) = match c.role {
-            Role::Parent => (&self.set.cold_parent, self.set.gateways),
-            _ => (&self.set.cold, self.set.zone_gateways),
-        };
+        let (cold, sharers) = (cold_start(&self.set, c.role), sharers(&self.set, c.role));
         let Some(age) = c.m.started.map(|at| now - at).filter(|&age| age < cold.within) else { return true };
-        let sharers = sharers.max(1) as f64;
         let capacity =
             if self.set.sized { c.m.size } else { self.borne[usize::from(c.role == Role::Parent)] * sharers };
         let margin = if self.set.sized { COLD_MARGIN } else { COLD_MARGIN_UNSIZED };
@@ -574,7 +578,7 @@
         let cost = self.sending(&open.txn);
         let mut order = self.order(Role::Parent, &open.txn, true);
         order.retain(|&i| self.usable(now, i) && !open.avoid.contains(&i) && self.has_room(now, i, cost));
-        let load = open.txn.size.unwrap_or(1.0) * if open.looked { 1.0 } else { self.miss_share };
+        let load = open.load() * if open.looked { 1.0 } else { self.miss_share };
         if order.is_empty() {
             return self.origin(now, open).filter(|&o| self.passes(o, load));
         }
@@ -673,7 +677,7 @@
         if open.hops > 0 {
             self.further -= 1.0;
         }
-        let load = open.txn.size.unwrap_or(1.0);
+        let load = open.load();
         let mean = self.rows[open.txn.rule].sending;
         let key = (id, open.hops);
         // A parent is charged a txn's own sending time, a cache the mean of its rule.
@@ -721,7 +725,7 @@
             let origin = self.origin(now, open).filter(|&i| self.in_group(open, now, i));
             return origin.map(|i| (i, None, None));
         }
-        let member = self.edge(now, open, mean, txn.size.unwrap_or(1.0));
+        let member = self.edge(now, open, mean, open.load());
         let source = if write { self.origin(now, open) } else { self.source(now, open) };
         let Some(member) = member else {
             // No cache of the own zone can take it: straight to the fill source, where that is allowed.
--- a/src/state.rs
+++ b/src/state.rs
@@ -90,6 +90,11 @@
         let (hops, out, avoid, may_have_run) = (0, 0, Vec::new(), None);
         Open { txn, limit, hops, out, avoid, looked, parent_lacks, origin_failed, may_have_run }
     }
+
+    /// What it puts in flight: KB, or one txn where its size is not told.
+    pub fn load(&self) -> f64 {
+        self.txn.size.unwrap_or(1.0)
+    }
 }
 
 /// What is measured of a remap rule's txns: their mean sending time in seconds.
