Trial: a txn counts in gates and bound by this gateway's part of it

Cause looked for: one gateway's gate is hardly wider than a large txn, so large ones never reach a cache.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -390,10 +390,13 @@
         self.origin_bad > ORIGIN_SICK
     }
 
+    /// All gateways that share a member act alike, so a txn counts by this one's part of it. Guards large
+    /// txns against being kept out of a cache for good where the gate of one gateway is hardly wider than
+    /// they are; together the gates hold what they would hold as one. Lets each gateway go over once.
     fn passes(&self, i: usize, load: f64) -> bool {
         let c = &self.caches[i];
         let link = if c.role == Role::Edge { 1.0 } else { LINK_FULL / self.link.max(LINK_FULL) };
-        c.load <= 0.0 || c.load + load <= c.gate * link * self.mean_load
+        c.load <= 0.0 || c.load + load / sharers(&self.set, c.role) <= c.gate * link * self.mean_load
     }
 
     /// Evidence that a member takes work and answers nothing, or can't be reached. After a few in a row it
@@ -606,7 +609,8 @@
                 && self.in_group(open, now, i)
         });
         let size = |i: usize| self.caches[i].size(self.set.sized);
-        let total: f64 = order.iter().map(|&i| self.caches[i].load).sum::<f64>() + load;
+        let part = load / sharers(&self.set, Role::Edge);
+        let total: f64 = order.iter().map(|&i| self.caches[i].load).sum::<f64>() + part;
         let sizes: f64 = order.iter().map(|&i| size(i)).sum();
         // Further from home each spill is a miss that fills one more cache, which feeds a jam of fills.
         order.truncate(SPREAD);
@@ -614,7 +618,7 @@
         let fits = |i: usize| {
             let held = self.caches[i].load;
             let gate = self.caches[i].gate * self.mean_load;
-            held <= 0.0 || held + load <= (BOUND * total * size(i) / sizes).max(gate * BOUND_FLOOR)
+            held <= 0.0 || held + part <= (BOUND * total * size(i) / sizes).max(gate * BOUND_FLOOR)
         };
         let spare = |i: &usize| self.caches[*i].load / size(*i);
         order
