--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,6 +41,8 @@
 const UNSIZED_GATE: f64 = 3.0;
 const GATE_CUT: f64 = 0.85;
 const GATE_GAIN: f64 = 0.1;
+// Time over which the own load at a member is averaged, to stand in for what each other gateway has there.
+const AVERAGED: Span = Span::from_millis(3000);
 // Transfers on the zone's link over those that fit, from which fills' gates are narrowed in proportion.
 const LINK_FULL: f64 = 2.0;
 // Untold sizes: the sending time of a large txn over its rule's SLA time.
@@ -230,10 +232,8 @@
                 self.origin = Some(i);
             }
             self.by_id.insert(Arc::clone(&m.id), i);
-            let (key, par, spent) = (xxh3_64(m.id.as_bytes()), Weight::new(weight), VecDeque::new());
-            let (load, work, rate, strikes, trial_at, answered) = (0.0, 0.0, 0.0, 0, None, now);
-            let c = Cache { m, key, role, load, strikes, trial_at, answered, spent, work, rate, gate, par };
-            self.caches.push(c);
+            let (key, par) = (xxh3_64(m.id.as_bytes()), Weight::new(weight));
+            self.caches.push(Cache::new(now, m, key, role, gate, par));
         }
     }
 
@@ -267,7 +267,7 @@
 
     pub fn outcome(&mut self, now: Time, o: Outcome) {
         let Some(hop) = self.hops.remove(&(o.txn, o.hop)) else { return };
-        self.adjust(&hop, &o);
+        self.adjust(now, &hop, &o);
         let near = self.caches[hop.member].role == Role::Edge;
         if let Some(link) = o.load.link.filter(|_| near) {
             follow(&mut self.link, link, QUICK);
@@ -275,10 +275,10 @@
         let filled = matches!(o.note, Some(Note::Filled | Note::FilledByOrigin));
         let held = matches!(o.note, Some(Note::Held | Note::Old));
         if let Some(origin) = self.origin.filter(|_| hop.to_origin) {
-            self.caches[origin].load -= hop.load;
+            self.caches[origin].carry(now, -hop.load, AVERAGED);
         }
         let c = &mut self.caches[hop.member];
-        c.load -= hop.load;
+        c.carry(now, -hop.load, AVERAGED);
         if o.end == HopEnd::Completed {
             c.work += hop.sending;
         }
@@ -298,7 +298,7 @@
                 follow(&mut self.miss_share, f64::from(u8::from(filled)), SLOW / 2.0);
             }
             let c = &mut self.caches[p];
-            c.load -= hop.fill_load;
+            c.carry(now, -hop.fill_load, AVERAGED);
             if held {
                 c.spent.retain(|s| s.2 != (o.txn, o.hop));
             }
@@ -360,7 +360,7 @@
     /// overload, retries, large objects, a slow machine. What comes late or is turned away shrinks the gate
     /// of the place that it went through, what comes in time widens it. Harmful where txns are late for
     /// other reasons, so fills don't count against the cache nor hits against the parent.
-    fn adjust(&mut self, hop: &Hop, o: &Outcome) {
+    fn adjust(&mut self, now: Time, hop: &Hop, o: &Outcome) {
         let slow_start = o.first_byte.is_some_and(|first| first > hop.sla * SLOW_START);
         let place = match o.note {
             None | Some(Note::Held | Note::Old | Note::Joined | Note::NoPlace) => Some(hop.member),
@@ -374,11 +374,14 @@
             follow(&mut self.origin_bad, f64::from(u8::from(bad)), QUICK);
         }
         let (Some(place), mean) = (place, self.mean_load.max(1e-6)) else { return };
+        let (held, n) = (self.held(now, place), sharers(&self.set, self.caches[place].role));
         let c = &mut self.caches[place];
         match o.end {
-            HopEnd::Completed if o.took <= hop.sla && c.load < c.gate * mean / 2.0 => {}
-            HopEnd::Completed if o.took <= hop.sla => c.gate += GATE_GAIN,
-            HopEnd::Completed | HopEnd::TurnedAway | HopEnd::Errored => c.gate = (c.gate * GATE_CUT).max(1.0),
+            HopEnd::Completed if o.took <= hop.sla && held < c.gate * mean / 2.0 => {}
+            HopEnd::Completed if o.took <= hop.sla => c.gate += GATE_GAIN / n,
+            HopEnd::Completed | HopEnd::TurnedAway | HopEnd::Errored => {
+                c.gate = (c.gate * GATE_CUT).max(1.0 / n);
+            }
             _ => {}
         }
     }
@@ -390,13 +393,19 @@
         self.origin_bad > ORIGIN_SICK
     }
 
-    /// All gateways that share a member act alike, so a txn counts by this one's part of it. Guards large
-    /// txns against being kept out of a cache for good where the gate of one gateway is hardly wider than
-    /// they are; together the gates hold what they would hold as one. Lets each gateway go over once.
-    fn passes(&self, i: usize, load: f64) -> bool {
-        let c = &self.caches[i];
+    /// What is in flight at a member, as this gateway's part of the whole: its own load, with its own mean in
+    /// the place of each other gateway's. Guards gates against chance where many gateways have a txn or less
+    /// each: an idle moment is no room, one large txn no jam. Harmful where the gateways' loads differ much.
+    fn held(&self, now: Time, i: usize) -> f64 {
+        let (c, n) = (&self.caches[i], sharers(&self.set, self.caches[i].role));
+        (c.load + c.mean_load(now, AVERAGED) * (n - 1.0)) / n
+    }
+
+    fn passes(&self, now: Time, i: usize, load: f64) -> bool {
+        let (c, held) = (&self.caches[i], self.held(now, i));
         let link = if c.role == Role::Edge { 1.0 } else { LINK_FULL / self.link.max(LINK_FULL) };
-        c.load <= 0.0 || c.load + load / sharers(&self.set, c.role) <= c.gate * link * self.mean_load
+        let room = c.gate * link * self.mean_load;
+        c.load <= 0.0 && held <= room / 2.0 || held + load / sharers(&self.set, c.role) <= room
     }
 
     /// Evidence that a member takes work and answers nothing, or can't be reached. After a few in a row it
@@ -583,10 +592,10 @@
         order.retain(|&i| self.usable(now, i) && !open.avoid.contains(&i) && self.has_room(now, i, cost));
         let load = open.load() * if open.looked { 1.0 } else { self.miss_share };
         if order.is_empty() {
-            return self.origin(now, open).filter(|&o| self.passes(o, load));
+            return self.origin(now, open).filter(|&o| self.passes(now, o, load));
         }
-        order.retain(|&i| self.passes(i, load));
-        let held_back = open.parent_lacks && self.origin.is_some_and(|o| !self.passes(o, load));
+        order.retain(|&i| self.passes(now, i, load));
+        let held_back = open.parent_lacks && self.origin.is_some_and(|o| !self.passes(now, o, load));
         if open.origin_failed || held_back {
             return None;
         }
@@ -610,17 +619,17 @@
         });
         let size = |i: usize| self.caches[i].size(self.set.sized);
         let part = load / sharers(&self.set, Role::Edge);
-        let total: f64 = order.iter().map(|&i| self.caches[i].load).sum::<f64>() + part;
+        let total: f64 = order.iter().map(|&i| self.held(now, i)).sum::<f64>() + part;
         let sizes: f64 = order.iter().map(|&i| size(i)).sum();
         // Further from home each spill is a miss that fills one more cache, which feeds a jam of fills.
         order.truncate(SPREAD);
-        order.retain(|&i| self.passes(i, load));
+        order.retain(|&i| self.passes(now, i, load));
         let fits = |i: usize| {
-            let held = self.caches[i].load;
+            let held = self.held(now, i);
             let gate = self.caches[i].gate * self.mean_load;
             held <= 0.0 || held + part <= (BOUND * total * size(i) / sizes).max(gate * BOUND_FLOOR)
         };
-        let spare = |i: &usize| self.caches[*i].load / size(*i);
+        let spare = |i: &usize| self.held(now, *i) / size(*i);
         order
             .iter()
             .copied()
@@ -700,14 +709,14 @@
                 }
             }
         }
-        self.caches[member].load += load;
+        self.caches[member].carry(now, load, AVERAGED);
         let fill_load = if open.looked { load } else { load * self.miss_share };
         if let Some(p) = source {
-            self.caches[p].load += fill_load;
+            self.caches[p].carry(now, fill_load, AVERAGED);
         }
         let to_origin = source.is_some() && open.parent_lacks;
         if let Some(origin) = self.origin.filter(|_| to_origin) {
-            self.caches[origin].load += load;
+            self.caches[origin].carry(now, load, AVERAGED);
         }
         let due = now + sla * OVERDUE;
         let (sent, cancelled) = (now, false);
--- a/src/state.rs
+++ b/src/state.rs
@@ -32,6 +32,9 @@
     pub role: Role,
     /// In flight from this gateway: KB, or txns where sizes are not told.
     pub load: f64,
+    /// Its running mean, as of when it last changed.
+    mean: f64,
+    changed: Time,
     /// Signs of silence in a row; while there are enough, the time of the next trial.
     pub strikes: u32,
     pub trial_at: Option<Time>,
@@ -46,6 +49,22 @@
 }
 
 impl Cache {
+    pub fn new(now: Time, m: Member, key: u64, role: Role, gate: f64, par: Weight) -> Cache {
+        let (load, mean, changed, work, rate) = (0.0, 0.0, now, 0.0, 0.0);
+        let (strikes, trial_at, answered, spent) = (0, None, now, VecDeque::new());
+        Cache { m, key, role, load, mean, changed, strikes, trial_at, answered, spent, work, rate, gate, par }
+    }
+
+    /// The load on average, each moment weighing less by the time since over `span`.
+    pub fn mean_load(&self, now: Time, span: Span) -> f64 {
+        self.load + (self.mean - self.load) * (-((now - self.changed) / span)).exp()
+    }
+
+    pub fn carry(&mut self, now: Time, more: f64, span: Span) {
+        self.mean = self.mean_load(now, span);
+        (self.changed, self.load) = (now, self.load + more);
+    }
+
     pub fn heard(&mut self, now: Time) {
         (self.answered, self.strikes, self.trial_at) = (now, 0, None);
     }
