Gates move by the root of the sharers faster, both ways

Cause: each of many gateways sees a part of the late answers, so gates followed a jam many times slower than in a small fleet. The ratio of gain and cut, and so the share of late answers at rest, is the same at every size. Harmful where a few late answers are mere chance: one costs a gate more.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -378,9 +378,9 @@
         let c = &mut self.caches[place];
         match o.end {
             HopEnd::Completed if o.took <= hop.sla && held < c.gate * mean / 2.0 => {}
-            HopEnd::Completed if o.took <= hop.sla => c.gate += GATE_GAIN / n,
+            HopEnd::Completed if o.took <= hop.sla => c.gate += GATE_GAIN / n.sqrt(),
             HopEnd::Completed | HopEnd::TurnedAway | HopEnd::Errored => {
-                c.gate = (c.gate * GATE_CUT).max(1.0 / n);
+                c.gate = (c.gate * GATE_CUT.powf(n.sqrt())).max(1.0 / n);
             }
             _ => {}
         }
