First gates by the fleet where sizes are not told; the least gate is a part of the first

Cause: an untold gate of so many txns for each gateway is a flood from hundreds, and a least gate of one txn each as well.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -35,10 +35,14 @@
 const BOUND: f64 = 2.0;
 const BOUND_FLOOR: f64 = 0.8;
 const SPREAD: usize = 2;
-// Gates, in mean txns in flight: at first over the size's equal part (or over so many where it is not told),
-// the share kept at each late answer, the gain at each one in time.
+// Gates, in mean txns in flight: at first over the size, a cache's size where it is not told, that of all
+// parents and of the origin over all caches', the part of the first gate that stays, the share kept at each
+// late answer, the gain at each one in time.
 const GATE_OVER: f64 = 4.0;
-const UNSIZED_GATE: f64 = 3.0;
+const UNSIZED: f64 = 4.0;
+const PARENTS_PART: f64 = 0.6;
+const ORIGIN_PART: f64 = 0.25;
+const GATE_LEAST: f64 = 0.0625;
 const GATE_CUT: f64 = 0.85;
 const GATE_GAIN: f64 = 0.1;
 // Time over which the own load at a member is averaged, to stand in for what each other gateway has there.
@@ -200,6 +204,7 @@
 
     /// News of the list; with `whole`, members that it does not name are gone.
     pub fn members(&mut self, now: Time, whole: bool, list: Vec<Member>) {
+        let known = self.caches.len();
         if whole {
             for c in &mut self.caches {
                 c.m.state = MemberState::Gone;
@@ -222,19 +227,30 @@
                 (c.m, c.role) = (m, role);
                 continue;
             }
-            let gate = if self.set.sized && role != Role::Origin {
-                m.size / sharers(&self.set, role)
-            } else {
-                UNSIZED_GATE
-            } * GATE_OVER;
             let i = self.caches.len();
             if role == Role::Origin {
                 self.origin = Some(i);
             }
             self.by_id.insert(Arc::clone(&m.id), i);
             let (key, par) = (xxh3_64(m.id.as_bytes()), Weight::new(weight));
-            self.caches.push(Cache::new(now, m, key, role, gate, par));
+            self.caches.push(Cache::new(now, m, key, role, par));
         }
+        for i in known..self.caches.len() {
+            self.caches[i].gate = self.first_gate(i);
+        }
+    }
+
+    /// This gateway's equal part of a member's gate at the start, in mean txns.
+    fn first_gate(&self, i: usize) -> f64 {
+        let (c, listed) = (&self.caches[i], |r| self.caches.iter().filter(|c| c.role == r).count().max(1) as f64);
+        let edges = UNSIZED * listed(Role::Edge);
+        let whole = match c.role {
+            Role::Origin => edges * ORIGIN_PART,
+            _ if self.set.sized => c.m.size,
+            Role::Parent => edges * PARENTS_PART / listed(Role::Parent),
+            Role::Edge => UNSIZED,
+        };
+        whole * GATE_OVER / sharers(&self.set, c.role)
     }
 
     /// The list service failed or ended the subscription.
@@ -375,12 +391,13 @@
         }
         let (Some(place), mean) = (place, self.mean_load.max(1e-6)) else { return };
         let (held, n) = (self.held(now, place), sharers(&self.set, self.caches[place].role));
+        let least = self.first_gate(place) * GATE_LEAST;
         let c = &mut self.caches[place];
         match o.end {
             HopEnd::Completed if o.took <= hop.sla && held < c.gate * mean / 2.0 => {}
             HopEnd::Completed if o.took <= hop.sla => c.gate += GATE_GAIN / n.sqrt(),
             HopEnd::Completed | HopEnd::TurnedAway | HopEnd::Errored => {
-                c.gate = (c.gate * GATE_CUT.powf(n.sqrt())).max(1.0 / n);
+                c.gate = (c.gate * GATE_CUT.powf(n.sqrt())).max(least);
             }
             _ => {}
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -49,8 +49,8 @@
 }
 
 impl Cache {
-    pub fn new(now: Time, m: Member, key: u64, role: Role, gate: f64, par: Weight) -> Cache {
-        let (load, mean, changed, work, rate) = (0.0, 0.0, now, 0.0, 0.0);
+    pub fn new(now: Time, m: Member, key: u64, role: Role, par: Weight) -> Cache {
+        let (load, mean, changed, work, rate, gate) = (0.0, 0.0, now, 0.0, 0.0, 0.0);
         let (strikes, trial_at, answered, spent) = (0, None, now, VecDeque::new());
         Cache { m, key, role, load, mean, changed, strikes, trial_at, answered, spent, work, rate, gate, par }
     }
