--- a/src/logic.rs
+++ b/src/logic.rs
@@ -45,8 +45,9 @@
 const GATE_LEAST: f64 = 0.0625;
 const GATE_CUT: f64 = 0.85;
 const GATE_GAIN: f64 = 0.1;
-// Time over which the own load at a member is averaged, to stand in for what each other gateway has there.
-const AVERAGED: Span = Span::from_millis(3000);
+// Time over which the own load at a member is averaged, to stand in for what each other gateway has there:
+// of a second, times the root of the sharers, since each sees the less the more there are.
+const AVERAGED: f64 = 0.3;
 // Transfers on the zone's link over those that fit, from which fills' gates are narrowed in proportion.
 const LINK_FULL: f64 = 2.0;
 // Untold sizes: the sending time of a large txn over its rule's SLA time.
@@ -165,6 +166,10 @@
     if role == Role::Parent { &set.cold_parent } else { &set.cold }
 }
 
+fn averaged(sharers: f64) -> Span {
+    SECOND * (AVERAGED * sharers.sqrt())
+}
+
 /// The gateways that send to members of a role.
 fn sharers(set: &Settings, role: Role) -> f64 {
     f64::from(if role == Role::Edge { set.zone_gateways } else { set.gateways }.max(1))
@@ -291,10 +296,10 @@
         let filled = matches!(o.note, Some(Note::Filled | Note::FilledByOrigin));
         let held = matches!(o.note, Some(Note::Held | Note::Old));
         if let Some(origin) = self.origin.filter(|_| hop.to_origin) {
-            self.caches[origin].carry(now, -hop.load, AVERAGED);
+            self.carry(now, origin, -hop.load);
         }
+        self.carry(now, hop.member, -hop.load);
         let c = &mut self.caches[hop.member];
-        c.carry(now, -hop.load, AVERAGED);
         if o.end == HopEnd::Completed {
             c.work += hop.sending;
         }
@@ -313,8 +318,8 @@
             if held || filled {
                 follow(&mut self.miss_share, f64::from(u8::from(filled)), SLOW / 2.0);
             }
+            self.carry(now, p, -hop.fill_load);
             let c = &mut self.caches[p];
-            c.carry(now, -hop.fill_load, AVERAGED);
             if held {
                 c.spent.retain(|s| s.2 != (o.txn, o.hop));
             }
@@ -415,7 +420,12 @@
     /// each: an idle moment is no room, one large txn no jam. Harmful where the gateways' loads differ much.
     fn held(&self, now: Time, i: usize) -> f64 {
         let (c, n) = (&self.caches[i], sharers(&self.set, self.caches[i].role));
-        (c.load + c.mean_load(now, AVERAGED) * (n - 1.0)) / n
+        (c.load + c.mean_load(now, averaged(n)) * (n - 1.0)) / n
+    }
+
+    fn carry(&mut self, now: Time, i: usize, more: f64) {
+        let span = averaged(sharers(&self.set, self.caches[i].role));
+        self.caches[i].carry(now, more, span);
     }
 
     fn passes(&self, now: Time, i: usize, load: f64) -> bool {
@@ -726,14 +736,14 @@
                 }
             }
         }
-        self.caches[member].carry(now, load, AVERAGED);
+        self.carry(now, member, load);
         let fill_load = if open.looked { load } else { load * self.miss_share };
         if let Some(p) = source {
-            self.caches[p].carry(now, fill_load, AVERAGED);
+            self.carry(now, p, fill_load);
         }
         let to_origin = source.is_some() && open.parent_lacks;
         if let Some(origin) = self.origin.filter(|_| to_origin) {
-            self.caches[origin].carry(now, load, AVERAGED);
+            self.carry(now, origin, load);
         }
         let due = now + sla * OVERDUE;
         let (sent, cancelled) = (now, false);
