--- a/src/logic.rs
+++ b/src/logic.rs
@@ -782,7 +782,7 @@
             return None;
         }
         let source = source.unwrap_or(member);
-        let keep = if write { 0 } else { 1 };
+        let keep = if write { 0 } else { 1 + again as u8 };
         let fill = self.fill(now, open, rule, source, keep);
         Some((member, (source != member).then_some(source), Some(fill)))
     }
