--- a/src/logic.rs
+++ b/src/logic.rs
@@ -621,14 +621,13 @@
         if order.is_empty() {
             return self.origin(now, open).filter(|&o| self.passes(now, o, load));
         }
-        order.retain(|&i| self.passes(now, i, load));
         let held_back = open.parent_lacks && self.origin.is_some_and(|o| !self.passes(now, o, load));
         if open.origin_failed || held_back {
             return None;
         }
         let fraction = unit(hash(open.txn.object, open.txn.part, 0));
         let by_weight = order.iter().find(|&&i| self.caches[i].par.weight / FULL > fraction);
-        by_weight.or(order.last()).copied()
+        by_weight.or(order.last()).copied().filter(|&i| self.passes(now, i, load))
     }
 
     fn origin(&self, now: Time, open: &Open) -> Option<usize> {
@@ -650,7 +649,6 @@
         let sizes: f64 = order.iter().map(|&i| size(i)).sum();
         // Further from home each spill is a miss that fills one more cache, which feeds a jam of fills.
         order.truncate(SPREAD);
-        order.retain(|&i| self.passes(now, i, load));
         let fits = |i: usize| {
             let held = self.held(now, i);
             let gate = self.caches[i].gate * self.mean_load;
