--- a/src/logic.rs
+++ b/src/logic.rs
@@ -428,10 +428,15 @@
         self.caches[i].carry(now, more, span);
     }
 
+    fn room(&self, i: usize) -> f64 {
+        let c = &self.caches[i];
+        let link = if c.role == Role::Edge { 1.0 } else { LINK_FULL / self.link.max(LINK_FULL) };
+        c.gate * link * self.mean_load
+    }
+
     fn passes(&self, now: Time, i: usize, load: f64) -> bool {
         let (c, held) = (&self.caches[i], self.held(now, i));
-        let link = if c.role == Role::Edge { 1.0 } else { LINK_FULL / self.link.max(LINK_FULL) };
-        let room = c.gate * link * self.mean_load;
+        let room = self.room(i);
         c.load <= 0.0 && held <= room / 2.0 || held + load / sharers(&self.set, c.role) <= room
     }
 
@@ -627,7 +632,11 @@
         }
         let fraction = unit(hash(open.txn.object, open.txn.part, 0));
         let by_weight = order.iter().find(|&&i| self.caches[i].par.weight / FULL > fraction);
-        by_weight.or(order.last()).copied().filter(|&i| self.passes(now, i, load))
+        // Room is counted over all parents together: a fill leaves its home by weight, not by chance.
+        let (held, room) = order.iter().fold((0.0, 0.0), |(h, r), &i| (h + self.held(now, i), r + self.room(i)));
+        let n = sharers(&self.set, Role::Parent);
+        let home = by_weight.or(order.last()).copied();
+        home.filter(|&i| held + load / n <= room || self.passes(now, i, load))
     }
 
     fn origin(&self, now: Time, open: &Open) -> Option<usize> {
