--- a/src/logic.rs
+++ b/src/logic.rs
@@ -626,17 +626,17 @@
         if order.is_empty() {
             return self.origin(now, open).filter(|&o| self.passes(now, o, load));
         }
+        // A fill leaves its home by weight, not because a gate happens to be full there while others have room.
+        if !order.iter().any(|&i| self.passes(now, i, load)) {
+            return None;
+        }
         let held_back = open.parent_lacks && self.origin.is_some_and(|o| !self.passes(now, o, load));
         if open.origin_failed || held_back {
             return None;
         }
         let fraction = unit(hash(open.txn.object, open.txn.part, 0));
         let by_weight = order.iter().find(|&&i| self.caches[i].par.weight / FULL > fraction);
-        // Room is counted over all parents together: a fill leaves its home by weight, not by chance.
-        let (held, room) = order.iter().fold((0.0, 0.0), |(h, r), &i| (h + self.held(now, i), r + self.room(i)));
-        let n = sharers(&self.set, Role::Parent);
-        let home = by_weight.or(order.last()).copied();
-        home.filter(|&i| held + load / n <= room || self.passes(now, i, load))
+        by_weight.or(order.last()).copied()
     }
 
     fn origin(&self, now: Time, open: &Open) -> Option<usize> {
