--- a/src/logic.rs
+++ b/src/logic.rs
@@ -428,15 +428,10 @@
         self.caches[i].carry(now, more, span);
     }
 
-    fn room(&self, i: usize) -> f64 {
-        let c = &self.caches[i];
-        let link = if c.role == Role::Edge { 1.0 } else { LINK_FULL / self.link.max(LINK_FULL) };
-        c.gate * link * self.mean_load
-    }
-
     fn passes(&self, now: Time, i: usize, load: f64) -> bool {
         let (c, held) = (&self.caches[i], self.held(now, i));
-        let room = self.room(i);
+        let link = if c.role == Role::Edge { 1.0 } else { LINK_FULL / self.link.max(LINK_FULL) };
+        let room = c.gate * link * self.mean_load;
         c.load <= 0.0 && held <= room / 2.0 || held + load / sharers(&self.set, c.role) <= room
     }
 
@@ -626,10 +621,7 @@
         if order.is_empty() {
             return self.origin(now, open).filter(|&o| self.passes(now, o, load));
         }
-        // A fill leaves its home by weight, not because a gate happens to be full there while others have room.
-        if !order.iter().any(|&i| self.passes(now, i, load)) {
-            return None;
-        }
+        order.retain(|&i| self.passes(now, i, load));
         let held_back = open.parent_lacks && self.origin.is_some_and(|o| !self.passes(now, o, load));
         if open.origin_failed || held_back {
             return None;
@@ -658,6 +650,7 @@
         let sizes: f64 = order.iter().map(|&i| size(i)).sum();
         // Further from home each spill is a miss that fills one more cache, which feeds a jam of fills.
         order.truncate(SPREAD);
+        order.retain(|&i| self.passes(now, i, load));
         let fits = |i: usize| {
             let held = self.held(now, i);
             let gate = self.caches[i].gate * self.mean_load;
