A sibling is asked only while its own gate has room

Cause: with every parent's gate closed, misses at siblings piled up at caches whose own gates were long closed (seen in the trial of homes: 60 mean txns in flight behind a gate of one). Guards caches against any flood of sibling fills; costs hits at a full sibling.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -798,7 +798,10 @@
         // What stands in other zones comes over the own link: not while that is full.
         let all = self.set.sibs == Reach::All && self.link < LINK_FULL;
         let order = self.order(Role::Edge, &open.txn, all);
-        let fits = |&i: &usize| i != member && self.usable(now, i) && warm(&self.caches[i]);
+        let load = open.load() * self.miss_share;
+        let fits = |&i: &usize| {
+            i != member && self.usable(now, i) && warm(&self.caches[i]) && self.passes(now, i, load)
+        };
         order.into_iter().find(|i| fits(i) && !open.avoid.contains(i))
     }
 
