--- a/src/logic.rs
+++ b/src/logic.rs
@@ -621,7 +621,10 @@
         if order.is_empty() {
             return self.origin(now, open).filter(|&o| self.passes(now, o, load));
         }
-        order.retain(|&i| self.passes(now, i, load));
+        // A fill leaves its home by weight, not because a gate happens to be full there while others have room.
+        if !order.iter().any(|&i| self.passes(now, i, load)) {
+            return None;
+        }
         let held_back = open.parent_lacks && self.origin.is_some_and(|o| !self.passes(now, o, load));
         if open.origin_failed || held_back {
             return None;
