A fill goes to its home by weight alone; room for fills is counted over all parents together

Cause: gates of single parents close by chance where each gateway has a fill or two in flight, and a third of the fills left their home before any trouble, which fills every parent with every object. Nearer the design too: only weights, silence and cold budgets move a fill. Harmful where one parent alone is full: its fills queue there until its weight falls.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -428,10 +428,15 @@
         self.caches[i].carry(now, more, span);
     }
 
+    fn room(&self, i: usize) -> f64 {
+        let c = &self.caches[i];
+        let link = if c.role == Role::Edge { 1.0 } else { LINK_FULL / self.link.max(LINK_FULL) };
+        c.gate * link * self.mean_load
+    }
+
     fn passes(&self, now: Time, i: usize, load: f64) -> bool {
         let (c, held) = (&self.caches[i], self.held(now, i));
-        let link = if c.role == Role::Edge { 1.0 } else { LINK_FULL / self.link.max(LINK_FULL) };
-        let room = c.gate * link * self.mean_load;
+        let room = self.room(i);
         c.load <= 0.0 && held <= room / 2.0 || held + load / sharers(&self.set, c.role) <= room
     }
 
@@ -621,17 +626,17 @@
         if order.is_empty() {
             return self.origin(now, open).filter(|&o| self.passes(now, o, load));
         }
-        // A fill leaves its home by weight, not because a gate happens to be full there while others have room.
-        if !order.iter().any(|&i| self.passes(now, i, load)) {
-            return None;
-        }
         let held_back = open.parent_lacks && self.origin.is_some_and(|o| !self.passes(now, o, load));
         if open.origin_failed || held_back {
             return None;
         }
         let fraction = unit(hash(open.txn.object, open.txn.part, 0));
         let by_weight = order.iter().find(|&&i| self.caches[i].par.weight / FULL > fraction);
-        by_weight.or(order.last()).copied()
+        let home = by_weight.or(order.last()).copied();
+        // Room is counted over all parents together: a fill leaves its home by weight, not by chance.
+        let (held, room) = order.iter().fold((0.0, 0.0), |(h, r), &i| (h + self.held(now, i), r + self.room(i)));
+        let spare = held + load / sharers(&self.set, Role::Parent) <= room;
+        home.filter(|&i| spare || self.passes(now, i, load))
     }
 
     fn origin(&self, now: Time, open: &Open) -> Option<usize> {
