--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,9 +8,7 @@
 use crate::time::{Span, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::sync::Arc;
-use xxhash_rust::xxh3::xxh3_64;
 
 // The weight controller, by the design page.
 const SECOND: Span = Span::from_millis(1000);
@@ -77,30 +75,12 @@
 pub struct Gateway {
     set: Settings,
     rng: Pcg64Mcg,
-    caches: Vec<Cache>,
-    by_id: BTreeMap<MemberId, usize>,
-    open: BTreeMap<TxnId, Open>,
-    hops: BTreeMap<(TxnId, u32), Hop>,
-    rows: Vec<Row>,
-    ready: VecDeque<TxnId>,
-    cancels: VecDeque<(TxnId, u32)>,
-    purges: Vec<Purge>,
-    seen: [HashSet<u64>; 2],
-    turned: Time,
+    book: Book,
     further: f64,
-    mean_load: f64,
     miss_share: f64,
-    /// Sending time a second that this gateway saw a warm cache and a warm parent complete, at most lately.
-    borne: [f64; 2],
-    origin: Option<usize>,
-    origin_bad: f64,
-    /// Transfers on the own zone's link over those that fit, as caches report it.
-    link: f64,
-    arrivals: f64,
-    arrival_rate: f64,
+    turned: Time,
     next_scan: Time,
     next_step: Time,
-    steps: u32,
     subscribe_at: Option<Time>,
 }
 
@@ -166,10 +146,6 @@
     if role == Role::Parent { &set.cold_parent } else { &set.cold }
 }
 
-fn averaged(sharers: f64) -> Span {
-    SECOND * (AVERAGED * sharers.sqrt())
-}
-
 /// The gateways that send to members of a role.
 fn sharers(set: &Settings, role: Role) -> f64 {
     f64::from(if role == Role::Edge { set.zone_gateways } else { set.gateways }.max(1))
@@ -180,28 +156,12 @@
         let row = |r: &RemapRule| Row { sending: r.sla.as_secs_f64() / 2.0, told: false };
         Gateway {
             rng: Pcg64Mcg::seed_from_u64(seed),
-            caches: Vec::new(),
-            by_id: BTreeMap::new(),
-            open: BTreeMap::new(),
-            hops: BTreeMap::new(),
-            rows: set.rules.iter().map(row).collect(),
-            ready: VecDeque::new(),
-            cancels: VecDeque::new(),
-            purges: Vec::new(),
-            seen: [HashSet::new(), HashSet::new()],
-            turned: now,
+            book: Book { rows: set.rules.iter().map(row).collect(), ..Book::default() },
             further: FURTHER_BURST,
-            mean_load: 0.0,
             miss_share: 0.5,
-            borne: [0.0; 2],
-            origin: None,
-            origin_bad: 0.0,
-            link: 0.0,
-            arrivals: 0.0,
-            arrival_rate: 0.0,
+            turned: now,
             next_scan: now,
             next_step: now + SECOND,
-            steps: 0,
             subscribe_at: set.list_asked.then_some(now),
             set,
         }
@@ -209,9 +169,9 @@
 
     /// News of the list; with `whole`, members that it does not name are gone.
     pub fn members(&mut self, now: Time, whole: bool, list: Vec<Member>) {
-        let known = self.caches.len();
+        let known = self.book.caches.len();
         if whole {
-            for c in &mut self.caches {
+            for c in &mut self.book.caches {
                 c.m.state = MemberState::Gone;
             }
         }
@@ -223,8 +183,8 @@
             };
             let cold = m.started.is_some_and(|at| now - at < self.set.cold_parent.within);
             let weight = if cold { STANDBY } else { FULL };
-            if let Some(&i) = self.by_id.get(&m.id) {
-                let c = &mut self.caches[i];
+            if let Some(&i) = self.book.by_id.get(&m.id) {
+                let c = &mut self.book.caches[i];
                 if m.started != c.m.started && m.started.is_some() {
                     (c.strikes, c.trial_at, c.par) = (0, None, Weight::new(weight));
                     c.spent.clear();
@@ -232,22 +192,23 @@
                 (c.m, c.role) = (m, role);
                 continue;
             }
-            let i = self.caches.len();
+            let i = self.book.caches.len();
             if role == Role::Origin {
-                self.origin = Some(i);
+                self.book.origin = Some(i);
             }
-            self.by_id.insert(Arc::clone(&m.id), i);
-            let (key, par) = (xxh3_64(m.id.as_bytes()), Weight::new(weight));
-            self.caches.push(Cache::new(now, m, key, role, par));
+            self.book.by_id.insert(Arc::clone(&m.id), i);
+            let (n, par) = (sharers(&self.set, role), Weight::new(weight));
+            self.book.caches.push(Cache::new(now, m, role, n, SECOND * (AVERAGED * n.sqrt()), par));
         }
-        for i in known..self.caches.len() {
-            self.caches[i].gate = self.first_gate(i);
+        for i in known..self.book.caches.len() {
+            self.book.caches[i].gate = self.first_gate(i);
         }
     }
 
     /// This gateway's equal part of a member's gate at the start, in mean txns.
     fn first_gate(&self, i: usize) -> f64 {
-        let (c, listed) = (&self.caches[i], |r| self.caches.iter().filter(|c| c.role == r).count().max(1) as f64);
+        let (c, listed) =
+            (&self.book.caches[i], |r| self.book.caches.iter().filter(|c| c.role == r).count().max(1) as f64);
         let edges = UNSIZED * listed(Role::Edge);
         let whole = match c.role {
             Role::Origin => edges * ORIGIN_PART,
@@ -255,7 +216,7 @@
             Role::Parent => edges * PARENTS_PART / listed(Role::Parent),
             Role::Edge => UNSIZED,
         };
-        whole * GATE_OVER / sharers(&self.set, c.role)
+        whole * GATE_OVER / c.sharers
     }
 
     /// The list service failed or ended the subscription.
@@ -264,42 +225,42 @@
     }
 
     pub fn txn(&mut self, now: Time, txn: Txn) {
-        self.arrivals += 1.0;
+        self.book.arrivals += 1.0;
         self.further = (self.further + FURTHER_HOPS).min(self.further_cap());
         let sending = self.sending(&txn);
-        if let (Some(_), Some(row)) = (txn.size, self.rows.get_mut(txn.rule)) {
+        if let (Some(_), Some(row)) = (txn.size, self.book.rows.get_mut(txn.rule)) {
             follow(&mut row.sending, sending, if row.told { SLOW } else { 1.0 });
             row.told = true;
         }
         let load = txn.size.unwrap_or(1.0);
-        let part = if self.mean_load == 0.0 { 1.0 } else { SLOW };
-        follow(&mut self.mean_load, load, part);
-        self.ready.push_back(txn.id);
-        self.open.insert(txn.id, Open::new(txn.clone(), now + txn.left));
+        let part = if self.book.mean_load == 0.0 { 1.0 } else { SLOW };
+        follow(&mut self.book.mean_load, load, part);
+        self.book.ready.push_back(txn.id);
+        self.book.open.insert(txn.id, Open::new(txn.clone(), now + txn.left));
     }
 
     pub fn hangup(&mut self, id: TxnId) {
-        self.open.remove(&id);
+        self.book.open.remove(&id);
     }
 
     pub fn purged(&mut self, now: Time, object: Option<u64>, group: u64, ago: Span) {
-        self.purges.push(Purge { object, group, at: now.back(ago) });
+        self.book.purges.push(Purge { object, group, at: now.back(ago) });
     }
 
     pub fn outcome(&mut self, now: Time, o: Outcome) {
-        let Some(hop) = self.hops.remove(&(o.txn, o.hop)) else { return };
+        let Some(hop) = self.book.hops.remove(&(o.txn, o.hop)) else { return };
         self.adjust(now, &hop, &o);
-        let near = self.caches[hop.member].role == Role::Edge;
+        let near = self.book.caches[hop.member].role == Role::Edge;
         if let Some(link) = o.load.link.filter(|_| near) {
-            follow(&mut self.link, link, QUICK);
+            follow(&mut self.book.link, link, QUICK);
         }
         let filled = matches!(o.note, Some(Note::Filled | Note::FilledByOrigin));
         let held = matches!(o.note, Some(Note::Held | Note::Old));
-        if let Some(origin) = self.origin.filter(|_| hop.to_origin) {
-            self.carry(now, origin, -hop.load);
+        if let Some(origin) = self.book.origin.filter(|_| hop.to_origin) {
+            self.book.caches[origin].carry(now, -hop.load);
         }
-        self.carry(now, hop.member, -hop.load);
-        let c = &mut self.caches[hop.member];
+        self.book.caches[hop.member].carry(now, -hop.load);
+        let c = &mut self.book.caches[hop.member];
         if o.end == HopEnd::Completed {
             c.work += hop.sending;
         }
@@ -318,8 +279,8 @@
             if held || filled {
                 follow(&mut self.miss_share, f64::from(u8::from(filled)), SLOW / 2.0);
             }
-            self.carry(now, p, -hop.fill_load);
-            let c = &mut self.caches[p];
+            self.book.caches[p].carry(now, -hop.fill_load);
+            let c = &mut self.book.caches[p];
             if held {
                 c.spent.retain(|s| s.2 != (o.txn, o.hop));
             }
@@ -348,14 +309,14 @@
                 self.strike(now, p);
             }
         }
-        let Some(open) = self.open.get_mut(&o.txn) else { return };
+        let Some(open) = self.book.open.get_mut(&o.txn) else { return };
         if let (Some(Note::Held), None) = (o.note, open.txn.size)
-            && let Some(row) = self.rows.get_mut(open.txn.rule)
+            && let Some(row) = self.book.rows.get_mut(open.txn.rule)
         {
             follow(&mut row.sending, o.took.as_secs_f64(), SLOW);
         }
         if o.closed {
-            self.open.remove(&o.txn);
+            self.book.open.remove(&o.txn);
             return;
         }
         open.out = open.out.saturating_sub(1);
@@ -363,7 +324,7 @@
             open.looked = true;
         } else if o.note == Some(Note::SourceLacks) {
             open.looked = true;
-            open.parent_lacks |= hop.source.is_some_and(|p| self.caches[p].role == Role::Parent);
+            open.parent_lacks |= hop.source.is_some_and(|p| self.book.caches[p].role == Role::Parent);
         } else if o.note == Some(Note::OriginFailed) {
             open.origin_failed = true;
         } else {
@@ -373,7 +334,7 @@
             open.may_have_run = Some((hop.member, hop.sent));
         }
         if open.out == 0 {
-            self.ready.push_back(o.txn);
+            self.book.ready.push_back(o.txn);
         }
     }
 
@@ -385,24 +346,24 @@
         let slow_start = o.first_byte.is_some_and(|first| first > hop.sla * SLOW_START);
         let place = match o.note {
             None | Some(Note::Held | Note::Old | Note::Joined | Note::NoPlace) => Some(hop.member),
-            Some(Note::OriginFailed) => self.origin,
-            Some(Note::FilledByOrigin) if slow_start => self.origin,
-            Some(Note::FilledByOrigin) if hop.to_origin && o.took <= hop.sla => self.origin,
+            Some(Note::OriginFailed) => self.book.origin,
+            Some(Note::FilledByOrigin) if slow_start => self.book.origin,
+            Some(Note::FilledByOrigin) if hop.to_origin && o.took <= hop.sla => self.book.origin,
             _ => hop.source,
         };
         if o.note == Some(Note::OriginFailed) || o.note == Some(Note::FilledByOrigin) {
             let bad = slow_start || o.note == Some(Note::OriginFailed);
-            follow(&mut self.origin_bad, f64::from(u8::from(bad)), QUICK);
+            follow(&mut self.book.origin_bad, f64::from(u8::from(bad)), QUICK);
         }
-        let (Some(place), mean) = (place, self.mean_load.max(1e-6)) else { return };
-        let (held, n) = (self.held(now, place), sharers(&self.set, self.caches[place].role));
+        let (Some(place), mean) = (place, self.book.mean_load.max(1e-6)) else { return };
+        let held = self.held(now, place);
         let least = self.first_gate(place) * GATE_LEAST;
-        let c = &mut self.caches[place];
+        let c = &mut self.book.caches[place];
         match o.end {
             HopEnd::Completed if o.took <= hop.sla && held < c.gate * mean / 2.0 => {}
-            HopEnd::Completed if o.took <= hop.sla => c.gate += GATE_GAIN / n.sqrt(),
+            HopEnd::Completed if o.took <= hop.sla => c.gate += GATE_GAIN / c.sharers.sqrt(),
             HopEnd::Completed | HopEnd::TurnedAway | HopEnd::Errored => {
-                c.gate = (c.gate * GATE_CUT.powf(n.sqrt())).max(least);
+                c.gate = (c.gate * GATE_CUT.powf(c.sharers.sqrt())).max(least);
             }
             _ => {}
         }
@@ -412,39 +373,34 @@
     /// first, ageing copies will do, and what must go on to the origin passes its gate: a slow or crowded
     /// origin gets what it can answer in time. Costs a hop for each miss while it lasts.
     fn origin_sick(&self) -> bool {
-        self.origin_bad > ORIGIN_SICK
+        self.book.origin_bad > ORIGIN_SICK
     }
 
     /// What is in flight at a member, as this gateway's part of the whole: its own load, with its own mean in
     /// the place of each other gateway's. Guards gates against chance where many gateways have a txn or less
     /// each: an idle moment is no room, one large txn no jam. Harmful where the gateways' loads differ much.
     fn held(&self, now: Time, i: usize) -> f64 {
-        let (c, n) = (&self.caches[i], sharers(&self.set, self.caches[i].role));
-        (c.load + c.mean_load(now, averaged(n)) * (n - 1.0)) / n
-    }
-
-    fn carry(&mut self, now: Time, i: usize, more: f64) {
-        let span = averaged(sharers(&self.set, self.caches[i].role));
-        self.caches[i].carry(now, more, span);
+        let c = &self.book.caches[i];
+        (c.load + c.mean_load(now) * (c.sharers - 1.0)) / c.sharers
     }
 
     fn room(&self, i: usize) -> f64 {
-        let c = &self.caches[i];
-        let link = if c.role == Role::Edge { 1.0 } else { LINK_FULL / self.link.max(LINK_FULL) };
-        c.gate * link * self.mean_load
+        let c = &self.book.caches[i];
+        let link = if c.role == Role::Edge { 1.0 } else { LINK_FULL / self.book.link.max(LINK_FULL) };
+        c.gate * link * self.book.mean_load
     }
 
     fn passes(&self, now: Time, i: usize, load: f64) -> bool {
-        let (c, held) = (&self.caches[i], self.held(now, i));
+        let (c, held) = (&self.book.caches[i], self.held(now, i));
         let room = self.room(i);
-        c.load <= 0.0 && held <= room / 2.0 || held + load / sharers(&self.set, c.role) <= room
+        c.load <= 0.0 && held <= room / 2.0 || held + load / c.sharers <= room
     }
 
     /// Evidence that a member takes work and answers nothing, or can't be reached. After a few in a row it
     /// is passed over but for a trial now and then. Guards against crashes, hangs and cut links that the list
     /// does not know of; harmful only if a member is merely slow and nothing else answers from it.
     fn strike(&mut self, now: Time, i: usize) {
-        let c = &mut self.caches[i];
+        let c = &mut self.book.caches[i];
         c.strikes += 1;
         if c.strikes >= STRIKES {
             let rest = self.set.connect_limit * 2f64.powi((c.strikes - STRIKES).min(3) as i32);
@@ -453,7 +409,7 @@
     }
 
     fn further_cap(&self) -> f64 {
-        FURTHER_BURST.max(FURTHER_HOPS * FURTHER_BURST * self.arrival_rate)
+        FURTHER_BURST.max(FURTHER_HOPS * FURTHER_BURST * self.book.arrival_rate)
     }
 
     pub fn poll(&mut self, now: Time) -> Option<Decision> {
@@ -467,11 +423,11 @@
         if now >= self.next_scan {
             self.scan(now);
         }
-        if let Some((txn, hop)) = self.cancels.pop_front() {
+        if let Some((txn, hop)) = self.book.cancels.pop_front() {
             return Some(Decision::Cancel { txn, hop });
         }
-        while let Some(id) = self.ready.pop_front() {
-            if let Some(open) = self.open.remove(&id) {
+        while let Some(id) = self.book.ready.pop_front() {
+            if let Some(open) = self.book.open.remove(&id) {
                 return Some(self.decide(now, open));
             }
         }
@@ -479,7 +435,8 @@
     }
 
     pub fn next_wake(&self) -> Time {
-        let next = if self.hops.is_empty() { self.next_step } else { self.next_step.min(self.next_scan) };
+        let next =
+            if self.book.hops.is_empty() { self.next_step } else { self.next_step.min(self.next_scan) };
         self.subscribe_at.map_or(next, |at| at.min(next))
     }
 
@@ -487,27 +444,27 @@
         while self.next_step <= now {
             self.next_step += SECOND;
         }
-        self.steps += 1;
-        follow(&mut self.arrival_rate, self.arrivals, QUICK);
-        self.arrivals = 0.0;
+        self.book.steps += 1;
+        follow(&mut self.book.arrival_rate, self.book.arrivals, QUICK);
+        self.book.arrivals = 0.0;
         let purge_done = self.set.purge_done;
-        self.purges.retain(|p| now - p.at < purge_done + SECOND);
+        self.book.purges.retain(|p| now - p.at < purge_done + SECOND);
         if now - self.turned > self.set.cold_parent.within.max(SECOND) {
             self.turned = now;
-            self.seen.swap(0, 1);
-            self.seen[0].clear();
+            self.book.seen.swap(0, 1);
+            self.book.seen[0].clear();
         }
         let mut common = [f64::INFINITY; 4];
-        for c in self.caches.iter().filter(|c| c.role == Role::Parent && c.m.state == MemberState::Up) {
+        for c in self.book.caches.iter().filter(|c| c.role == Role::Parent && c.m.state == MemberState::Up) {
             for (shared, signal) in common.iter_mut().zip(c.par.signals()) {
                 *shared = shared.min(signal);
             }
         }
-        let alone = self.caches.iter().filter(|c| c.role == Role::Parent).count() < 2;
+        let alone = self.book.caches.iter().filter(|c| c.role == Role::Parent).count() < 2;
         if alone || common[0].is_infinite() {
             common = [0.0; 4];
         }
-        for (borne, role) in self.borne.iter_mut().zip([Role::Edge, Role::Parent]) {
+        for (borne, role) in self.book.borne.iter_mut().zip([Role::Edge, Role::Parent]) {
             let zone = self.set.zone;
             let warm = |c: &&Cache| {
                 let cold = cold_start(&self.set, role);
@@ -517,15 +474,15 @@
                     && c.m.started.is_none_or(|at| now - at >= cold.within)
             };
             let (sum, n) =
-                self.caches.iter().filter(warm).fold((0.0, 0.0), |(s, n), c| (s + c.rate, n + 1.0));
+                self.book.caches.iter().filter(warm).fold((0.0, 0.0), |(s, n), c| (s + c.rate, n + 1.0));
             *borne = (*borne * BORNE_KEPT).max(sum / f64::max(n, 1.0));
         }
-        for c in &mut self.caches {
+        for c in &mut self.book.caches {
             follow(&mut c.rate, c.work, QUICK);
             c.work = 0.0;
             if c.role == Role::Parent {
                 let jitter = self.rng.random_range(-JITTER..=JITTER);
-                c.par.step(&common, self.steps.is_multiple_of(WINDOW_STEPS), jitter);
+                c.par.step(&common, self.book.steps.is_multiple_of(WINDOW_STEPS), jitter);
             }
         }
     }
@@ -533,36 +490,36 @@
     /// Finds members that have gone silent and takes repeatable hops away from them.
     fn scan(&mut self, now: Time) {
         self.next_scan = now + (self.set.connect_limit * SCANS).max(self.set.tick).max(Span::from_millis(1));
-        let mut overdue = vec![0u32; self.caches.len()];
-        for hop in self.hops.values().filter(|h| h.due <= now) {
-            let c = &self.caches[hop.member];
+        let mut overdue = vec![0u32; self.book.caches.len()];
+        for hop in self.book.hops.values().filter(|h| h.due <= now) {
+            let c = &self.book.caches[hop.member];
             if c.answered <= hop.sent && now - c.answered > self.set.connect_limit {
                 overdue[hop.member] += 1;
             }
         }
         for (i, &n) in overdue.iter().enumerate() {
-            if n >= STRIKES && self.caches[i].trial_at.is_none() {
-                self.caches[i].strikes = STRIKES - 1;
+            if n >= STRIKES && self.book.caches[i].trial_at.is_none() {
+                self.book.caches[i].strikes = STRIKES - 1;
                 self.strike(now, i);
             }
         }
         if !self.set.cancel {
             return;
         }
-        for (&(id, seq), hop) in &mut self.hops {
+        for (&(id, seq), hop) in &mut self.book.hops {
             let stuck = |i: usize| {
-                let c = &self.caches[i];
+                let c = &self.book.caches[i];
                 c.trial_at.is_some() && c.answered <= hop.sent
             };
             if hop.cancelled || hop.due > now || !(stuck(hop.member) || hop.source.is_some_and(stuck)) {
                 continue;
             }
-            let Some(open) = self.open.get(&id) else { continue };
+            let Some(open) = self.book.open.get(&id) else { continue };
             let repeatable =
                 self.set.rules.get(open.txn.rule).is_some_and(|r| r.effect == Effect::Repeatable);
             if repeatable && open.hops < self.set.max_hops && self.further >= 1.0 {
                 hop.cancelled = true;
-                self.cancels.push_back((id, seq));
+                self.book.cancels.push_back((id, seq));
             }
         }
     }
@@ -577,18 +534,21 @@
     fn sending(&self, txn: &Txn) -> f64 {
         match txn.size {
             Some(kb) if self.set.client_pace > 0.0 => kb / self.set.client_pace,
-            _ => self.rows.get(txn.rule).map_or(0.0, |r| r.sending),
+            _ => self.book.rows.get(txn.rule).map_or(0.0, |r| r.sending),
         }
     }
 
     /// Guards a member that has just started: this gateway's equal part of what all may send it together in
     /// any span of the stated length. The capacity is its size, else what warm ones of its role have borne.
     fn has_room(&self, now: Time, i: usize, cost: f64) -> bool {
-        let c = &self.caches[i];
-        let (cold, sharers) = (cold_start(&self.set, c.role), sharers(&self.set, c.role));
+        let c = &self.book.caches[i];
+        let (cold, sharers) = (cold_start(&self.set, c.role), c.sharers);
         let Some(age) = c.m.started.map(|at| now - at).filter(|&age| age < cold.within) else { return true };
-        let capacity =
-            if self.set.sized { c.m.size } else { self.borne[usize::from(c.role == Role::Parent)] * sharers };
+        let capacity = if self.set.sized {
+            c.m.size
+        } else {
+            self.book.borne[usize::from(c.role == Role::Parent)] * sharers
+        };
         let margin = if self.set.sized { COLD_MARGIN } else { COLD_MARGIN_UNSIZED };
         let present = cold.from + (1.0 - cold.from) * (age / cold.within);
         let budget = cold.multiple * present * capacity * cold.over.as_secs_f64() / sharers * margin;
@@ -599,7 +559,7 @@
 
     /// Listed as up, and not passed over for its silence; a trial is let through when it is due.
     fn usable(&self, now: Time, i: usize) -> bool {
-        let c = &self.caches[i];
+        let c = &self.book.caches[i];
         c.m.state == MemberState::Up && c.trial_at.is_none_or(|at| at <= now)
     }
 
@@ -607,10 +567,10 @@
     fn order(&self, role: Role, txn: &Txn, all_zones: bool) -> Vec<usize> {
         let in_zone = |c: &Cache| all_zones || c.m.zone == self.set.zone;
         let listed = |c: &Cache| c.m.state != MemberState::Gone && c.role == role && in_zone(c);
-        let mut order: Vec<(f64, usize)> = (0..self.caches.len())
-            .filter(|&i| listed(&self.caches[i]))
+        let mut order: Vec<(f64, usize)> = (0..self.book.caches.len())
+            .filter(|&i| listed(&self.book.caches[i]))
             .map(|i| {
-                let c = &self.caches[i];
+                let c = &self.book.caches[i];
                 (-unit(hash(txn.object, txn.part, c.key)).ln() / c.size(self.set.sized), i)
             })
             .collect();
@@ -626,15 +586,16 @@
         if order.is_empty() {
             return self.origin(now, open).filter(|&o| self.passes(now, o, load));
         }
-        let held_back = open.parent_lacks && self.origin.is_some_and(|o| !self.passes(now, o, load));
+        let held_back = open.parent_lacks && self.book.origin.is_some_and(|o| !self.passes(now, o, load));
         if open.origin_failed || held_back {
             return None;
         }
         let fraction = unit(hash(open.txn.object, open.txn.part, 0));
-        let by_weight = order.iter().find(|&&i| self.caches[i].par.weight / FULL > fraction);
+        let by_weight = order.iter().find(|&&i| self.book.caches[i].par.weight / FULL > fraction);
         let home = by_weight.or(order.last()).copied();
         // Room is counted over all parents together: a fill leaves its home by weight, not by chance.
-        let (held, room) = order.iter().fold((0.0, 0.0), |(h, r), &i| (h + self.held(now, i), r + self.room(i)));
+        let (held, room) =
+            order.iter().fold((0.0, 0.0), |(h, r), &i| (h + self.held(now, i), r + self.room(i)));
         let spare = held + load / sharers(&self.set, Role::Parent) <= room;
         home.filter(|&i| spare || self.passes(now, i, load))
     }
@@ -652,7 +613,7 @@
                 && self.has_room(now, i, cost)
                 && self.in_group(open, now, i)
         });
-        let size = |i: usize| self.caches[i].size(self.set.sized);
+        let size = |i: usize| self.book.caches[i].size(self.set.sized);
         let part = load / sharers(&self.set, Role::Edge);
         let total: f64 = order.iter().map(|&i| self.held(now, i)).sum::<f64>() + part;
         let sizes: f64 = order.iter().map(|&i| size(i)).sum();
@@ -661,7 +622,7 @@
         order.retain(|&i| self.passes(now, i, load));
         let fits = |i: usize| {
             let held = self.held(now, i);
-            let gate = self.caches[i].gate * self.mean_load;
+            let gate = self.book.caches[i].gate * self.book.mean_load;
             held <= 0.0 || held + part <= (BOUND * total * size(i) / sizes).max(gate * BOUND_FLOOR)
         };
         let spare = |i: &usize| self.held(now, *i) / size(*i);
@@ -675,7 +636,8 @@
     /// A keyed txn that may have run stays among the caches that drop its repeats, while they remember it.
     fn in_group(&self, open: &Open, now: Time, i: usize) -> bool {
         let Some((first, at)) = open.may_have_run else { return true };
-        let (rule, a, b) = (&self.set.rules[open.txn.rule], &self.caches[first].m, &self.caches[i].m);
+        let (rule, a, b) =
+            (&self.set.rules[open.txn.rule], &self.book.caches[first].m, &self.book.caches[i].m);
         match rule.effect {
             Effect::Repeatable => true,
             Effect::Unrepeatable => false,
@@ -697,7 +659,7 @@
             Some(object) => object == txn.object,
             None => p.group == txn.group,
         };
-        let purge = self.purges.iter().filter(hits).map(|p| now - p.at).min();
+        let purge = self.book.purges.iter().filter(hits).map(|p| now - p.at).min();
         let fresh = rule.fresh > Span::ZERO;
         let most = if stale && fresh { rule.fresh + rule.grace } else { rule.fresh };
         let least = |s: Span| s.max(Span::from_micros(1));
@@ -726,13 +688,13 @@
             self.further -= 1.0;
         }
         let load = open.load();
-        let mean = self.rows[open.txn.rule].sending;
+        let mean = self.book.rows[open.txn.rule].sending;
         let key = (id, open.hops);
         // A parent is charged a txn's own sending time, a cache the mean of its rule.
-        let direct = self.caches[member].role != Role::Edge;
+        let direct = self.book.caches[member].role != Role::Edge;
         for (i, cost) in [(Some(member), if direct { sending } else { mean }), (source, sending)] {
             let Some(i) = i else { continue };
-            let c = &mut self.caches[i];
+            let c = &mut self.book.caches[i];
             if let Some(at) = &mut c.trial_at {
                 *at = now + self.set.connect_limit;
             }
@@ -744,30 +706,30 @@
                 }
             }
         }
-        self.carry(now, member, load);
+        self.book.caches[member].carry(now, load);
         let fill_load = if open.looked { load } else { load * self.miss_share };
         if let Some(p) = source {
-            self.carry(now, p, fill_load);
+            self.book.caches[p].carry(now, fill_load);
         }
         let to_origin = source.is_some() && open.parent_lacks;
-        if let Some(origin) = self.origin.filter(|_| to_origin) {
-            self.carry(now, origin, load);
+        if let Some(origin) = self.book.origin.filter(|_| to_origin) {
+            self.book.caches[origin].carry(now, load);
         }
         let due = now + sla * OVERDUE;
         let (sent, cancelled) = (now, false);
         let hop = Hop { member, source, sent, due, sla, sending, load, fill_load, to_origin, cancelled };
-        self.hops.insert(key, hop);
+        self.book.hops.insert(key, hop);
         open.hops += 1;
         open.out += 1;
         let limit = open.limit;
-        self.open.insert(id, open);
-        Decision::Hop { txn: id, member: Arc::clone(&self.caches[member].m.id), fill, limit }
+        self.book.open.insert(id, open);
+        Decision::Hop { txn: id, member: Arc::clone(&self.book.caches[member].m.id), fill, limit }
     }
 
     /// Where the next hop goes: cache, fill source and how the copy is kept.
     fn plan(&mut self, now: Time, open: &Open, rule: &RemapRule) -> Option<Plan> {
         let txn = &open.txn;
-        let mean = self.rows[txn.rule].sending;
+        let mean = self.book.rows[txn.rule].sending;
         let write = txn.write || rule.write;
         if write && self.set.direct {
             let origin = self.origin(now, open).filter(|&i| self.in_group(open, now, i));
@@ -782,8 +744,8 @@
             return Some((source, None, Some(self.fill(now, open, rule, behind, 0))));
         };
         let known = hash(txn.object, txn.part, 1);
-        let again = self.seen[0].contains(&known) || self.seen[1].contains(&known);
-        self.seen[1].insert(known);
+        let again = self.book.seen[0].contains(&known) || self.book.seen[1].contains(&known);
+        self.book.seen[1].insert(known);
         let source = source.or_else(|| self.sib(now, open, member));
         // No room for a fill: ask the cache for what it holds, once.
         if source.is_none() && (open.looked || open.origin_failed && rule.grace == Span::ZERO) {
@@ -804,17 +766,17 @@
         }
         let warm = |c: &Cache| c.m.started.is_none_or(|at| now - at > self.set.cold.within);
         // What stands in other zones comes over the own link: not while that is full.
-        let all = self.set.sibs == Reach::All && self.link < LINK_FULL;
+        let all = self.set.sibs == Reach::All && self.book.link < LINK_FULL;
         let order = self.order(Role::Edge, &open.txn, all);
         let load = open.load() * self.miss_share;
         let fits = |&i: &usize| {
-            i != member && self.usable(now, i) && warm(&self.caches[i]) && self.passes(now, i, load)
+            i != member && self.usable(now, i) && warm(&self.book.caches[i]) && self.passes(now, i, load)
         };
         order.into_iter().find(|i| fits(i) && !open.avoid.contains(i))
     }
 
     fn fill(&self, now: Time, open: &Open, rule: &RemapRule, source: usize, keep: u8) -> Fill {
-        let c = &self.caches[source];
+        let c = &self.book.caches[source];
         let warm = c.m.started.is_none_or(|at| now - at > self.set.cold_parent.within);
         Fill {
             source: Arc::clone(&c.m.id),
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,9 +1,9 @@
 //! What a gateway keeps between calls; plain records, filled and read by the decisions.
 
 use crate::histogram::Histogram;
-use crate::interface::{Member, Txn, TxnId};
+use crate::interface::{Member, MemberId, Txn, TxnId};
 use crate::time::{Span, Time};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use xxhash_rust::xxh3::xxh3_64;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,11 +30,14 @@
     pub m: Member,
     pub key: u64,
     pub role: Role,
+    /// The gateways that send to it.
+    pub sharers: f64,
     /// In flight from this gateway: KB, or txns where sizes are not told.
     pub load: f64,
     /// Its running mean, as of when it last changed.
     mean: f64,
     changed: Time,
+    span: Span,
     /// Signs of silence in a row; while there are enough, the time of the next trial.
     pub strikes: u32,
     pub trial_at: Option<Time>,
@@ -49,19 +52,37 @@
 }
 
 impl Cache {
-    pub fn new(now: Time, m: Member, key: u64, role: Role, par: Weight) -> Cache {
+    pub fn new(now: Time, m: Member, role: Role, sharers: f64, span: Span, par: Weight) -> Cache {
         let (load, mean, changed, work, rate, gate) = (0.0, 0.0, now, 0.0, 0.0, 0.0);
+        let key = xxh3_64(m.id.as_bytes());
         let (strikes, trial_at, answered, spent) = (0, None, now, VecDeque::new());
-        Cache { m, key, role, load, mean, changed, strikes, trial_at, answered, spent, work, rate, gate, par }
+        Cache {
+            m,
+            key,
+            role,
+            sharers,
+            load,
+            mean,
+            changed,
+            span,
+            strikes,
+            trial_at,
+            answered,
+            spent,
+            work,
+            rate,
+            gate,
+            par,
+        }
     }
 
-    /// The load on average, each moment weighing less by the time since over `span`.
-    pub fn mean_load(&self, now: Time, span: Span) -> f64 {
-        self.load + (self.mean - self.load) * (-((now - self.changed) / span)).exp()
+    /// The load on average, each moment weighing less by the time since over its span.
+    pub fn mean_load(&self, now: Time) -> f64 {
+        self.load + (self.mean - self.load) * (-((now - self.changed) / self.span)).exp()
     }
 
-    pub fn carry(&mut self, now: Time, more: f64, span: Span) {
-        self.mean = self.mean_load(now, span);
+    pub fn carry(&mut self, now: Time, more: f64) {
+        self.mean = self.mean_load(now);
         (self.changed, self.load) = (now, self.load + more);
     }
 
@@ -128,6 +149,31 @@
     pub at: Time,
 }
 
+/// All that a gateway knows at a moment.
+#[derive(Default)]
+pub struct Book {
+    pub caches: Vec<Cache>,
+    pub by_id: BTreeMap<MemberId, usize>,
+    pub open: BTreeMap<TxnId, Open>,
+    pub hops: BTreeMap<(TxnId, u32), Hop>,
+    pub rows: Vec<Row>,
+    pub ready: VecDeque<TxnId>,
+    pub cancels: VecDeque<(TxnId, u32)>,
+    pub purges: Vec<Purge>,
+    /// Hashes of the objects seen in the last span of time, and in the one before.
+    pub seen: [HashSet<u64>; 2],
+    pub mean_load: f64,
+    /// Sending time a second that this gateway saw a warm cache and a warm parent complete, at most lately.
+    pub borne: [f64; 2],
+    pub origin: Option<usize>,
+    pub origin_bad: f64,
+    /// Transfers on the own zone's link over those that fit, as caches report it.
+    pub link: f64,
+    pub arrivals: f64,
+    pub arrival_rate: f64,
+    pub steps: u32,
+}
+
 /// A share of 1, evenly spread over hashes.
 pub fn unit(hash: u64) -> f64 {
     ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
