Parents' gates move by the root of the gateways to each parent

Cause: with three or four gateways the cuts were twice too strong for parents; a few answers late together closed the one parent left for seconds while links idled.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -198,6 +198,7 @@
             }
             self.book.by_id.insert(Arc::clone(&m.id), i);
             let (n, par) = (sharers(&self.set, role), Weight::new(weight));
+            self.book.listed[role as usize] += 1.0;
             self.book.caches.push(Cache::new(now, m, role, n, SECOND * (AVERAGED * n.sqrt()), par));
         }
         for i in known..self.book.caches.len() {
@@ -205,15 +206,18 @@
         }
     }
 
+    fn listed(&self, role: Role) -> f64 {
+        self.book.listed[role as usize].max(1.0)
+    }
+
     /// This gateway's equal part of a member's gate at the start, in mean txns.
     fn first_gate(&self, i: usize) -> f64 {
-        let (c, listed) =
-            (&self.book.caches[i], |r| self.book.caches.iter().filter(|c| c.role == r).count().max(1) as f64);
-        let edges = UNSIZED * listed(Role::Edge);
+        let c = &self.book.caches[i];
+        let edges = UNSIZED * self.listed(Role::Edge);
         let whole = match c.role {
             Role::Origin => edges * ORIGIN_PART,
             _ if self.set.sized => c.m.size,
-            Role::Parent => edges * PARENTS_PART / listed(Role::Parent),
+            Role::Parent => edges * PARENTS_PART / self.listed(Role::Parent),
             Role::Edge => UNSIZED,
         };
         whole * GATE_OVER / c.sharers
@@ -357,13 +361,15 @@
         }
         let (Some(place), mean) = (place, self.book.mean_load.max(1e-6)) else { return };
         let held = self.held(now, place);
+        let all = if self.book.caches[place].role == Role::Parent { self.listed(Role::Parent) } else { 1.0 };
         let least = self.first_gate(place) * GATE_LEAST;
         let c = &mut self.book.caches[place];
+        let pace = (c.sharers / all).sqrt().max(1.0);
         match o.end {
             HopEnd::Completed if o.took <= hop.sla && held < c.gate * mean / 2.0 => {}
-            HopEnd::Completed if o.took <= hop.sla => c.gate += GATE_GAIN / c.sharers.sqrt(),
+            HopEnd::Completed if o.took <= hop.sla => c.gate += GATE_GAIN / pace,
             HopEnd::Completed | HopEnd::TurnedAway | HopEnd::Errored => {
-                c.gate = (c.gate * GATE_CUT.powf(c.sharers.sqrt())).max(least);
+                c.gate = (c.gate * GATE_CUT.powf(pace)).max(least);
             }
             _ => {}
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -153,6 +153,8 @@
 #[derive(Default)]
 pub struct Book {
     pub caches: Vec<Cache>,
+    /// Members ever listed, by role.
+    pub listed: [f64; 3],
     pub by_id: BTreeMap<MemberId, usize>,
     pub open: BTreeMap<TxnId, Open>,
     pub hops: BTreeMap<(TxnId, u32), Hop>,
