--- a/src/logic.rs
+++ b/src/logic.rs
@@ -363,10 +363,6 @@
         let held = self.held(now, place);
         let all = if self.book.caches[place].role == Role::Parent { self.listed(Role::Parent) } else { 1.0 };
         let least = self.first_gate(place) * GATE_LEAST;
-        // A full link of the own zone narrows gates of fills by itself, and is not booked on a parent as well.
-        if place != hop.member && self.book.link > LINK_FULL && o.took > hop.sla {
-            return;
-        }
         let c = &mut self.book.caches[place];
         let pace = (c.sharers / all).sqrt().max(1.0);
         match o.end {
