--- a/src/logic.rs
+++ b/src/logic.rs
@@ -392,7 +392,7 @@
 
     fn room(&self, i: usize) -> f64 {
         let c = &self.book.caches[i];
-        let link = if c.role == Role::Edge { 1.0 } else { (LINK_FULL / self.book.link.max(LINK_FULL)).powi(2) };
+        let link = if c.role == Role::Edge { 1.0 } else { LINK_FULL / self.book.link.max(LINK_FULL) };
         c.gate * link * self.book.mean_load
     }
 
