The part of fills' gates steps down each second while the own link is over full

Cause: gates of fills are many times wider than one zone's link, so narrowing them in proportion left zones of seven or eight caches at five to eleven times what fits. Guards against anything that fills the link: empty caches, scans, large objects. Harmful if the report is wrong: misses are then turned to siblings and rejected.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,6 +48,8 @@
 const AVERAGED: f64 = 0.3;
 // Transfers on the zone's link over those that fit, from which fills' gates are narrowed in proportion.
 const LINK_FULL: f64 = 2.0;
+const LINK_STEPS: std::ops::Range<f64> = 0.7..1.2;
+const LINK_LEAST: f64 = 0.01;
 // Untold sizes: the sending time of a large txn over its rule's SLA time.
 const LARGE: f64 = 0.75;
 // A sick origin: share of its fills that fail or start after this part of the SLA time.
@@ -78,6 +80,8 @@
     book: Book,
     further: f64,
     miss_share: f64,
+    /// The part of the gates of fills that the own zone's link leaves.
+    link_part: f64,
     turned: Time,
     next_scan: Time,
     next_step: Time,
@@ -159,6 +163,7 @@
             book: Book { rows: set.rules.iter().map(row).collect(), ..Book::default() },
             further: FURTHER_BURST,
             miss_share: 0.5,
+            link_part: 1.0,
             turned: now,
             next_scan: now,
             next_step: now + SECOND,
@@ -392,7 +397,7 @@
 
     fn room(&self, i: usize) -> f64 {
         let c = &self.book.caches[i];
-        let link = if c.role == Role::Edge { 1.0 } else { LINK_FULL / self.book.link.max(LINK_FULL) };
+        let link = if c.role == Role::Edge { 1.0 } else { self.link_part };
         c.gate * link * self.book.mean_load
     }
 
@@ -451,6 +456,8 @@
             self.next_step += SECOND;
         }
         self.book.steps += 1;
+        let way = (LINK_FULL / self.book.link.max(0.01)).clamp(LINK_STEPS.start, LINK_STEPS.end);
+        self.link_part = (self.link_part * way).clamp(LINK_LEAST, 1.0);
         follow(&mut self.book.arrival_rate, self.book.arrivals, QUICK);
         self.book.arrivals = 0.0;
         let purge_done = self.set.purge_done;
