--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,7 +48,7 @@
 const AVERAGED: f64 = 0.3;
 // Transfers on the zone's link over those that fit, from which fills' gates are narrowed in proportion.
 const LINK_FULL: f64 = 2.0;
-const LINK_STEPS: std::ops::Range<f64> = 0.7..1.2;
+const LINK_STEPS: std::ops::Range<f64> = 0.5..1.3;
 const LINK_LEAST: f64 = 0.01;
 // Untold sizes: the sending time of a large txn over its rule's SLA time.
 const LARGE: f64 = 0.75;
