--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,8 +48,8 @@
 const AVERAGED: f64 = 0.3;
 // Transfers on the zone's link over those that fit, from which fills' gates are narrowed in proportion.
 const LINK_FULL: f64 = 2.0;
-const LINK_STEPS: std::ops::Range<f64> = 0.5..1.3;
-const LINK_LEAST: f64 = 0.01;
+const LINK_STEPS: std::ops::Range<f64> = 0.5..2.0;
+const LINK_LEAST: f64 = 0.05;
 // Untold sizes: the sending time of a large txn over its rule's SLA time.
 const LARGE: f64 = 0.75;
 // A sick origin: share of its fills that fail or start after this part of the SLA time.
@@ -203,9 +203,12 @@
             }
             self.book.by_id.insert(Arc::clone(&m.id), i);
             let (n, par) = (sharers(&self.set, role), Weight::new(weight));
-            self.book.listed[role as usize] += 1.0;
             self.book.caches.push(Cache::new(now, m, role, n, SECOND * (AVERAGED * n.sqrt()), par));
         }
+        self.book.listed = [0.0; 3];
+        for c in self.book.caches.iter().filter(|c| c.m.state != MemberState::Gone) {
+            self.book.listed[c.role as usize] += 1.0;
+        }
         for i in known..self.book.caches.len() {
             self.book.caches[i].gate = self.first_gate(i);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -153,7 +153,7 @@
 #[derive(Default)]
 pub struct Book {
     pub caches: Vec<Cache>,
-    /// Members ever listed, by role.
+    /// Members listed now, by role.
     pub listed: [f64; 3],
     pub by_id: BTreeMap<MemberId, usize>,
     pub open: BTreeMap<TxnId, Open>,
