Txns over the mean size count by their size's power 1.5 in gates

Cause: under load the largest txns hold places for seconds and time out, while importance goes by the txn.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -407,7 +407,7 @@
     fn passes(&self, now: Time, i: usize, load: f64) -> bool {
         let (c, held) = (&self.book.caches[i], self.held(now, i));
         let room = self.room(i);
-        c.load <= 0.0 && held <= room / 2.0 || held + load / c.sharers <= room
+        c.load <= 0.0 && held <= room / 2.0 || held + load * (load / self.book.mean_load.max(1e-6)).max(1.0).sqrt() / c.sharers <= room
     }
 
     /// Evidence that a member takes work and answers nothing, or can't be reached. After a few in a row it
