--- a/src/logic.rs
+++ b/src/logic.rs
@@ -263,6 +263,10 @@
         let Some(hop) = self.book.hops.remove(&(o.txn, o.hop)) else { return };
         self.adjust(now, &hop, &o);
         let near = self.book.caches[hop.member].role == Role::Edge;
+        if matches!(o.end, HopEnd::Completed | HopEnd::TimedOut) && hop.sized {
+            follow(&mut self.book.took, o.took.as_secs_f64(), SLOW);
+            follow(&mut self.book.sent, hop.sending, SLOW);
+        }
         if let Some(link) = o.load.link.filter(|_| near) {
             follow(&mut self.book.link, link, QUICK);
         }
@@ -407,7 +411,8 @@
     fn passes(&self, now: Time, i: usize, load: f64) -> bool {
         let (c, held) = (&self.book.caches[i], self.held(now, i));
         let room = self.room(i);
-        c.load <= 0.0 && held <= room / 2.0 || held + load * (load / self.book.mean_load.max(1e-6)).max(1.0).sqrt() / c.sharers <= room
+        c.load <= 0.0 && held <= room / 2.0
+            || held + load * (load / self.book.mean_load.max(1e-6)).max(1.0).sqrt() / c.sharers <= room
     }
 
     /// Evidence that a member takes work and answers nothing, or can't be reached. After a few in a row it
@@ -546,6 +551,11 @@
         rule.sla + Span::from_secs_f64(sending * rule.sla_stretch)
     }
 
+    /// What a txn's sending time stretches to of late.
+    fn stretch(&self) -> f64 {
+        (self.book.took / self.book.sent.max(1e-6)).max(1.0)
+    }
+
     /// The txn's own sending time, as far as it is told.
     fn sending(&self, txn: &Txn) -> f64 {
         match txn.size {
@@ -693,7 +703,9 @@
         };
         let sending = self.sending(&open.txn);
         let paid = open.hops == 0 || self.further >= 1.0;
-        let in_time = now + Span::from_secs_f64(sending * 0.5) < open.limit;
+        // Guards capacity against large txns that can't be sent before the client gives up: they would hold
+        // their places for seconds and time out. Harmful where one cache is slow and the rest are not.
+        let in_time = now + Span::from_secs_f64(sending * self.stretch()) < open.limit;
         let fixed = rule.effect == Effect::Unrepeatable && open.may_have_run.is_some();
         let plan = (paid && in_time && !fixed && open.hops < self.set.max_hops)
             .then(|| self.plan(now, &open, &rule))
@@ -732,8 +744,9 @@
             self.book.caches[origin].carry(now, load);
         }
         let due = now + sla * OVERDUE;
-        let (sent, cancelled) = (now, false);
-        let hop = Hop { member, source, sent, due, sla, sending, load, fill_load, to_origin, cancelled };
+        let (sent, cancelled, sized) = (now, false, open.txn.size.is_some());
+        let hop =
+            Hop { sized, member, source, sent, due, sla, sending, load, fill_load, to_origin, cancelled };
         self.book.hops.insert(key, hop);
         open.hops += 1;
         open.out += 1;
--- a/src/state.rs
+++ b/src/state.rs
@@ -106,6 +106,7 @@
     pub load: f64,
     pub fill_load: f64,
     pub to_origin: bool,
+    pub sized: bool,
     pub cancelled: bool,
 }
 
@@ -165,6 +166,9 @@
     /// Hashes of the objects seen in the last span of time, and in the one before.
     pub seen: [HashSet<u64>; 2],
     pub mean_load: f64,
+    /// Means of what hops took and of their txns' sending times, where sizes are told.
+    pub took: f64,
+    pub sent: f64,
     /// Sending time a second that this gateway saw a warm cache and a warm parent complete, at most lately.
     pub borne: [f64; 2],
     pub origin: Option<usize>,
