--- a/src/logic.rs
+++ b/src/logic.rs
@@ -705,7 +705,8 @@
         let paid = open.hops == 0 || self.further >= 1.0;
         // Guards capacity against large txns that can't be sent before the client gives up: they would hold
         // their places for seconds and time out. Harmful where one cache is slow and the rest are not.
-        let in_time = now + Span::from_secs_f64(sending * self.stretch()) < open.limit;
+        let ends = Span::from_secs_f64(sending * self.stretch());
+        let in_time = now + ends < open.limit && (open.hops > 0 || ends < self.sla(&open.txn, &rule));
         let fixed = rule.effect == Effect::Unrepeatable && open.may_have_run.is_some();
         let plan = (paid && in_time && !fixed && open.hops < self.set.max_hops)
             .then(|| self.plan(now, &open, &rule))
