--- a/src/logic.rs
+++ b/src/logic.rs
@@ -82,7 +82,6 @@
     miss_share: f64,
     /// The part of the gates of fills that the own zone's link leaves.
     link_part: f64,
-    turned: Time,
     next_scan: Time,
     next_step: Time,
     subscribe_at: Option<Time>,
@@ -164,7 +163,6 @@
             further: FURTHER_BURST,
             miss_share: 0.5,
             link_part: 1.0,
-            turned: now,
             next_scan: now,
             next_step: now + SECOND,
             subscribe_at: set.list_asked.then_some(now),
@@ -470,11 +468,6 @@
         self.book.arrivals = 0.0;
         let purge_done = self.set.purge_done;
         self.book.purges.retain(|p| now - p.at < purge_done + SECOND);
-        if now - self.turned > self.set.cold_parent.within.max(SECOND) {
-            self.turned = now;
-            self.book.seen.swap(0, 1);
-            self.book.seen[0].clear();
-        }
         let mut common = [f64::INFINITY; 4];
         for c in self.book.caches.iter().filter(|c| c.role == Role::Parent && c.m.state == MemberState::Up) {
             for (shared, signal) in common.iter_mut().zip(c.par.signals()) {
@@ -773,16 +766,13 @@
             let behind = self.origin(now, open).unwrap_or(source);
             return Some((source, None, Some(self.fill(now, open, rule, behind, 0))));
         };
-        let known = hash(txn.object, txn.part, 1);
-        let again = self.book.seen[0].contains(&known) || self.book.seen[1].contains(&known);
-        self.book.seen[1].insert(known);
         let source = source.or_else(|| self.sib(now, open, member));
         // No room for a fill: ask the cache for what it holds, once.
         if source.is_none() && (open.looked || open.origin_failed && rule.grace == Span::ZERO) {
             return None;
         }
         let source = source.unwrap_or(member);
-        let keep = if write { 0 } else { 1 + again as u8 };
+        let keep = u8::from(!write);
         let fill = self.fill(now, open, rule, source, keep);
         Some((member, (source != member).then_some(source), Some(fill)))
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 use crate::histogram::Histogram;
 use crate::interface::{Member, MemberId, Txn, TxnId};
 use crate::time::{Span, Time};
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use xxhash_rust::xxh3::xxh3_64;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -163,8 +163,6 @@
     pub ready: VecDeque<TxnId>,
     pub cancels: VecDeque<(TxnId, u32)>,
     pub purges: Vec<Purge>,
-    /// Hashes of the objects seen in the last span of time, and in the one before.
-    pub seen: [HashSet<u64>; 2],
     pub mean_load: f64,
     /// Means of what hops took and of their txns' sending times, where sizes are told.
     pub took: f64,
