--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -205,7 +205,6 @@
     let over = span(contract, "TipAfterUs")?;
     Ok(Settings {
         gateways: int(all, "Instances")? as u32,
-        number: int(all, "Me")? as u32,
         zone_gateways: at(family, "CrewByZone", zone).and_then(Value::as_u64).unwrap_or(0) as u32,
         zone,
         rules: classes.iter().enumerate().map(|(i, c)| rule(c, i, family)).collect::<Found<_>>()?,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -59,8 +59,6 @@
 #[derive(Clone, Debug)]
 pub struct Settings {
     pub gateways: u32,
-    /// This gateway's among them, from 0.
-    pub number: u32,
     /// Gateways in the own zone.
     pub zone_gateways: u32,
     pub zone: usize,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -557,12 +557,6 @@
         }
     }
 
-    /// A sending time that is the same to all gateways: the longest SLA time of what is kept.
-    fn unit(&self) -> f64 {
-        let kept = self.set.rules.iter().filter(|r| !r.write);
-        kept.map(|r| r.sla.as_secs_f64()).fold(0.0, f64::max)
-    }
-
     /// Guards a member that has just started: this gateway's equal part of what all may send it together in
     /// any span of the stated length. The capacity is its size, else what warm ones of its role have borne.
     fn has_room(&self, now: Time, i: usize, cost: f64) -> bool {
@@ -575,18 +569,8 @@
             self.book.borne[usize::from(c.role == Role::Parent)] * sharers
         };
         let margin = if self.set.sized { COLD_MARGIN } else { COLD_MARGIN_UNSIZED };
-        let turn = (age / cold.over).floor();
-        let present = |at: f64| cold.from + (1.0 - cold.from) * (at / cold.within.as_secs_f64()).min(1.0);
-        let whole = cold.multiple * capacity * cold.over.as_secs_f64() * margin;
-        let mut budget = whole * present(age.as_secs_f64()) / sharers;
-        // A part too small for one txn goes round: in each span of the stated length a few gateways, by their
-        // numbers, have all of it. Two spans may meet in one of that length, so each gets half.
-        let least = whole * present(turn * cold.over.as_secs_f64()) / 2.0;
-        let turns = (sharers * self.unit() / least.max(1e-9)).ceil();
-        if budget < self.unit() && turns <= sharers / 4.0 {
-            let mine = (turn + f64::from(self.set.number)) % turns == 0.0;
-            budget = if mine { least * turns / sharers } else { 0.0 };
-        }
+        let present = cold.from + (1.0 - cold.from) * (age / cold.within);
+        let budget = cold.multiple * present * capacity * cold.over.as_secs_f64() / sharers * margin;
         let since = now.back(cold.over);
         let spent: f64 = c.spent.iter().filter(|s| s.0 >= since).map(|s| s.1).sum();
         spent + cost <= budget || spent == 0.0 && !self.set.sized && capacity == 0.0
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -33,7 +33,6 @@
 pub fn settings() -> Settings {
     Settings {
         gateways: 2,
-        number: 0,
         zone_gateways: 2,
         zone: 0,
         rules: vec![rule(Effect::Repeatable), rule(Effect::Keyed), rule(Effect::Unrepeatable)],
