Small txns find more room at gates, large ones less

Cause: where gates are full, whichever txn met them full was shed, though importance goes by the txn and cost by its size; where sizes are not told, a mean of the remap rule stands for them. Guards against any overload, full links and cold starts; harmful where large txns alone matter: they wait longest.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -43,6 +43,8 @@
 const GATE_LEAST: f64 = 0.0625;
 const GATE_CUT: f64 = 0.85;
 const GATE_GAIN: f64 = 0.1;
+// By how much the room of small and large txns may differ from that of the mean one.
+const FAVOUR: f64 = 2.0;
 // Time over which the own load at a member is averaged, to stand in for what each other gateway has there:
 // of a second, times the root of the sharers, since each sees the less the more there are.
 const AVERAGED: f64 = 0.3;
@@ -245,6 +247,7 @@
         let load = txn.size.unwrap_or(1.0);
         let part = if self.book.mean_load == 0.0 { 1.0 } else { SLOW };
         follow(&mut self.book.mean_load, load, part);
+        follow(&mut self.book.mean_sending, sending, part);
         self.book.ready.push_back(txn.id);
         self.book.open.insert(txn.id, Open::new(txn.clone(), now + txn.left));
     }
@@ -406,11 +409,16 @@
         c.gate * link * self.book.mean_load
     }
 
-    fn passes(&self, now: Time, i: usize, load: f64) -> bool {
+    /// Room for a txn at a member: more for small txns, less for large ones. Where there is not enough for
+    /// all, importance by the txn is served best so; large ones wait longest for a gate to open.
+    fn passes(&self, now: Time, i: usize, load: f64, sending: f64) -> bool {
         let (c, held) = (&self.book.caches[i], self.held(now, i));
-        let room = self.room(i);
-        c.load <= 0.0 && held <= room / 2.0
-            || held + load * (load / self.book.mean_load.max(1e-6)).max(1.0).sqrt() / c.sharers <= room
+        let room = self.room(i) * self.favour(sending);
+        c.load <= 0.0 && held <= room / 2.0 || held + load / c.sharers <= room
+    }
+
+    fn favour(&self, sending: f64) -> f64 {
+        (self.book.mean_sending / sending.max(1e-6)).sqrt().clamp(1.0 / FAVOUR, FAVOUR)
     }
 
     /// Evidence that a member takes work and answers nothing, or can't be reached. After a few in a row it
@@ -603,9 +611,10 @@
         order.retain(|&i| self.usable(now, i) && !open.avoid.contains(&i) && self.has_room(now, i, cost));
         let load = open.load() * if open.looked { 1.0 } else { self.miss_share };
         if order.is_empty() {
-            return self.origin(now, open).filter(|&o| self.passes(now, o, load));
+            return self.origin(now, open).filter(|&o| self.passes(now, o, load, cost));
         }
-        let held_back = open.parent_lacks && self.book.origin.is_some_and(|o| !self.passes(now, o, load));
+        let held_back =
+            open.parent_lacks && self.book.origin.is_some_and(|o| !self.passes(now, o, load, cost));
         if open.origin_failed || held_back {
             return None;
         }
@@ -615,8 +624,8 @@
         // Room is counted over all parents together: a fill leaves its home by weight, not by chance.
         let (held, room) =
             order.iter().fold((0.0, 0.0), |(h, r), &i| (h + self.held(now, i), r + self.room(i)));
-        let spare = held + load / sharers(&self.set, Role::Parent) <= room;
-        home.filter(|&i| spare || self.passes(now, i, load))
+        let spare = held + load / sharers(&self.set, Role::Parent) <= room * self.favour(cost);
+        home.filter(|&i| spare || self.passes(now, i, load, cost))
     }
 
     fn origin(&self, now: Time, open: &Open) -> Option<usize> {
@@ -638,7 +647,8 @@
         let sizes: f64 = order.iter().map(|&i| size(i)).sum();
         // Further from home each spill is a miss that fills one more cache, which feeds a jam of fills.
         order.truncate(SPREAD);
-        order.retain(|&i| self.passes(now, i, load));
+        let sending = self.sending(&open.txn);
+        order.retain(|&i| self.passes(now, i, load, sending));
         let fits = |i: usize| {
             let held = self.held(now, i);
             let gate = self.book.caches[i].gate * self.book.mean_load;
@@ -788,9 +798,12 @@
         // What stands in other zones comes over the own link: not while that is full.
         let all = self.set.sibs == Reach::All && self.book.link < LINK_FULL;
         let order = self.order(Role::Edge, &open.txn, all);
-        let load = open.load() * self.miss_share;
+        let (load, sending) = (open.load() * self.miss_share, self.sending(&open.txn));
         let fits = |&i: &usize| {
-            i != member && self.usable(now, i) && warm(&self.book.caches[i]) && self.passes(now, i, load)
+            i != member
+                && self.usable(now, i)
+                && warm(&self.book.caches[i])
+                && self.passes(now, i, load, sending)
         };
         order.into_iter().find(|i| fits(i) && !open.avoid.contains(i))
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -164,6 +164,7 @@
     pub cancels: VecDeque<(TxnId, u32)>,
     pub purges: Vec<Purge>,
     pub mean_load: f64,
+    pub mean_sending: f64,
     /// Means of what hops took and of their txns' sending times, where sizes are told.
     pub took: f64,
     pub sent: f64,
