--- a/src/logic.rs
+++ b/src/logic.rs
@@ -44,7 +44,7 @@
 const GATE_CUT: f64 = 0.85;
 const GATE_GAIN: f64 = 0.1;
 // By how much the room of small and large txns may differ from that of the mean one.
-const FAVOUR: f64 = 2.0;
+const FAVOUR: f64 = 3.0;
 // Time over which the own load at a member is averaged, to stand in for what each other gateway has there:
 // of a second, times the root of the sharers, since each sees the less the more there are.
 const AVERAGED: f64 = 0.3;
