--- a/src/logic.rs
+++ b/src/logic.rs
@@ -54,7 +54,7 @@
 // Untold sizes: the sending time of a large txn over its rule's SLA time.
 const LARGE: f64 = 0.75;
 // A sick origin: share of its fills that fail or start after this part of the SLA time.
-const ORIGIN_SICK: f64 = 0.3;
+const ORIGIN_SICK: f64 = 0.15;
 const SLOW_START: f64 = 0.8;
 // Health, further hops, rejections: signs in a row, part of the SLA time from which a hop is overdue, scan
 // over connect limit, further hops a txn, their burst, part of the SLA time after which to come back.
