--- a/src/logic.rs
+++ b/src/logic.rs
@@ -54,7 +54,7 @@
 // Untold sizes: the sending time of a large txn over its rule's SLA time.
 const LARGE: f64 = 0.75;
 // A sick origin: share of its fills that fail or start after this part of the SLA time.
-const ORIGIN_SICK: f64 = 0.15;
+const ORIGIN_SICK: f64 = 0.3;
 const SLOW_START: f64 = 0.8;
 // Health, further hops, rejections: signs in a row, part of the SLA time from which a hop is overdue, scan
 // over connect limit, further hops a txn, their burst, part of the SLA time after which to come back.
@@ -65,8 +65,8 @@
 const FURTHER_BURST: f64 = 6.0;
 const COME_BACK: std::ops::Range<f64> = 0.1..0.4;
 // Cold members: the part of the budget that is used, and what a borne rate keeps each second.
-const COLD_MARGIN: f64 = 0.7;
-const COLD_MARGIN_UNSIZED: f64 = 0.5;
+const COLD_MARGIN: f64 = 0.85;
+const COLD_MARGIN_UNSIZED: f64 = 0.65;
 const BORNE_KEPT: f64 = 0.995;
 // Parts by which running means follow.
 const SLOW: f64 = 0.02;
