--- a/src/logic.rs
+++ b/src/logic.rs
@@ -65,8 +65,8 @@
 const FURTHER_BURST: f64 = 6.0;
 const COME_BACK: std::ops::Range<f64> = 0.1..0.4;
 // Cold members: the part of the budget that is used, and what a borne rate keeps each second.
-const COLD_MARGIN: f64 = 0.85;
-const COLD_MARGIN_UNSIZED: f64 = 0.65;
+const COLD_MARGIN: f64 = 0.7;
+const COLD_MARGIN_UNSIZED: f64 = 0.5;
 const BORNE_KEPT: f64 = 0.995;
 // Parts by which running means follow.
 const SLOW: f64 = 0.02;
