--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,6 +8,7 @@
 use crate::time::{Span, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 // The weight controller, by the design page.
@@ -47,7 +48,8 @@
 // Time over which the own load at a member is averaged, to stand in for what each other gateway has there:
 // of a second, times the root of the sharers, since each sees the less the more there are.
 const AVERAGED: f64 = 0.3;
-// Transfers on the zone's link over those that fit, from which fills' gates are narrowed in proportion.
+// Transfers on the zone's link over those that fit that are let stand; what the part of fills' gates that is
+// used may change by each second, and its least.
 const LINK_FULL: f64 = 2.0;
 const LINK_STEPS: std::ops::Range<f64> = 0.5..2.0;
 const LINK_LEAST: f64 = 0.05;
@@ -179,9 +181,7 @@
     pub fn members(&mut self, now: Time, whole: bool, list: Vec<Member>) {
         let known = self.book.caches.len();
         if whole {
-            for c in &mut self.book.caches {
-                c.m.state = MemberState::Gone;
-            }
+            self.book.caches.iter_mut().for_each(|c| c.m.state = MemberState::Gone);
         }
         for m in list {
             let role = match Some(m.kind) {
@@ -208,17 +208,19 @@
             let (n, par) = (sharers(&self.set, role), Weight::new(weight));
             self.book.caches.push(Cache::new(now, m, role, n, SECOND * (AVERAGED * n.sqrt()), par));
         }
-        self.book.listed = [0.0; 3];
-        for c in self.book.caches.iter().filter(|c| c.m.state != MemberState::Gone) {
-            self.book.listed[c.role as usize] += 1.0;
+        self.book.by_role = Default::default();
+        for (i, c) in self.book.caches.iter().enumerate().filter(|(_, c)| c.m.state != MemberState::Gone) {
+            self.book.by_role[c.role as usize].push(i);
         }
+        let near = |i: &&usize| self.book.caches[**i].m.zone == self.set.zone;
+        self.book.near = self.book.by_role[Role::Edge as usize].iter().filter(near).copied().collect();
         for i in known..self.book.caches.len() {
             self.book.caches[i].gate = self.first_gate(i);
         }
     }
 
     fn listed(&self, role: Role) -> f64 {
-        self.book.listed[role as usize].max(1.0)
+        self.book.by_role[role as usize].len().max(1) as f64
     }
 
     /// This gateway's equal part of a member's gate at the start, in mean txns.
@@ -241,16 +243,15 @@
 
     pub fn txn(&mut self, now: Time, txn: Txn) {
         self.book.arrivals += 1.0;
-        let most = FURTHER_BURST.max(FURTHER_HOPS * FURTHER_BURST * self.book.arrival_rate);
+        let most = FURTHER_BURST * (FURTHER_HOPS * self.book.arrival_rate).max(1.0);
         self.further = (self.further + FURTHER_HOPS).min(most);
         let sending = self.sending(&txn);
         if let (Some(_), Some(row)) = (txn.size, self.book.rows.get_mut(txn.rule)) {
             follow(&mut row.sending, sending, if row.told { SLOW } else { 1.0 });
             row.told = true;
         }
-        let load = txn.size.unwrap_or(1.0);
         let part = if self.book.mean_load == 0.0 { 1.0 } else { SLOW };
-        follow(&mut self.book.mean_load, load, part);
+        follow(&mut self.book.mean_load, txn.size.unwrap_or(1.0), part);
         follow(&mut self.book.mean_sending, sending, part);
         self.book.ready.push_back(txn.id);
         self.book.open.insert(txn.id, Open::new(txn.clone(), now + txn.left));
@@ -455,8 +456,8 @@
     }
 
     pub fn next_wake(&self) -> Time {
-        let next =
-            if self.book.hops.is_empty() { self.next_step } else { self.next_step.min(self.next_scan) };
+        let scan = if self.book.hops.is_empty() { self.next_step } else { self.next_scan };
+        let next = self.next_step.min(scan);
         self.subscribe_at.map_or(next, |at| at.min(next))
     }
 
@@ -500,14 +501,14 @@
     /// Finds members that have gone silent and takes repeatable hops away from them.
     fn scan(&mut self, now: Time) {
         self.next_scan = now + (self.set.connect_limit * SCANS).max(self.set.tick).max(Span::from_millis(1));
-        let mut overdue = vec![0u32; self.book.caches.len()];
+        let mut overdue = BTreeMap::new();
         for hop in self.book.hops.values().filter(|h| h.due <= now) {
             let c = &self.book.caches[hop.member];
             if c.answered <= hop.sent && now - c.answered > self.set.connect_limit {
-                overdue[hop.member] += 1;
+                *overdue.entry(hop.member).or_insert(0) += 1;
             }
         }
-        for (i, &n) in overdue.iter().enumerate() {
+        for (i, n) in overdue {
             if n >= STRIKES && self.book.caches[i].trial_at.is_none() {
                 self.book.caches[i].strikes = STRIKES - 1;
                 self.strike(now, i);
@@ -560,8 +561,8 @@
         let (cold, sharers) = (cold_start(&self.set, c.role), c.sharers);
         let Some(age) = c.m.started.map(|at| now - at).filter(|&age| age < cold.within) else { return true };
         let borne = self.book.borne[usize::from(c.role == Role::Parent)] * sharers;
-        let (capacity, margin) =
-            if self.set.sized { (c.m.size, COLD_MARGIN) } else { (borne, COLD_MARGIN_UNSIZED) };
+        let untold = (borne, COLD_MARGIN_UNSIZED);
+        let (capacity, margin) = if self.set.sized { (c.m.size, COLD_MARGIN) } else { untold };
         let present = cold.from + (1.0 - cold.from) * (age / cold.within);
         let budget = cold.multiple * present * capacity * cold.over.as_secs_f64() / sharers * margin;
         let since = now.back(cold.over);
@@ -577,15 +578,13 @@
 
     /// Members of a role in the object's hash order, by weighted rendezvous where sizes are told.
     fn order(&self, role: Role, txn: &Txn, all_zones: bool) -> Vec<usize> {
-        let in_zone = |c: &Cache| all_zones || c.m.zone == self.set.zone;
-        let listed = |c: &Cache| c.m.state != MemberState::Gone && c.role == role && in_zone(c);
-        let mut order: Vec<(f64, usize)> = (0..self.book.caches.len())
-            .filter(|&i| listed(&self.book.caches[i]))
-            .map(|i| {
-                let c = &self.book.caches[i];
-                (-unit(hash(txn.object, txn.part, c.key)).ln() / c.size(self.set.sized), i)
-            })
-            .collect();
+        let all = &self.book.by_role[role as usize];
+        let listed = if role == Role::Edge && !all_zones { &self.book.near } else { all };
+        let place = |&i: &usize| {
+            let c = &self.book.caches[i];
+            (-unit(hash(txn.object, txn.part, c.key)).ln() / c.size(self.set.sized), i)
+        };
+        let mut order: Vec<(f64, usize)> = listed.iter().map(place).collect();
         order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         order.into_iter().map(|(_, i)| i).collect()
     }
@@ -642,8 +641,8 @@
     /// A keyed txn that may have run stays among the caches that drop its repeats, while they remember it.
     fn in_group(&self, open: &Open, now: Time, i: usize) -> bool {
         let Some((first, at)) = open.may_have_run else { return true };
-        let (rule, a, b) =
-            (&self.set.rules[open.txn.rule], &self.book.caches[first].m, &self.book.caches[i].m);
+        let (rule, of) = (&self.set.rules[open.txn.rule], &self.book.caches);
+        let (a, b) = (&of[first].m, &of[i].m);
         match rule.effect {
             Effect::Repeatable => true,
             Effect::Unrepeatable => false,
--- a/src/state.rs
+++ b/src/state.rs
@@ -154,8 +154,9 @@
 #[derive(Default)]
 pub struct Book {
     pub caches: Vec<Cache>,
-    /// Members listed now, by role.
-    pub listed: [f64; 3],
+    /// Members listed now, by role, and the caches of the own zone: what a txn has to choose from.
+    pub by_role: [Vec<usize>; 3],
+    pub near: Vec<usize>,
     pub by_id: BTreeMap<MemberId, usize>,
     pub open: BTreeMap<TxnId, Open>,
     pub hops: BTreeMap<(TxnId, u32), Hop>,
