--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -336,3 +336,38 @@
     };
     assert!(taken(10.0) > 0 && taken(100.0) == 0, "{} {}", taken(10.0), taken(100.0));
 }
+
+/// Fills named among fifty txns that end as hits, each report giving `link`, after some seconds of the same.
+fn fills_behind(link: f64) -> usize {
+    let sibs = Reach::Off;
+    let mut world = World::new(Settings { gateways: 200, sibs, direct: false, ..settings() });
+    let filled = (0..300).filter(|&i| {
+        let now = at(i * 20);
+        let made = world.ask(now, txn(i, 0, i));
+        let fill = matches!(&made[..], [Decision::Hop { fill: Some(f), .. }] if f.source.starts_with('p'));
+        let (end, took, note) = (HopEnd::Completed, ms(50), Some(Note::Filled));
+        let (first_byte, load) = (Some(ms(20)), Load { link: Some(link) });
+        let o = Outcome { txn: i, hop: 0, end, took, closed: true, note, first_byte, load };
+        world.gateway.outcome(at(i * 20 + 19), o);
+        fill && i >= 250
+    });
+    filled.count()
+}
+
+#[test]
+fn a_full_own_link_narrows_fills() {
+    assert!(fills_behind(10.0) < fills_behind(0.5), "{} {}", fills_behind(10.0), fills_behind(0.5));
+}
+
+#[test]
+fn untold_sizes_share_one_first_gate_among_all_gateways() {
+    let taken = |zone_gateways| {
+        let set = Settings { sized: false, client_pace: 0.0, direct: false, zone_gateways, ..settings() };
+        let calm = RemapRule { sla: ms(60_000), ..rule(Effect::Repeatable) };
+        let mut world = World::new(Settings { rules: vec![calm], ..set });
+        let ask = |i| Txn { size: None, left: ms(300_000), ..txn(i, 0, i) };
+        let made = (0..300).flat_map(|i| world.ask(at(i * 20), ask(i)));
+        made.filter(|d| matches!(d, Decision::Hop { .. })).count()
+    };
+    assert!(taken(20) * 2 < taken(1), "{} {}", taken(20), taken(1));
+}
