--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -313,10 +313,7 @@
     assert!(taken(&world.ask(at(0), large(1))));
     for i in 10..200 {
         world.ask(at(i), txn(i, 0, i));
-        let (txn, end, took) = (i, HopEnd::Completed, ms(300));
-        let (note, first_byte, load) = (Some(Note::Held), None, Load::default());
-        let hop = Outcome { txn, hop: 0, end, took, closed: true, note, first_byte, load };
-        world.gateway.outcome(at(i), hop);
+        world.end_after(at(i), i, HopEnd::Completed, Some(Note::Held), ms(300), Load::default());
     }
     assert!(matches!(world.ask(at(200), large(900))[..], [Decision::Reject { come_back: Some(_), .. }]));
     assert!(taken(&world.ask(at(200), txn(901, 0, 901))), "what can be in time is taken");
@@ -345,10 +342,8 @@
         let now = at(i * 20);
         let made = world.ask(now, txn(i, 0, i));
         let fill = matches!(&made[..], [Decision::Hop { fill: Some(f), .. }] if f.source.starts_with('p'));
-        let (end, took, note) = (HopEnd::Completed, ms(50), Some(Note::Filled));
-        let (first_byte, load) = (Some(ms(20)), Load { link: Some(link) });
-        let o = Outcome { txn: i, hop: 0, end, took, closed: true, note, first_byte, load };
-        world.gateway.outcome(at(i * 20 + 19), o);
+        let load = Load { link: Some(link) };
+        world.end_after(at(i * 20 + 19), i, HopEnd::Completed, Some(Note::Filled), ms(50), load);
         fill && i >= 250
     });
     filled.count()
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -103,9 +103,20 @@
 
     /// Ends the txn's last hop.
     pub fn end(&mut self, now: Time, txn: TxnId, end: HopEnd, note: Option<Note>) -> Vec<Decision> {
+        self.end_after(now, txn, end, note, ms(50), Load::default())
+    }
+
+    pub fn end_after(
+        &mut self,
+        now: Time,
+        txn: TxnId,
+        end: HopEnd,
+        note: Option<Note>,
+        took: Span,
+        load: Load,
+    ) -> Vec<Decision> {
         let hop = self.hops[&txn] - 1;
-        let closed = end == HopEnd::Completed;
-        let (took, first_byte, load) = (ms(50), Some(ms(20)), Load::default());
+        let (closed, first_byte) = (end == HopEnd::Completed, Some(ms(20)));
         self.gateway.outcome(now, Outcome { txn, hop, end, took, closed, note, first_byte, load });
         self.pull(now)
     }
