--- /dev/null
+++ b/gateway/src/bulletin.rs
@@ -0,0 +1,106 @@
+//! Follows the bulletin: its events reach the desk in the order of their numbers, each once. Must never pass on an
+//! event after a gap, nor take silence for news: it connects anew and asks for what follows the last good one.
+
+use crate::clock::{Clock, millis};
+use crate::config::{Names, news};
+use crate::counters::Counters;
+use crate::desk::Event;
+use crate::end::End;
+use async_channel::Sender;
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use kelpcart::Span;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+const MOST_LINE: usize = 1024 * 1024;
+/// It writes a line each second; this long without one, and the connection is held to be dead.
+const SILENT: Span = millis(3_000);
+const CONNECT: Span = millis(1_000);
+const WAITS: std::ops::Range<Span> = millis(50)..millis(1_000);
+
+pub struct Bulletin {
+    pub address: SocketAddr,
+    /// The number of the last event that was passed on.
+    pub last: u64,
+    pub names: Names,
+    pub clock: Clock,
+    pub counters: Rc<Counters>,
+    pub desk: Sender<Event>,
+}
+
+impl Bulletin {
+    pub async fn follow(mut self) {
+        let mut wait = WAITS.start;
+        loop {
+            let before = self.last;
+            let end = self.read().await;
+            self.counters.ended(end);
+            if end == End::PeerDamaged || self.last > before {
+                log::warn!("the bulletin's connection ended ({end:?}); asking again after {}", self.last);
+            }
+            wait = if self.last > before { WAITS.start } else { (wait * 2.0).min(WAITS.end) };
+            self.clock.sleep_until(self.clock.now() + wait).await;
+        }
+    }
+
+    async fn read(&mut self) -> End {
+        let limit = self.clock.now() + CONNECT;
+        let mut stream = match self.clock.by(limit, Async::<TcpStream>::connect(self.address)).await {
+            Some(Ok(stream)) => stream,
+            Some(Err(_)) => return End::Refused,
+            None => return End::NoConnection,
+        };
+        if stream.write_all(format!("after {}\n", self.last).as_bytes()).await.is_err() {
+            return End::PeerLeft;
+        }
+        let (mut held, mut bytes) = (Vec::new(), vec![0; 16 * 1024]);
+        loop {
+            let got = self.clock.by(self.clock.now() + SILENT, stream.read(&mut bytes)).await;
+            let n = match got {
+                Some(Ok(0) | Err(_)) => return End::PeerLeft,
+                Some(Ok(n)) => n,
+                None => return End::PeerSilent,
+            };
+            let seen = held.len();
+            held.extend_from_slice(&bytes[..n]);
+            let mut used = 0;
+            while let Some(end) = held[seen.max(used)..].iter().position(|&b| b == b'\n') {
+                let end = seen.max(used) + end;
+                if let Err(why) = self.line(&held[used..end]).await {
+                    log::warn!("a line of the bulletin can't be used: {why}");
+                    return End::PeerDamaged;
+                }
+                used = end + 1;
+            }
+            held.drain(..used);
+            if held.len() > MOST_LINE {
+                return End::PeerDamaged;
+            }
+        }
+    }
+
+    async fn line(&mut self, line: &[u8]) -> Result<(), String> {
+        if line.trim_ascii().is_empty() {
+            return Ok(());
+        }
+        let value: serde_json::Value = serde_json::from_slice(line).map_err(|e| format!("not JSON: {e}"))?;
+        let gap = |no| format!("number {no} after {}", self.last);
+        if let Some(no) = value.as_u64() {
+            return if no > self.last { Err(gap(no)) } else { Ok(()) };
+        }
+        let (no, said) = news(&value, &self.names)?;
+        if no > self.last + 1 {
+            return Err(gap(no));
+        }
+        if no == self.last + 1 {
+            self.last = no;
+            self.counters.add("bulletin events");
+            if let Some(said) = said {
+                // It fails only when the desk has ended, and with it the process.
+                _ = self.desk.send(Event::News(said)).await;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/gateway/src/caches.rs
@@ -0,0 +1,287 @@
+//! Owns the connections to caches, parents and the origin: one hop at a time on each, idle ones kept by member id
+//! and dropped when the member goes or starts anew. Must never send a request twice, nor send one that the module
+//! did not order; whatever goes wrong is reported by its one value in `end` and left to the module.
+
+use crate::Tasks;
+use crate::buffers::{Body, Pool};
+use crate::clock::{Clock, millis};
+use crate::config::Listed;
+use crate::counters::{Counters, Held};
+use crate::end::End;
+use crate::{http, rpc};
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use kelpcart::interface::{Fill, MemberId, MemberState, Note};
+use kelpcart::{Span, Time};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+/// The largest body that is taken from a cache.
+const MOST_BODY: usize = 256 * 1024;
+
+pub struct Job {
+    pub member: MemberId,
+    pub until: Time,
+    pub rule: Rc<str>,
+    pub write: bool,
+    pub ask: Rc<rpc::Ask>,
+    pub fill: Option<Fill>,
+}
+
+pub struct Ended {
+    pub end: End,
+    pub note: Option<Note>,
+    pub waited: Option<Span>,
+    pub stats: Option<Vec<u8>>,
+    pub body: Option<Body>,
+}
+
+impl From<End> for Ended {
+    fn from(end: End) -> Ended {
+        Ended { end, note: None, waited: None, stats: None, body: None }
+    }
+}
+
+struct Link {
+    stream: Async<TcpStream>,
+    _held: Held,
+}
+
+struct Kept {
+    link: Link,
+    since: Time,
+}
+
+struct Place {
+    address: SocketAddr,
+    started: Option<Time>,
+}
+
+pub struct Caches {
+    clock: Clock,
+    pool: Rc<Pool>,
+    counters: Rc<Counters>,
+    connect_limit: Span,
+    idle: Span,
+    most: usize,
+    places: RefCell<BTreeMap<MemberId, Place>>,
+    kept: RefCell<BTreeMap<MemberId, Vec<Kept>>>,
+}
+
+impl Caches {
+    /// `idle`: caches close idle connections after this time. `most`: descriptors for hops.
+    pub fn new(
+        clock: Clock,
+        pool: Rc<Pool>,
+        counters: Rc<Counters>,
+        connect_limit: Span,
+        idle: Span,
+        most: usize,
+    ) -> Rc<Caches> {
+        let (places, kept) = Default::default();
+        Rc::new(Caches { clock, pool, counters, connect_limit, idle, most, places, kept })
+    }
+
+    /// Closes idle connections well before the caches would, lest one is closed just as it is used.
+    pub fn sweep(self: &Rc<Self>, tasks: Tasks) {
+        let caches = Rc::clone(self);
+        let sweep = async move {
+            loop {
+                caches.clock.sleep_until(caches.clock.now() + millis(500)).await;
+                let old = caches.clock.now().back(caches.idle * 0.75);
+                caches.kept.borrow_mut().values_mut().for_each(|all| all.retain(|k| k.since > old));
+            }
+        };
+        tasks.spawn(sweep).detach();
+    }
+
+    /// News of the list; with `whole`, members that it does not name are gone.
+    pub fn members(&self, whole: bool, list: &[Listed]) {
+        let (mut places, mut kept) = (self.places.borrow_mut(), self.kept.borrow_mut());
+        if whole {
+            places.retain(|id, _| list.iter().any(|l| l.member.id == *id));
+        }
+        for listed in list {
+            let (m, address) = (&listed.member, listed.address);
+            let before = places.get(&m.id);
+            if before.is_some_and(|p| Some(p.address) != address || p.started != m.started) {
+                kept.remove(&m.id);
+            }
+            match address {
+                // Hops that were ordered before may still be on their way to one that drains.
+                Some(address) if m.state != MemberState::Gone => {
+                    // An address is used again: connections to the one that had it before are not the new one's.
+                    let others: Vec<MemberId> = places
+                        .iter()
+                        .filter(|(id, p)| **id != m.id && p.address == address)
+                        .map(id_of)
+                        .collect();
+                    for id in others {
+                        kept.remove(&id);
+                    }
+                    places.insert(m.id.clone(), Place { address, started: m.started });
+                }
+                _ => _ = places.remove(&m.id),
+            }
+            if m.state != MemberState::Up {
+                kept.remove(&m.id);
+            }
+        }
+        kept.retain(|id, _| places.contains_key(id));
+    }
+
+    /// Runs one hop to its end, which comes by the job's time at the latest.
+    pub async fn hop(&self, job: Job) -> Ended {
+        let sent = Cell::new(false);
+        let ended = self.clock.by(job.until, self.run(&job, &sent)).await;
+        let ended = ended.unwrap_or_else(|| if sent.get() { End::Late } else { End::LateUnsent }.into());
+        self.counters.ended(ended.end);
+        ended
+    }
+
+    async fn run(&self, job: &Job, sent: &Cell<bool>) -> Ended {
+        let place = self.places.borrow().get(&job.member).map(|p| p.address);
+        let Some(address) = place else { return End::NoSocket.into() };
+        let (mut link, again) = match self.take_kept(&job.member) {
+            Some(link) => (link, true),
+            None => match self.connect(address).await {
+                Ok(link) => (link, false),
+                Err(end) => return end.into(),
+            },
+        };
+        let host = address.to_string();
+        let request = http::Request {
+            rule: &job.rule,
+            object: &job.ask.subject,
+            part: job.ask.part,
+            trace: &job.ask.req,
+            host: &host,
+            patience: job.until - self.clock.now(),
+            fill: job.fill.as_ref(),
+            have: job.ask.seen.as_deref().filter(|_| !job.write),
+            body: job.write.then_some(job.ask.body.len()),
+        };
+        let mut bytes = request.encode();
+        if job.write {
+            bytes.extend_from_slice(&job.ask.body);
+        }
+        if link.stream.write_all(&bytes).await.is_err() {
+            return if again { End::KeptClosed } else { End::CutUnsent }.into();
+        }
+        sent.set(true);
+        match self.answer(&mut link).await {
+            Ok((ended, keep)) => {
+                if keep && ended.end.leaves_connection() {
+                    self.keep(&job.member, address, link);
+                }
+                ended
+            }
+            Err(end) => end.into(),
+        }
+    }
+
+    /// Reads one answer; tells whether the connection can be used again.
+    async fn answer(&self, link: &mut Link) -> Result<(Ended, bool), End> {
+        let damaged = |what: &str| {
+            log::warn!("a cache's answer can't be used: {what}");
+            End::Damaged
+        };
+        let mut bytes = [0; http::MOST_HEAD];
+        let mut n = 0;
+        let (head, used) = loop {
+            let got = link.stream.read(&mut bytes[n..]).await.map_err(|_| End::Cut)?;
+            if got == 0 {
+                return Err(End::Cut);
+            }
+            n += got;
+            if let Some(found) = http::head(&bytes[..n]).map_err(|d| damaged(d.0))? {
+                break found;
+            }
+        };
+        if head.length > MOST_BODY {
+            return Err(damaged("too large"));
+        }
+        let mut body = self.pool.body(head.length).await.ok_or(End::Damaged)?;
+        if body.fill(&bytes[used..n]) < n - used {
+            return Err(damaged("longer than told"));
+        }
+        while !body.is_full() {
+            let got = link.stream.read(body.space()).await.map_err(|_| End::Cut)?;
+            if got == 0 {
+                return Err(End::Cut);
+            }
+            body.advance(got);
+        }
+        let end = match (head.status, head.declined) {
+            (200, _) => End::Whole,
+            (304, _) => End::Current,
+            (404, _) => End::Lacking,
+            (503, true) => End::Full,
+            (504, true) => End::Over,
+            _ => End::Errored,
+        };
+        let body = (end == End::Whole).then_some(body);
+        let ended = Ended { end, note: head.note, waited: head.waited, stats: head.stats, body };
+        Ok((ended, !head.close))
+    }
+
+    /// A connection kept from an earlier hop on which nothing has come since, its end included.
+    fn take_kept(&self, id: &MemberId) -> Option<Link> {
+        let mut kept = self.kept.borrow_mut();
+        let all = kept.get_mut(id)?;
+        while let Some(Kept { link, .. }) = all.pop() {
+            let quiet = link.stream.get_ref().peek(&mut [0]);
+            if quiet.is_err_and(|e| e.kind() == ErrorKind::WouldBlock) {
+                return Some(link);
+            }
+            self.counters.add("kept connections found closed");
+        }
+        None
+    }
+
+    fn keep(&self, id: &MemberId, address: SocketAddr, link: Link) {
+        if self.places.borrow().get(id).is_some_and(|p| p.address == address) {
+            let since = self.clock.now();
+            self.kept.borrow_mut().entry(id.clone()).or_default().push(Kept { link, since });
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Link, End> {
+        if self.counters.hops.get() >= self.most {
+            self.drop_oldest();
+        }
+        if self.counters.hops.get() >= self.most {
+            return Err(End::NoSocket);
+        }
+        let held = Held::new(&self.counters, |c| &c.hops);
+        self.counters.add("hop connections opened");
+        let limit = self.clock.now() + self.connect_limit;
+        let connected = self.clock.by(limit, Async::<TcpStream>::connect(address)).await;
+        let stream = connected.ok_or(End::NoConnection)?.map_err(refusal)?;
+        stream.get_ref().set_nodelay(true).map_err(refusal)?;
+        Ok(Link { stream, _held: held })
+    }
+
+    fn drop_oldest(&self) {
+        let mut kept = self.kept.borrow_mut();
+        let oldest = kept.values_mut().filter(|all| !all.is_empty()).min_by_key(|all| all[0].since);
+        if let Some(all) = oldest {
+            all.remove(0);
+        }
+    }
+}
+
+fn id_of((id, _): (&MemberId, &Place)) -> MemberId {
+    id.clone()
+}
+
+fn refusal(e: io::Error) -> End {
+    // EMFILE and ENFILE have no kind of their own.
+    match (e.kind(), e.raw_os_error()) {
+        (ErrorKind::AddrNotAvailable, _) | (_, Some(23 | 24)) => End::NoSocket,
+        _ => End::Refused,
+    }
+}
--- /dev/null
+++ b/gateway/src/clients.rs
@@ -0,0 +1,253 @@
+//! Owns the connections of clients: accepts them up to a bound, reads their messages, and writes answers whole, by
+//! one writer a connection. Must never answer by itself what the module has to decide; a client that stops
+//! reading, sends nothing or sends what can't be read costs its own connection only.
+
+use crate::Tasks;
+use crate::buffers::Body;
+use crate::clock::{Clock, millis};
+use crate::counters::{Counters, Held};
+use crate::desk::Event;
+use crate::end::End;
+use crate::rpc::{self, Ask, Fault, Message, Word};
+use async_channel::{Receiver, Sender};
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use kelpcart::{Span, Time};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::io::{self, IoSlice};
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+
+/// Open requests on a connection, by the protocol.
+const MOST_OPEN: usize = 32;
+/// A connection with no open request may be silent, and one that takes no bytes may stall, for this long.
+const SILENT: Span = millis(10_000);
+const STALLED: Span = millis(5_000);
+
+/// What is written to a client in one piece.
+pub struct Frame {
+    head: Vec<u8>,
+    body: Option<Body>,
+    tail: Vec<u8>,
+    /// When nobody waits for it any more, and what goes out then in its place.
+    until: Option<(Time, u64)>,
+    _held: Held,
+}
+
+pub struct Client {
+    pub id: u64,
+    out: Sender<Frame>,
+    open: RefCell<BTreeSet<u64>>,
+    last: Cell<u64>,
+    counters: Rc<Counters>,
+}
+
+impl Client {
+    /// A request's one answer; none goes out for one that is not open any more.
+    pub fn serve(&self, id: u64, body: Option<Body>, until: Time) {
+        let len = body.as_ref().map_or(0, Body::len);
+        let (head, tail) = rpc::served(id, len, body.is_none());
+        self.answer(id, head, body, tail, Some((until, id)));
+    }
+
+    pub fn refuse(&self, id: u64, word: Word, fields: &[(&str, &str)]) {
+        self.answer(id, rpc::unserved(id, word, fields), None, Vec::new(), None);
+    }
+
+    pub fn check(&self, id: u64, ready: bool) {
+        self.answer(id, rpc::checked(id, ready), None, Vec::new(), None);
+    }
+
+    fn answer(&self, id: u64, head: Vec<u8>, body: Option<Body>, tail: Vec<u8>, until: Option<(Time, u64)>) {
+        if !self.open.borrow_mut().remove(&id) {
+            return;
+        }
+        let _held = Held::new(&self.counters, |c| &c.unwritten);
+        // It fails only when the connection is gone.
+        _ = self.out.try_send(Frame { head, body, tail, until, _held });
+    }
+
+    /// Takes in a message id; `false` if it was used before.
+    fn take(&self, id: u64) -> bool {
+        let new = id > self.last.get();
+        if new {
+            self.last.set(id);
+            self.open.borrow_mut().insert(id);
+        }
+        new
+    }
+}
+
+/// What the tasks of all connections share.
+#[derive(Clone)]
+pub struct Front {
+    pub tasks: Tasks,
+    pub clock: Clock,
+    pub counters: Rc<Counters>,
+    pub desk: Sender<Event>,
+    pub most: usize,
+}
+
+impl Front {
+    pub async fn accept(self, listener: Async<TcpListener>) {
+        let (mut next, mut wait) = (0, millis(10));
+        loop {
+            // At the bound new ones wait in the machine's queue until one leaves.
+            if self.counters.clients.get() >= self.most {
+                self.clock.sleep_until(self.clock.now() + millis(5)).await;
+                continue;
+            }
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    (next, wait) = (next + 1, millis(10));
+                    self.counters.add("client connections");
+                    let (front, held) = (self.clone(), Held::new(&self.counters, |c| &c.clients));
+                    let task = async move {
+                        front.serve(next, stream).await;
+                        drop(held);
+                    };
+                    self.tasks.spawn(task).detach();
+                }
+                Err(e) => {
+                    log::warn!("a connection can't be accepted: {e}");
+                    self.counters.add("accepts failed");
+                    self.clock.sleep_until(self.clock.now() + wait).await;
+                    wait = (wait * 2.0).min(millis(1_000));
+                }
+            }
+        }
+    }
+
+    async fn serve(&self, id: u64, stream: Async<TcpStream>) {
+        // Without it answers only come later.
+        _ = stream.get_ref().set_nodelay(true);
+        let (out, frames) = async_channel::unbounded();
+        let (open, last, counters) = (RefCell::default(), Cell::new(0), Rc::clone(&self.counters));
+        let client = Rc::new(Client { id, out, open, last, counters });
+        let end = future::or(self.read(&stream, &client), self.write(&stream, &frames)).await;
+        if end == End::PeerDamaged {
+            // What it is owed goes out before the connection closes.
+            client.out.close();
+            self.write(&stream, &frames).await;
+        }
+        frames.close();
+        self.counters.ended(end);
+        _ = self.desk.send(Event::Left { client: id }).await;
+    }
+
+    async fn read(&self, mut stream: &Async<TcpStream>, client: &Rc<Client>) -> End {
+        let mut held: Vec<u8> = Vec::new();
+        let mut bytes = vec![0; 16 * 1024];
+        loop {
+            let got = self.clock.by(self.clock.now() + SILENT, stream.read(&mut bytes)).await;
+            let n = match got {
+                Some(Ok(0) | Err(_)) => return End::PeerLeft,
+                Some(Ok(n)) => n,
+                None if client.open.borrow().is_empty() => return End::PeerSilent,
+                None => continue,
+            };
+            let at = self.clock.now();
+            held.extend_from_slice(&bytes[..n]);
+            let mut used = 0;
+            while used < held.len() {
+                let len = match rpc::message(&held[used..]) {
+                    Ok(None) => break,
+                    Ok(Some((message, len))) => {
+                        if !self.take(client, message, at).await {
+                            return End::PeerDamaged;
+                        }
+                        len
+                    }
+                    Err((fault, len)) => {
+                        self.counters.add("client messages refused");
+                        log::debug!("a client's message is refused: {fault:?}");
+                        let (Fault::Damaged { id } | Fault::Refused { id, .. }) = fault;
+                        let answered = id.is_some_and(|id| client.take(id));
+                        if answered {
+                            client.refuse(id.unwrap_or(0), Word::Invalid, &[]);
+                        }
+                        if !answered || matches!(fault, Fault::Damaged { .. }) {
+                            return End::PeerDamaged;
+                        }
+                        len
+                    }
+                };
+                used += len;
+            }
+            held.drain(..used);
+            if held.is_empty() {
+                held.shrink_to(bytes.len());
+            }
+        }
+    }
+
+    /// `false`: the connection can't go on.
+    async fn take(&self, client: &Rc<Client>, message: Message, at: Time) -> bool {
+        let event = match message {
+            Message::Interrupt { ids } => {
+                for id in ids {
+                    if client.open.borrow_mut().remove(&id) {
+                        self.counters.add("requests interrupted");
+                        _ = self.desk.send(Event::Interrupted { client: client.id, id }).await;
+                    }
+                }
+                return true;
+            }
+            Message::Check { id } | Message::Request { id, .. } if !client.take(id) => {
+                self.counters.add("message ids used again");
+                return false;
+            }
+            Message::Check { id } => Event::Check { client: Rc::clone(client), id },
+            Message::Request { id, .. } if client.open.borrow().len() > MOST_OPEN => {
+                self.counters.add("requests over the connection's bound");
+                client.refuse(id, Word::Backoff, &[]);
+                return true;
+            }
+            Message::Request { id, method, ask } => {
+                self.counters.add("requests");
+                Event::Asked { client: Rc::clone(client), id, method, ask: Box::<Ask>::new(ask), at }
+            }
+        };
+        // It fails only when the desk has ended, and with it the process.
+        _ = self.desk.send(event).await;
+        true
+    }
+
+    async fn write(&self, stream: &Async<TcpStream>, frames: &Receiver<Frame>) -> End {
+        while let Ok(mut frame) = frames.recv().await {
+            if let Some((_, id)) = frame.until.filter(|(until, _)| *until < self.clock.now()) {
+                // Nobody waits for these bytes: they would only keep the buffers and the line busy.
+                self.counters.add("answers too late to write");
+                (frame.head, frame.body) = (rpc::unserved(id, Word::Lost, &[]), None);
+                frame.tail.clear();
+            }
+            let body = frame.body.iter().flat_map(Body::slices);
+            let parts = std::iter::once(frame.head.as_slice()).chain(body).chain([frame.tail.as_slice()]);
+            let mut slices: Vec<IoSlice> = parts.map(IoSlice::new).collect();
+            if let Err(end) = self.write_all(stream, &mut slices).await {
+                return end;
+            }
+        }
+        End::PeerLeft
+    }
+
+    async fn write_all(
+        &self,
+        mut stream: &Async<TcpStream>,
+        mut slices: &mut [IoSlice<'_>],
+    ) -> Result<(), End> {
+        IoSlice::advance_slices(&mut slices, 0);
+        while !slices.is_empty() {
+            let limit = self.clock.now() + STALLED;
+            let written: Option<io::Result<usize>> =
+                self.clock.by(limit, stream.write_vectored(slices)).await;
+            match written {
+                None => return Err(End::PeerStalled),
+                Some(Ok(0) | Err(_)) => return Err(End::PeerLeft),
+                Some(Ok(n)) => IoSlice::advance_slices(&mut slices, n),
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/gateway/src/clock.rs
@@ -0,0 +1,42 @@
+//! Owns the gateway's one source of time: the Unix time read once at the start, carried on by a clock that never
+//! runs back. Must never be asked for a time by another way; sleeping is by the same clock.
+
+use async_io::Timer;
+use futures_lite::{FutureExt, future};
+use kelpcart::{Span, Time};
+use std::future::Future;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix }
+    }
+
+    pub fn now(&self) -> Time {
+        Time::from_micros((self.unix + self.start.elapsed()).as_micros() as u64)
+    }
+
+    pub async fn sleep_until(&self, at: Time) {
+        Timer::after(Duration::from_micros((at - self.now()).as_micros())).await;
+    }
+
+    /// What `work` gives, or `None` when it is not done by `at`.
+    pub async fn by<T>(&self, at: Time, work: impl Future<Output = T>) -> Option<T> {
+        let late = async {
+            self.sleep_until(at).await;
+            None
+        };
+        future::or(async { Some(work.await) }, late.boxed_local()).await
+    }
+}
+
+pub const fn millis(n: u64) -> Span {
+    Span::from_millis(n)
+}
--- /dev/null
+++ b/gateway/src/config.rs
@@ -0,0 +1,153 @@
+//! Reads the configuration, once, before anything listens. Owns the names in it; must never hold a value that the
+//! operators did not give.
+
+use kelpcart::interface::{Member, MemberState, Settings};
+use kelpcart::{Span, Time};
+use kelpcart_settings::*;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub memory: usize,
+    pub sockets: usize,
+    pub bulletin: SocketAddr,
+    /// The events of the start, and the number of the last.
+    pub known: Vec<News>,
+    pub last: u64,
+    pub settings: Settings,
+    pub names: Names,
+    /// Idle connections to caches are closed by these after this time.
+    pub idle: Span,
+    pub most_open: usize,
+    /// The longest time that a client waits, as far as a planned restart allows for it.
+    pub longest: Span,
+}
+
+/// Names that stand for the settings' places.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub rules: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+/// An event of the bulletin.
+#[derive(Clone, Debug)]
+pub enum News {
+    Roster { whole: bool, list: Vec<Listed> },
+    Purge { object: Option<u64>, group: u64, issued_ms: u64 },
+}
+
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub member: Member,
+    /// `None` where it is not told or can't be read: such a member can't be reached.
+    pub address: Option<SocketAddr>,
+}
+
+impl Config {
+    pub fn read(json: &str) -> Found<Config> {
+        let all: Value = serde_json::from_str(json).map_err(|e| format!("not JSON: {e}"))?;
+        let all = all.as_object().ok_or("not an object")?;
+        let inside = |what: &str, e: String| format!("{what}: {e}");
+        let told = object(all, "settings")?;
+        let names = Names {
+            rules: named(told, "Classes").map_err(|e| inside("settings", e))?,
+            zones: named(told, "Zones").map_err(|e| inside("settings", e))?,
+            kinds: named(told, "Shapes").map_err(|e| inside("settings", e))?,
+        };
+        let limits = object(all, "limits")?;
+        let policy = object(told, "PolicyLimits").map_err(|e| inside("settings", e))?;
+        let known = object(all, "known")?;
+        let mut events = Vec::new();
+        for item in list(known, "items")? {
+            events.extend(news(item, &names).map_err(|e| inside("known", e))?.1);
+        }
+        let deadlines = list(told, "Classes")?.iter().filter_map(|c| c.get("DeadlineUs")?.as_u64());
+        Ok(Config {
+            name: text(all, "name")?.to_owned(),
+            listen: address(all, "listen")?,
+            seed: hex(text(all, "seed")?).ok_or("seed is not a number in hex digits")?,
+            memory: int(limits, "memory_mb")? as usize * 1024 * 1024,
+            sockets: int(limits, "sockets")? as usize,
+            bulletin: address(all, "bulletin")?,
+            known: events,
+            last: int(known, "no")?,
+            settings: settings(told).map_err(|e| inside("settings", e))?,
+            idle: span(policy, "ConnIdleUs").map_err(|e| inside("settings", e))?,
+            most_open: int(policy, "MaxOpen").map_err(|e| inside("settings", e))? as usize,
+            longest: Span::from_micros(deadlines.max().unwrap_or(0)),
+            names,
+        })
+    }
+}
+
+/// The number of an event and what it says; `None` for kinds of event not known here.
+pub fn news(item: &Value, names: &Names) -> Found<(u64, Option<News>)> {
+    let item = item.as_object().ok_or("not an event")?;
+    let no = int(item, "no")?;
+    if item.contains_key("roster") {
+        let roster = object(item, "roster")?;
+        let list: Found<Vec<Listed>> = list(roster, "endpoints")?.iter().map(|e| listed(e, names)).collect();
+        let whole = optional(roster, "snapshot", flag)?.unwrap_or(false);
+        return Ok((no, Some(News::Roster { whole, list: list? })));
+    }
+    if !item.contains_key("recall") {
+        return Ok((no, None));
+    }
+    let recall = object(item, "recall")?;
+    let named = optional(recall, "item", |r, n| hex(text(r, n)?).ok_or("item is not hex digits".into()))?;
+    let group = optional(recall, "lot", int)?;
+    if named.is_none() && group.is_none() {
+        return Err("recall names nothing".into());
+    }
+    let issued_ms = int(recall, "issued")?;
+    Ok((no, Some(News::Purge { object: named, group: group.unwrap_or(0), issued_ms })))
+}
+
+fn listed(entry: &Value, names: &Names) -> Found<Listed> {
+    let entry = entry.as_object().ok_or("an endpoint is not an object")?;
+    let state = match text(entry, "status")? {
+        "up" => MemberState::Up,
+        "draining" => MemberState::Draining,
+        "removed" => MemberState::Gone,
+        status => return Err(format!("unknown status {status}")),
+    };
+    // A place that the settings don't name is one of its own: no zone or kind is taken for another.
+    let place = |name: &str, of: &[String]| {
+        let told = entry.get(name).and_then(Value::as_str);
+        told.and_then(|t| of.iter().position(|n| n == t)).unwrap_or(of.len())
+    };
+    let started = optional(entry, "since_ms", int)?.filter(|&ms| ms > 0);
+    let member = Member {
+        id: Arc::from(text(entry, "name")?),
+        zone: place("zone", &names.zones),
+        kind: place("type", &names.kinds),
+        cell: optional(entry, "group", int)?.unwrap_or(0),
+        state,
+        size: optional(entry, "weight", number)?.unwrap_or(0.0),
+        started: started.map(|ms| Time::from_micros(ms.saturating_mul(1_000))),
+    };
+    let address = entry.get("address").and_then(Value::as_str).and_then(|a| a.parse().ok());
+    Ok(Listed { member, address })
+}
+
+fn named(body: &Fields, name: &str) -> Found<Vec<String>> {
+    let one = |v: &Value| {
+        let told = v.as_str().or_else(|| v.get("Name")?.as_str());
+        told.map(str::to_owned).ok_or_else(|| format!("{name} holds one without a name"))
+    };
+    list(body, name)?.iter().map(one).collect()
+}
+
+fn address(body: &Fields, name: &str) -> Found<SocketAddr> {
+    text(body, name)?.parse().map_err(|_| format!("{name} is not an address"))
+}
+
+fn hex(text: &str) -> Option<u64> {
+    u64::from_str_radix(text, 16).ok()
+}
--- /dev/null
+++ b/gateway/src/desk.rs
@@ -0,0 +1,312 @@
+//! The one task that owns the module, and the table of open txns. Everything reaches it through one queue; it calls
+//! the module's inputs, pulls its decisions until there is none, carries them out and sleeps until the module's
+//! next time. Must never decide in the module's place, give a txn two final answers, or let it have none: what
+//! still comes for one that has ended is told to the module and goes no further.
+
+use crate::Tasks;
+use crate::caches::{Caches, Ended, Job};
+use crate::clients::Client;
+use crate::clock::{Clock, millis};
+use crate::config::{Config, News};
+use crate::counters::Counters;
+use crate::end::End;
+use crate::http;
+use crate::rpc::{Ask, Word};
+use async_channel::{Receiver, Sender};
+use async_executor::Task;
+use kelpcart::interface::*;
+use kelpcart::{Gateway, Span, Time};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+/// After SIGTERM: requests still come for this long; all is answered this long before the longest wait and the
+/// time given on top of it are over; bytes written get this long to leave.
+const STILL_COMING: Span = millis(700);
+const ANSWERED_BEFORE: Span = millis(250);
+const LEAVING: Span = millis(50);
+/// The longest wait that a planned restart allows for.
+const LONGEST: Span = millis(3_000);
+/// A client that leaves this shortly before its time is over has waited for it.
+const AT_LIMIT: Span = millis(20);
+
+pub enum Event {
+    Asked { client: Rc<Client>, id: u64, method: String, ask: Box<Ask>, at: Time },
+    Check { client: Rc<Client>, id: u64 },
+    Interrupted { client: u64, id: u64 },
+    Left { client: u64 },
+    HopEnded { txn: TxnId, hop: u32, ended: Ended },
+    News(News),
+    Stop,
+}
+
+struct Open {
+    client: Rc<Client>,
+    id: u64,
+    rule: usize,
+    ask: Rc<Ask>,
+    limit: Time,
+    hops: u32,
+}
+
+struct Out {
+    task: Option<Task<()>>,
+    sent: Time,
+    until: Time,
+}
+
+pub struct Desk {
+    gateway: Gateway,
+    clock: Clock,
+    tasks: Tasks,
+    caches: Rc<Caches>,
+    counters: Rc<Counters>,
+    queue: (Sender<Event>, Receiver<Event>),
+    /// Ends of hops that never came to a connection.
+    own: VecDeque<(TxnId, u32, End)>,
+    open: BTreeMap<TxnId, Open>,
+    by_message: BTreeMap<(u64, u64), TxnId>,
+    out: BTreeMap<(TxnId, u32), Out>,
+    next: TxnId,
+    rules: Vec<(Rc<str>, bool)>,
+    max_hops: u32,
+    most_open: usize,
+    /// Bytes of the bodies of open writes, and their bound.
+    held: usize,
+    most_held: usize,
+    longest: Span,
+    stopped: Option<Time>,
+}
+
+impl Desk {
+    pub fn new(
+        config: Config,
+        clock: Clock,
+        tasks: Tasks,
+        caches: Rc<Caches>,
+        counters: Rc<Counters>,
+        queue: (Sender<Event>, Receiver<Event>),
+    ) -> Desk {
+        let set = config.settings;
+        let rules = config.names.rules.iter().zip(&set.rules).map(|(n, r)| (Rc::from(n.as_str()), r.write));
+        let mut desk = Desk {
+            rules: rules.collect(),
+            max_hops: set.max_hops,
+            most_open: config.most_open,
+            held: 0,
+            most_held: config.memory / 8,
+            longest: config.longest.min(LONGEST),
+            gateway: Gateway::new(set, config.seed, clock.now()),
+            clock,
+            tasks,
+            caches,
+            counters,
+            queue,
+            own: VecDeque::new(),
+            open: BTreeMap::new(),
+            by_message: BTreeMap::new(),
+            out: BTreeMap::new(),
+            next: 0,
+            stopped: None,
+        };
+        for said in config.known {
+            desk.news(said);
+        }
+        desk
+    }
+
+    /// Ends some time after `Stop`, with all answered.
+    pub async fn run(mut self) {
+        loop {
+            let now = self.clock.now();
+            self.pull(now);
+            if let Some(at) = self.stopped {
+                let end = at + self.longest + STILL_COMING;
+                if now + ANSWERED_BEFORE >= end {
+                    self.abort_all();
+                }
+                let quiet = self.open.is_empty() && self.counters.unwritten.get() == 0;
+                if quiet && now - at >= STILL_COMING || now + LEAVING >= end {
+                    self.clock.sleep_until(now + LEAVING).await;
+                    return;
+                }
+            }
+            let mut wake = self.gateway.next_wake();
+            if self.stopped.is_some() {
+                wake = wake.min(now + LEAVING);
+            }
+            if let Some(Ok(event)) = self.clock.by(wake, self.queue.1.recv()).await {
+                self.event(event);
+                while let Ok(event) = self.queue.1.try_recv() {
+                    self.event(event);
+                }
+            }
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Asked { client, id, method, ask, at } => self.asked(client, id, &method, ask, at),
+            Event::Check { client, id } => client.check(id, self.stopped.is_none()),
+            Event::Interrupted { client, id } => self.left((client, id)),
+            Event::Left { client } => {
+                let of_client = self.by_message.range((client, 0)..=(client, u64::MAX));
+                let keys: Vec<_> = of_client.map(|(key, _)| *key).collect();
+                keys.into_iter().for_each(|key| self.left(key));
+            }
+            Event::HopEnded { txn, hop, ended } => self.ended(txn, hop, ended),
+            Event::News(said) => self.news(said),
+            Event::Stop => {
+                self.stopped.get_or_insert(self.clock.now());
+            }
+        }
+    }
+
+    fn news(&mut self, said: News) {
+        let now = self.clock.now();
+        match said {
+            News::Roster { whole, list } => {
+                self.caches.members(whole, &list);
+                self.gateway.members(now, whole, list.into_iter().map(|l| l.member).collect());
+            }
+            News::Purge { object, group, issued_ms } => {
+                // The end of its millisecond, lest a copy made in the same one passes for newer.
+                let at = Time::from_micros(issued_ms.saturating_add(1).saturating_mul(1_000));
+                self.gateway.purged(now, object, group, now - at);
+            }
+        }
+    }
+
+    fn asked(&mut self, client: Rc<Client>, id: u64, method: &str, ask: Box<Ask>, at: Time) {
+        let Some(rule) = self.rules.iter().position(|(name, _)| **name == *method) else {
+            self.counters.add("unknown methods");
+            return client.refuse(id, Word::Invalid, &[]);
+        };
+        // The bounds of the process itself: nothing has run, so that another try is harmless.
+        if self.open.len() >= self.most_open || self.held + ask.body.len() > self.most_held {
+            self.counters.add("requests over the open bound");
+            return client.refuse(id, Word::Backoff, &[]);
+        }
+        self.next += 1;
+        let (txn, now) = (self.next, self.clock.now());
+        let limit = at + millis(ask.timeout_ms.min(u64::from(u32::MAX)));
+        let size = ask.need.as_deref().and_then(|n| n.trim().parse().ok());
+        let size = size.filter(|kb: &f64| kb.is_finite() && *kb > 0.0);
+        let (object, group, part, write) = (ask.object, ask.group, ask.part, self.rules[rule].1);
+        let left = limit - now;
+        self.held += ask.body.len();
+        self.by_message.insert((client.id, id), txn);
+        self.open.insert(txn, Open { client, id, rule, ask: Rc::from(ask), limit, hops: 0 });
+        self.gateway.txn(now, Txn { id: txn, rule, object, group, part, write, size, left });
+    }
+
+    /// Takes a txn off the table: from here on it can't be answered again.
+    fn close(&mut self, txn: TxnId) -> Option<Open> {
+        let open = self.open.remove(&txn)?;
+        self.by_message.remove(&(open.client.id, open.id));
+        self.held -= open.ask.body.len();
+        Some(open)
+    }
+
+    /// The client does not wait any more: what is out for it is given up.
+    fn left(&mut self, key: (u64, u64)) {
+        let Some(txn) = self.by_message.get(&key).copied() else { return };
+        self.close(txn);
+        self.gateway.hangup(txn);
+        self.counters.add("txns left by their client");
+        let now = self.clock.now();
+        let hops: Vec<_> = self.out.range((txn, 0)..=(txn, u32::MAX)).map(|(k, o)| (k.1, o.until)).collect();
+        for (hop, until) in hops {
+            self.take_back(txn, hop, if now + AT_LIMIT >= until { End::Late } else { End::Withdrawn });
+        }
+    }
+
+    fn take_back(&mut self, txn: TxnId, hop: u32, end: End) {
+        let Some(out) = self.out.get_mut(&(txn, hop)) else { return };
+        // One that has ended has its outcome in the queue already.
+        if let Some(task) = out.task.take_if(|task| !task.is_finished()) {
+            drop(task);
+            self.counters.ended(end);
+            self.own.push_back((txn, hop, end));
+        }
+    }
+
+    fn ended(&mut self, txn: TxnId, hop: u32, ended: Ended) {
+        let Some(out) = self.out.remove(&(txn, hop)) else { return };
+        let Some(end) = ended.end.to_module() else { return };
+        let now = self.clock.now();
+        if end == HopEnd::Completed
+            && let Some(open) = self.close(txn)
+        {
+            self.counters.add("txns completed");
+            open.client.serve(open.id, ended.body, open.limit);
+        }
+        let link = ended.stats.as_deref().and_then(|report| http::stat(report, "x1"));
+        let first_byte = ended.waited.filter(|waited| *waited > Span::ZERO);
+        let (took, closed, note) = (now - out.sent, !self.open.contains_key(&txn), ended.note);
+        let load = Load { link };
+        self.gateway.outcome(now, Outcome { txn, hop, end, took, closed, note, first_byte, load });
+    }
+
+    fn pull(&mut self, now: Time) {
+        loop {
+            while let Some(decision) = self.gateway.poll(now) {
+                self.order(now, decision);
+            }
+            let Some((txn, hop, end)) = self.own.pop_front() else { return };
+            self.ended(txn, hop, end.into());
+        }
+    }
+
+    fn order(&mut self, now: Time, decision: Decision) {
+        match decision {
+            Decision::Hop { txn, member, fill, limit } => self.hop(now, txn, member, fill, limit),
+            Decision::Cancel { txn, hop } => self.take_back(txn, hop, End::Withdrawn),
+            Decision::Reject { txn, come_back } => {
+                let Some(open) = self.close(txn) else { return };
+                self.counters.add("txns rejected");
+                let wait = come_back.map(|span| (span.as_micros() / 1_000).to_string());
+                let fields = wait.as_deref().map(|wait| ("holdoff", wait));
+                open.client.refuse(open.id, Word::Backoff, fields.as_slice());
+            }
+            Decision::Abort { txn } => {
+                let Some(open) = self.close(txn) else { return };
+                self.counters.add("txns aborted");
+                open.client.refuse(open.id, Word::Lost, &[]);
+            }
+            // The bulletin is followed from the start.
+            Decision::Subscribe => {}
+        }
+    }
+
+    fn hop(&mut self, now: Time, txn: TxnId, member: MemberId, fill: Option<Fill>, limit: Time) {
+        let Some(open) = self.open.get_mut(&txn) else { return };
+        let hop = open.hops;
+        open.hops += 1;
+        let until = limit.min(open.limit);
+        let (rule, write) = self.rules[open.rule].clone();
+        let job = Job { member, until, rule, write, ask: Rc::clone(&open.ask), fill };
+        let mut task = None;
+        if hop >= self.max_hops || until <= now {
+            self.own.push_back((txn, hop, End::LateUnsent));
+        } else {
+            let (caches, queue) = (Rc::clone(&self.caches), self.queue.0.clone());
+            task = Some(self.tasks.spawn(async move {
+                let ended = caches.hop(job).await;
+                // It fails only when the desk has ended, and with it the process.
+                _ = queue.try_send(Event::HopEnded { txn, hop, ended });
+            }));
+        }
+        self.out.insert((txn, hop), Out { task, sent: now, until });
+    }
+
+    /// The restart can't wait longer: what is still open gets an answer that promises nothing.
+    fn abort_all(&mut self) {
+        for txn in self.open.keys().copied().collect::<Vec<_>>() {
+            if let Some(open) = self.close(txn) {
+                self.counters.add("txns aborted at the stop");
+                self.gateway.hangup(txn);
+                open.client.refuse(open.id, Word::Lost, &[]);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/end.rs
@@ -0,0 +1,95 @@
+//! Owns every way in which a connection can end, or the hop that it carries, and what each means to the module: the
+//! mapping stands here and nowhere else. Must never call a hop not run unless that is proven: no connection
+//! came up, the request was not written whole, or the cache said so.
+
+use kelpcart::interface::HopEnd;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// 200: the bytes, whole.
+    Whole,
+    /// 304: the client's own copy is the one.
+    Current,
+    /// 404.
+    Lacking,
+    /// 503 with the word that it never ran.
+    Full,
+    /// 504 with the word that it never ran.
+    Over,
+    /// 500, or any other answer that proves nothing.
+    Errored,
+    /// No connection: refused, or the network said no.
+    Refused,
+    /// No connection within the connect limit.
+    NoConnection,
+    /// The own descriptors are used up, or the member has no address.
+    NoSocket,
+    /// The hop's time was over before its request was written whole.
+    LateUnsent,
+    /// The connection ended before the request was written whole.
+    CutUnsent,
+    /// A connection kept from earlier was found closed before the request was written whole.
+    KeptClosed,
+    /// The connection ended after that, before the answer was whole.
+    Cut,
+    /// The answer can't be read, is longer than told or larger than allowed.
+    Damaged,
+    /// The hop's time was over.
+    Late,
+    /// Taken back by the module.
+    Withdrawn,
+    /// A client or the bulletin closed, or broke off.
+    PeerLeft,
+    /// Nothing came from it for longer than it may be silent.
+    PeerSilent,
+    /// It stopped reading what was written to it.
+    PeerStalled,
+    /// What it sent can't be read.
+    PeerDamaged,
+}
+
+impl End {
+    pub const ALL: [End; 20] = [
+        End::Whole,
+        End::Current,
+        End::Lacking,
+        End::Full,
+        End::Over,
+        End::Errored,
+        End::Refused,
+        End::NoConnection,
+        End::NoSocket,
+        End::LateUnsent,
+        End::CutUnsent,
+        End::KeptClosed,
+        End::Cut,
+        End::Damaged,
+        End::Late,
+        End::Withdrawn,
+        End::PeerLeft,
+        End::PeerSilent,
+        End::PeerStalled,
+        End::PeerDamaged,
+    ];
+
+    /// `None`: the connection carried no hop.
+    pub fn to_module(self) -> Option<HopEnd> {
+        Some(match self {
+            End::Whole | End::Current => HopEnd::Completed,
+            End::Lacking => HopEnd::Lacking,
+            End::Full => HopEnd::TurnedAway,
+            End::Errored => HopEnd::Errored,
+            End::Refused | End::NoConnection | End::CutUnsent => HopEnd::Unreachable,
+            End::Over | End::NoSocket | End::LateUnsent | End::KeptClosed => HopEnd::NeverSent,
+            End::Cut | End::Damaged => HopEnd::Broken,
+            End::Late => HopEnd::TimedOut,
+            End::Withdrawn => HopEnd::Withdrawn,
+            End::PeerLeft | End::PeerSilent | End::PeerStalled | End::PeerDamaged => return None,
+        })
+    }
+
+    /// The answer came whole, so that the connection can carry another request.
+    pub fn leaves_connection(self) -> bool {
+        matches!(self, End::Whole | End::Current | End::Lacking | End::Full | End::Over | End::Errored)
+    }
+}
--- /dev/null
+++ b/gateway/src/http.rs
@@ -0,0 +1,149 @@
+//! Writes requests to caches and reads the heads of their answers (HTTP/1.1), without I/O. Must never panic on
+//! what a peer sends, nor take in a head beyond its bound; the body's bytes are the caller's.
+
+use crate::number;
+use kelpcart::Span;
+use kelpcart::interface::{Fill, Note};
+use std::fmt::Write;
+
+pub const MOST_HEAD: usize = 8 * 1024;
+
+/// What goes out with a hop, beside its body.
+pub struct Request<'a> {
+    pub rule: &'a str,
+    pub object: &'a str,
+    pub part: u64,
+    pub trace: &'a str,
+    pub host: &'a str,
+    pub patience: Span,
+    pub fill: Option<&'a Fill>,
+    pub have: Option<&'a str>,
+    /// The length of a write's body.
+    pub body: Option<usize>,
+}
+
+impl Request<'_> {
+    pub fn encode(&self) -> Vec<u8> {
+        let method = if self.body.is_some() { "POST" } else { "GET" };
+        let mut head = String::with_capacity(320);
+        // Writing to a string can't fail.
+        let mut line = |args: std::fmt::Arguments| _ = head.write_fmt(args);
+        line(format_args!("{method} /x/{}/{}/{} HTTP/1.1\r\n", self.rule, self.object, self.part));
+        line(format_args!("Host: {}\r\nX-Trace: {}\r\n", self.host, self.trace));
+        // Rounded down: the cache gives up no later than the gateway.
+        line(format_args!("X-Patience: {}\r\n", (self.patience.as_micros() / 1_000).max(1)));
+        if let Some(fill) = self.fill {
+            line(format_args!("X-Fill-From: {}\r\n", fill.source));
+            if fill.keep > 0 {
+                line(format_args!("X-Keep: {}\r\n", fill.keep));
+            }
+            if let Some(oldest) = fill.oldest {
+                // Rounded down, but never to 0: that would lift the limit.
+                line(format_args!("X-Max-Age-Ms: {}\r\n", (oldest.as_micros() / 1_000).max(1)));
+            }
+            let flags = [(fill.join, "ride"), (fill.held_only, "have-only"), (fill.renew, "update")];
+            let flags: Vec<&str> = flags.iter().filter(|f| f.0).map(|f| f.1).collect();
+            if !flags.is_empty() {
+                line(format_args!("X-Flags: {}\r\n", flags.join("+")));
+            }
+        }
+        if let Some(tag) = self.have {
+            line(format_args!("If-None-Match: {tag}\r\n"));
+        }
+        if let Some(len) = self.body {
+            line(format_args!("Content-Length: {len}\r\n"));
+        }
+        head.push_str("\r\n");
+        head.into_bytes()
+    }
+}
+
+#[derive(Debug, Default, PartialEq)]
+pub struct Head {
+    pub status: u16,
+    pub length: usize,
+    /// The answer says that the txn never ran.
+    pub declined: bool,
+    pub close: bool,
+    pub note: Option<Note>,
+    pub waited: Option<Span>,
+    /// The load report's text.
+    pub stats: Option<Vec<u8>>,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub struct Damaged(pub &'static str);
+
+/// The head at the start of `bytes` and its length; `None` while it is not whole.
+pub fn head(bytes: &[u8]) -> Result<Option<(Head, usize)>, Damaged> {
+    let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") else {
+        if bytes.len() >= MOST_HEAD {
+            return Err(Damaged("a head is too long"));
+        }
+        let status = &bytes[..bytes.len().min(5)];
+        return if b"HTTP/".starts_with(status) { Ok(None) } else { Err(Damaged("not HTTP")) };
+    };
+    if end + 4 > MOST_HEAD {
+        return Err(Damaged("a head is too long"));
+    }
+    let mut lines = bytes[..end].split(|&b| b == b'\n').map(|l| l.strip_suffix(b"\r").unwrap_or(l));
+    let first = lines.next().unwrap_or_default();
+    let status = first.strip_prefix(b"HTTP/1.").filter(|f| f.len() >= 5 && f[1] == b' ');
+    let status = status.and_then(|f| number(&f[2..5])).filter(|s| (200..600).contains(s));
+    let mut found = Head { status: status.ok_or(Damaged("no status"))?, ..Head::default() };
+    found.close = first.starts_with(b"HTTP/1.0");
+    let mut length = None;
+    for line in lines {
+        let colon = line.iter().position(|&b| b == b':').ok_or(Damaged("a field without a colon"))?;
+        let (name, value) = (&line[..colon], line[colon + 1..].trim_ascii());
+        if name.eq_ignore_ascii_case(b"content-length") {
+            let told = number(value).ok_or(Damaged("a length that is no number"))?;
+            if length.replace(told).is_some_and(|other| other != told) {
+                return Err(Damaged("two lengths"));
+            }
+        } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
+            return Err(Damaged("a transfer encoding"));
+        } else if name.eq_ignore_ascii_case(b"connection") {
+            found.close |= value.eq_ignore_ascii_case(b"close");
+        } else if name.eq_ignore_ascii_case(b"x-declined") {
+            found.declined = value == b"1";
+        } else if name.eq_ignore_ascii_case(b"x-result") {
+            found.note = note(value);
+        } else if name.eq_ignore_ascii_case(b"x-waited-ms") {
+            found.waited = number::<f64>(value).map(|ms| Span::from_secs_f64(ms / 1e3));
+        } else if name.eq_ignore_ascii_case(b"x-stats") {
+            found.stats = Some(value.to_vec());
+        }
+    }
+    found.length = match (found.status, length) {
+        (204 | 304, _) => 0,
+        (_, Some(length)) => length,
+        (_, None) => return Err(Damaged("no length")),
+    };
+    Ok(Some((found, end + 4)))
+}
+
+fn note(word: &[u8]) -> Option<Note> {
+    Some(match word {
+        b"hit" => Note::Held,
+        b"filled" => Note::Filled,
+        b"via_origin" => Note::FilledByOrigin,
+        b"joined" => Note::Joined,
+        b"stale" => Note::Old,
+        b"src_refused" => Note::SourceRefused,
+        b"src_broke" => Note::SourceLost,
+        b"src_lacks" => Note::SourceLacks,
+        b"no_slot" => Note::NoPlace,
+        b"origin_failed" => Note::OriginFailed,
+        _ => return None,
+    })
+}
+
+/// A value of a load report such as `inflight:7;util:0.61`.
+pub fn stat(report: &[u8], name: &str) -> Option<f64> {
+    let mut pairs = report.split(|&b| b == b';');
+    pairs.find_map(|pair| {
+        let value = pair.trim_ascii().strip_prefix(name.as_bytes())?.strip_prefix(b":")?;
+        number(value).filter(|v: &f64| v.is_finite())
+    })
+}
--- /dev/null
+++ b/gateway/src/lib.rs
@@ -0,0 +1,24 @@
+//! The gateway on sockets: everything round the decision module that talks to clients, caches and the bulletin.
+
+pub mod buffers;
+pub mod bulletin;
+pub mod caches;
+pub mod clients;
+pub mod clock;
+pub mod config;
+pub mod counters;
+pub mod desk;
+pub mod end;
+pub mod http;
+pub mod logger;
+pub mod rpc;
+
+use async_executor::LocalExecutor;
+
+/// The one thread's tasks; it lives as long as the process.
+pub type Tasks = &'static LocalExecutor<'static>;
+
+/// A number that an unsigned field of a peer's message holds.
+pub fn number<T: std::str::FromStr>(text: &[u8]) -> Option<T> {
+    std::str::from_utf8(text).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/gateway/src/main.rs
@@ -0,0 +1,87 @@
+//! Starts one gateway: reads the environment and the configuration, listens, runs until SIGTERM and ends when all
+//! is answered. Must never listen before the configuration is whole, nor elsewhere than it is told.
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use async_signal::{Signal, Signals};
+use futures_lite::{StreamExt, future};
+use kelpcart_gateway::buffers::Pool;
+use kelpcart_gateway::bulletin::Bulletin;
+use kelpcart_gateway::caches::Caches;
+use kelpcart_gateway::clients::Front;
+use kelpcart_gateway::clock::Clock;
+use kelpcart_gateway::config::Config;
+use kelpcart_gateway::counters::Counters;
+use kelpcart_gateway::desk::{Desk, Event};
+use kelpcart_gateway::{Tasks, logger};
+use std::env;
+use std::net::TcpListener;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+/// Descriptors that neither clients nor hops may take: the listener, the bulletin, signals, the event queue.
+const RESERVE: usize = 32;
+
+fn main() -> ExitCode {
+    logger::start();
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("kelpcart: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<(), String> {
+    let path = env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG is not set")?;
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
+    let mut config = Config::read(&text).map_err(|e| format!("{path}: {e}"))?;
+    if let Ok(listen) = env::var("NODE_LISTEN") {
+        config.listen = listen.parse().map_err(|_| "NODE_LISTEN is not an address")?;
+    }
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1]);
+    let signals = signals.map_err(|e| format!("signals: {e}"))?;
+    let listener = Async::<TcpListener>::bind(config.listen);
+    let listener = listener.map_err(|e| format!("{}: {e}", config.listen))?;
+    let tasks: Tasks = Box::leak(Box::new(LocalExecutor::new()));
+    async_io::block_on(tasks.run(run(tasks, config, listener, signals)));
+    Ok(())
+}
+
+async fn run(tasks: Tasks, config: Config, listener: Async<TcpListener>, mut signals: Signals) {
+    let (clock, counters) = (Clock::start(), Rc::new(Counters::default()));
+    let (desk, events) = async_channel::unbounded();
+    // Clients hold a third of the descriptors at most; some of theirs may still be closing.
+    let clients = config.sockets / 3 + RESERVE / 4;
+    let hops = config.sockets.saturating_sub(clients + RESERVE).max(1);
+    let pool = Pool::new(config.memory / 2);
+    let connect = config.settings.connect_limit;
+    let caches = Caches::new(clock, pool, Rc::clone(&counters), connect, config.idle, hops);
+    caches.sweep(tasks);
+    let bulletin = Bulletin {
+        address: config.bulletin,
+        last: config.last,
+        names: config.names.clone(),
+        clock,
+        counters: Rc::clone(&counters),
+        desk: desk.clone(),
+    };
+    tasks.spawn(bulletin.follow()).detach();
+    let front = Front { tasks, clock, counters: Rc::clone(&counters), desk: desk.clone(), most: clients };
+    tasks.spawn(front.accept(listener)).detach();
+    log::info!("{} listens on {}", config.name, config.listen);
+    let work = Desk::new(config, clock, tasks, caches, Rc::clone(&counters), (desk.clone(), events)).run();
+    let told = async {
+        while let Some(signal) = signals.next().await {
+            match signal {
+                Ok(Signal::Usr1) => log::info!("{counters}"),
+                Ok(_) => _ = desk.send(Event::Stop).await,
+                Err(e) => log::warn!("signals: {e}"),
+            }
+        }
+        future::pending().await
+    };
+    future::or(work, told).await;
+    log::info!("{counters}");
+}
--- /dev/null
+++ b/settings/src/lib.rs
@@ -0,0 +1,126 @@
+//! Reads the settings that a gateway is given at its start, for every host of the module alike, and the fields
+//! of JSON objects. Owns the settings' names; must never hold a value of its own.
+
+use kelpcart::Span;
+use kelpcart::interface::*;
+use serde_json::{Map, Value};
+
+pub type Fields = Map<String, Value>;
+pub type Found<T> = Result<T, String>;
+
+pub fn settings(all: &Fields) -> Found<Settings> {
+    let family = object(all, "FamilyInfo")?;
+    let limits = object(all, "PolicyLimits")?;
+    let contract = object(all, "Contract")?;
+    let zone = int(all, "Locality")? as usize;
+    let kind = |name| Ok::<_, String>(whole(family, name)?.and_then(|k| usize::try_from(k).ok()));
+    let classes = list(all, "Classes")?;
+    let over = span(contract, "TipAfterUs")?;
+    Ok(Settings {
+        gateways: int(all, "Instances")? as u32,
+        zone_gateways: at(family, "CrewByZone", zone).and_then(Value::as_u64).unwrap_or(0) as u32,
+        zone,
+        rules: classes.iter().enumerate().map(|(i, c)| rule(c, i, family)).collect::<Found<_>>()?,
+        parent_kind: kind("ParentKind")?,
+        origin_kind: kind("OriginKind")?,
+        client_pace: optional(family, "ClientKbPerS", number)?.unwrap_or(0.0),
+        sized: text(all, "Weights")? == "nominal",
+        direct: optional(family, "BypassAllowed", flag)?.unwrap_or(false),
+        joins: optional(family, "CanJoin", flag)?.unwrap_or(false),
+        sibs: match text(family, "Neighbours")? {
+            "any" => Reach::All,
+            "location" => Reach::Zone,
+            _ => Reach::Off,
+        },
+        cancel: flag(limits, "Cancel")?,
+        come_back: flag(limits, "RetryAfter")?,
+        longest_come_back: span(limits, "MaxRetryAfterUs")?,
+        max_hops: int(limits, "MaxAttempts")? as u32,
+        connect_limit: span(limits, "ConnectTimeoutUs")?,
+        cold: ColdStart {
+            from: number(contract, "ColdFrom")?,
+            within: span(contract, "ColdUs")?,
+            multiple: number(contract, "FallMultiple")?,
+            over,
+        },
+        cold_parent: ColdStart {
+            from: number(family, "ParentColdFrom")?,
+            within: span(family, "UpperColdUs")?,
+            multiple: number(family, "ParentFallMultiple")?,
+            over,
+        },
+        purge_done: span(family, "GoneEverywhereUs")?,
+        list_asked: text(all, "Discovery")? == "ask",
+        list_within: span(contract, "AskWithinUs")?,
+        tick: span(all, "TickUs")?,
+    })
+}
+
+fn rule(class: &Value, i: usize, family: &Fields) -> Found<RemapRule> {
+    let class = class.as_object().ok_or("a class is not an object")?;
+    let of = |name| at(family, name, i);
+    Ok(RemapRule {
+        effect: match text(class, "Repeat")? {
+            "pure" => Effect::Repeatable,
+            "token" => Effect::Keyed,
+            "side_effect" => Effect::Unrepeatable,
+            effect => return Err(format!("unknown Repeat {effect}")),
+        },
+        group: match text(class, "DedupScope")? {
+            "all" => RepeatGroup::All,
+            "zone" => RepeatGroup::Zone,
+            "cell" => RepeatGroup::Cell,
+            group => return Err(format!("unknown DedupScope {group}")),
+        },
+        memory: span(class, "MemorySpanUs")?,
+        sla: span(class, "SloUs")?,
+        sla_stretch: optional(class, "AimStretch", number)?.unwrap_or(0.0),
+        fresh: Span::from_micros(of("LifetimeByClassUs").and_then(Value::as_u64).unwrap_or(0)),
+        grace: Span::from_micros(of("UsableAfterUs").and_then(Value::as_u64).unwrap_or(0)),
+        write: of("PassOn").and_then(Value::as_bool).unwrap_or(false),
+    })
+}
+
+pub fn at<'a>(body: &'a Fields, name: &str, i: usize) -> Option<&'a Value> {
+    body.get(name)?.as_array()?.get(i)
+}
+
+pub fn need<'a>(body: &'a Fields, name: &str) -> Found<&'a Value> {
+    body.get(name).filter(|v| !v.is_null()).ok_or_else(|| format!("{name} is missing"))
+}
+
+pub fn optional<T>(body: &Fields, name: &str, read: fn(&Fields, &str) -> Found<T>) -> Found<Option<T>> {
+    body.get(name).filter(|v| !v.is_null()).map(|_| read(body, name)).transpose()
+}
+
+pub fn int(body: &Fields, name: &str) -> Found<u64> {
+    need(body, name)?.as_u64().ok_or_else(|| format!("{name} is not a whole number"))
+}
+
+pub fn whole(body: &Fields, name: &str) -> Found<Option<i64>> {
+    optional(body, name, |b, n| need(b, n)?.as_i64().ok_or_else(|| format!("{n} is not a whole number")))
+}
+
+pub fn span(body: &Fields, name: &str) -> Found<Span> {
+    int(body, name).map(Span::from_micros)
+}
+
+pub fn number(body: &Fields, name: &str) -> Found<f64> {
+    need(body, name)?.as_f64().ok_or_else(|| format!("{name} is not a number"))
+}
+
+pub fn flag(body: &Fields, name: &str) -> Found<bool> {
+    need(body, name)?.as_bool().ok_or_else(|| format!("{name} is not true or false"))
+}
+
+pub fn text<'a>(body: &'a Fields, name: &str) -> Found<&'a str> {
+    need(body, name)?.as_str().ok_or_else(|| format!("{name} is not a text"))
+}
+
+pub fn list<'a>(body: &'a Fields, name: &str) -> Found<&'a Vec<Value>> {
+    need(body, name)?.as_array().ok_or_else(|| format!("{name} is not a list"))
+}
+
+pub fn object<'a>(body: &'a Fields, name: &str) -> Found<&'a Fields> {
+    need(body, name)?.as_object().ok_or_else(|| format!("{name} is not an object"))
+}
