--- a/gateway/src/http.rs
+++ b/gateway/src/http.rs
@@ -24,11 +24,11 @@
 
 impl Request<'_> {
     pub fn encode(&self) -> Vec<u8> {
-        let method = if self.body.is_some() { "POST" } else { "GET" };
         let mut head = String::with_capacity(320);
         // Writing to a string can't fail.
         let mut line = |args: std::fmt::Arguments| _ = head.write_fmt(args);
-        line(format_args!("{method} /x/{}/{}/{} HTTP/1.1\r\n", self.rule, self.object, self.part));
+        // A write goes by the same method with its body behind it: caches know no other and answer it with an error.
+        line(format_args!("GET /x/{}/{}/{} HTTP/1.1\r\n", self.rule, self.object, self.part));
         line(format_args!("Host: {}\r\nX-Trace: {}\r\n", self.host, self.trace));
         // Rounded down: the cache gives up no later than the gateway.
         line(format_args!("X-Patience: {}\r\n", (self.patience.as_micros() / 1_000).max(1)));
