--- a/gateway/src/buffers.rs
+++ b/gateway/src/buffers.rs
@@ -13,19 +13,31 @@
     out: Cell<usize>,
     most: usize,
     freed: Event,
+    waiting: Cell<usize>,
 }
 
 impl Pool {
     /// `bytes`: the most that all bodies together may take.
     pub fn new(bytes: usize) -> Rc<Pool> {
         let most = (bytes / SIZE).max(1);
-        Rc::new(Pool { free: RefCell::default(), out: Cell::new(0), most, freed: Event::new() })
+        Rc::new(Pool {
+            free: RefCell::default(),
+            out: Cell::new(0),
+            most,
+            freed: Event::new(),
+            waiting: Cell::new(0),
+        })
     }
 
     pub fn used(&self) -> usize {
         self.out.get() * SIZE
     }
 
+    /// Somebody waits for room.
+    pub fn is_short(&self) -> bool {
+        self.waiting.get() > 0
+    }
+
     /// Room for a body, as soon as there is some; `None` if it could never fit.
     pub async fn body(self: &Rc<Pool>, len: usize) -> Option<Body> {
         let n = len.div_ceil(SIZE);
@@ -35,6 +47,7 @@
         while self.out.get() + n > self.most {
             let freed = self.freed.listen();
             if self.out.get() + n > self.most {
+                let _waits = Waits::new(&self.waiting);
                 freed.await;
             }
         }
@@ -45,6 +58,22 @@
     }
 }
 
+/// Counts one that waits for as long as it does, also if it is given up meanwhile.
+struct Waits<'a>(&'a Cell<usize>);
+
+impl Waits<'_> {
+    fn new(waiting: &Cell<usize>) -> Waits<'_> {
+        waiting.set(waiting.get() + 1);
+        Waits(waiting)
+    }
+}
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// The bytes of one answer, in order; all of them count only once it is full.
 pub struct Body {
     parts: Vec<Box<[u8]>>,
--- a/gateway/src/caches.rs
+++ b/gateway/src/caches.rs
@@ -172,7 +172,7 @@
             return if again { End::KeptClosed } else { End::CutUnsent }.into();
         }
         sent.set(true);
-        match self.answer(&mut link).await {
+        match self.answer(&mut link, request.have.is_some()).await {
             Ok((ended, keep)) => {
                 if keep && ended.end.leaves_connection() {
                     self.keep(&job.member, address, link);
@@ -184,9 +184,9 @@
     }
 
     /// Reads one answer; tells whether the connection can be used again.
-    async fn answer(&self, link: &mut Link) -> Result<(Ended, bool), End> {
+    async fn answer(&self, link: &mut Link, has_copy: bool) -> Result<(Ended, bool), End> {
         let damaged = |what: &str| {
-            log::warn!("a cache's answer can't be used: {what}");
+            log::debug!("a cache's answer can't be used: {what}");
             End::Damaged
         };
         let mut bytes = [0; http::MOST_HEAD];
@@ -217,7 +217,9 @@
         }
         let end = match (head.status, head.declined) {
             (200, _) => End::Whole,
-            (304, _) => End::Current,
+            (304, _) if has_copy => End::Current,
+            // Guards a client without a copy from an answer without bytes.
+            (304, _) => return Err(damaged("it confirms a copy that nobody has")),
             (404, _) => End::Lacking,
             (503, true) => End::Full,
             (504, true) => End::Over,
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -3,7 +3,7 @@
 //! reading, sends nothing or sends what can't be read costs its own connection only.
 
 use crate::Tasks;
-use crate::buffers::Body;
+use crate::buffers::{Body, Pool};
 use crate::clock::{Clock, millis};
 use crate::counters::{Counters, Held};
 use crate::desk::Event;
@@ -21,9 +21,12 @@
 
 /// Open requests on a connection, by the protocol.
 const MOST_OPEN: usize = 32;
-/// A connection with no open request may be silent, and one that takes no bytes may stall, for this long.
+/// A connection with no open request may be silent for this long.
 const SILENT: Span = millis(10_000);
+/// One that takes no bytes may stall for this long, or for the shorter time while bodies are short of memory.
 const STALLED: Span = millis(5_000);
+const STALLED_SHORT: Span = millis(500);
+const LOOKS: Span = millis(250);
 
 /// What is written to a client in one piece.
 pub struct Frame {
@@ -85,6 +88,7 @@
     pub tasks: Tasks,
     pub clock: Clock,
     pub counters: Rc<Counters>,
+    pub pool: Rc<Pool>,
     pub desk: Sender<Event>,
     pub most: usize,
 }
@@ -238,14 +242,24 @@
         mut slices: &mut [IoSlice<'_>],
     ) -> Result<(), End> {
         IoSlice::advance_slices(&mut slices, 0);
+        let mut moved = self.clock.now();
         while !slices.is_empty() {
-            let limit = self.clock.now() + STALLED;
+            let now = self.clock.now();
             let written: Option<io::Result<usize>> =
-                self.clock.by(limit, stream.write_vectored(slices)).await;
+                self.clock.by(now + LOOKS, stream.write_vectored(slices)).await;
             match written {
-                None => return Err(End::PeerStalled),
+                // Guards the bodies of others: what a stopped reader pins is freed the sooner they wait for it.
+                None => {
+                    let limit = if self.pool.is_short() { STALLED_SHORT } else { STALLED };
+                    if self.clock.now() - moved >= limit {
+                        return Err(End::PeerStalled);
+                    }
+                }
                 Some(Ok(0) | Err(_)) => return Err(End::PeerLeft),
-                Some(Ok(n)) => IoSlice::advance_slices(&mut slices, n),
+                Some(Ok(n)) => {
+                    moved = self.clock.now();
+                    IoSlice::advance_slices(&mut slices, n);
+                }
             }
         }
         Ok(())
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -19,8 +19,8 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-/// Descriptors that neither clients nor hops may take: the listener, the bulletin, signals, the event queue.
-const RESERVE: usize = 32;
+/// Descriptors that neither clients nor hops may take: the listener, the bulletin, signals, standard streams.
+const RESERVE: usize = 16;
 
 fn main() -> ExitCode {
     logger::start();
@@ -53,11 +53,11 @@
     let (clock, counters) = (Clock::start(), Rc::new(Counters::default()));
     let (desk, events) = async_channel::unbounded();
     // Clients hold a third of the descriptors at most; some of theirs may still be closing.
-    let clients = config.sockets / 3 + RESERVE / 4;
+    let clients = config.sockets / 3 + RESERVE / 2;
     let hops = config.sockets.saturating_sub(clients + RESERVE).max(1);
     let pool = Pool::new(config.memory / 2);
     let connect = config.settings.connect_limit;
-    let caches = Caches::new(clock, pool, Rc::clone(&counters), connect, config.idle, hops);
+    let caches = Caches::new(clock, Rc::clone(&pool), Rc::clone(&counters), connect, config.idle, hops);
     caches.sweep(tasks);
     let bulletin = Bulletin {
         address: config.bulletin,
@@ -68,9 +68,17 @@
         desk: desk.clone(),
     };
     tasks.spawn(bulletin.follow()).detach();
-    let front = Front { tasks, clock, counters: Rc::clone(&counters), desk: desk.clone(), most: clients };
+    let listens = listener.get_ref().local_addr().unwrap_or(config.listen);
+    log::info!("{} listens on {listens}", config.name);
+    let front = Front {
+        tasks,
+        clock,
+        counters: Rc::clone(&counters),
+        pool: Rc::clone(&pool),
+        desk: desk.clone(),
+        most: clients,
+    };
     tasks.spawn(front.accept(listener)).detach();
-    log::info!("{} listens on {}", config.name, config.listen);
     let work = Desk::new(config, clock, tasks, caches, Rc::clone(&counters), (desk.clone(), events)).run();
     let told = async {
         while let Some(signal) = signals.next().await {
--- /dev/null
+++ b/gateway/tests/loopback.rs
@@ -0,0 +1,773 @@
+//! The gateway as a process, between stand-ins on loopback: caches, a bulletin and clients that do as they should,
+//! and as they should not.
+
+use quickcheck::{Gen, QuickCheck};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longer than anything here may take: it ends a test that hangs and decides none.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+type Script = dyn Fn(&Seen) -> Reply + Send + Sync;
+
+/// A request as it came to a stand-in.
+#[derive(Clone, Debug)]
+struct Seen {
+    head: String,
+    body: Vec<u8>,
+}
+
+impl Seen {
+    fn field(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(": "))
+    }
+}
+
+enum Reply {
+    Send(Vec<u8>),
+    SendAndClose(Vec<u8>),
+    Silent,
+}
+
+#[derive(Debug)]
+enum News {
+    Came(Seen),
+    Closed,
+}
+
+/// A stand-in for a cache, a parent or the origin.
+struct Cache {
+    address: SocketAddr,
+    news: Receiver<News>,
+}
+
+impl Cache {
+    fn start(script: impl Fn(&Seen) -> Reply + Send + Sync + 'static) -> Cache {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (address, (tell, news)) = (listener.local_addr().unwrap(), channel());
+        let script: Arc<Script> = Arc::new(script);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (script, tell) = (Arc::clone(&script), tell.clone());
+                thread::spawn(move || {
+                    talk(stream, &*script, &tell);
+                    _ = tell.send(News::Closed);
+                });
+            }
+        });
+        Cache { address, news }
+    }
+
+    fn came(&self) -> Seen {
+        loop {
+            if let News::Came(seen) = self.news.recv_timeout(PATIENCE).unwrap() {
+                return seen;
+            }
+        }
+    }
+
+    fn closed(&self) {
+        while !matches!(self.news.recv_timeout(PATIENCE).unwrap(), News::Closed) {}
+    }
+
+    fn came_so_far(&self) -> usize {
+        self.news.try_iter().filter(|n| matches!(n, News::Came(_))).count()
+    }
+}
+
+fn talk(stream: TcpStream, script: &Script, tell: &Sender<News>) {
+    let mut lines = BufReader::new(stream.try_clone().unwrap());
+    loop {
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            if lines.read_line(&mut head).unwrap_or(0) == 0 {
+                return;
+            }
+        }
+        let mut seen = Seen { head, body: Vec::new() };
+        let len = seen.field("Content-Length").map_or(0, |n| n.parse().unwrap());
+        seen.body = vec![0; len];
+        if lines.read_exact(&mut seen.body).is_err() {
+            return;
+        }
+        let reply = script(&seen);
+        _ = tell.send(News::Came(seen));
+        let (bytes, close) = match reply {
+            Reply::Send(bytes) => (bytes, false),
+            Reply::SendAndClose(bytes) => (bytes, true),
+            Reply::Silent => (Vec::new(), false),
+        };
+        if (&stream).write_all(&bytes).is_err() || close {
+            return;
+        }
+    }
+}
+
+/// An address at which nobody listens.
+fn nobody() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn answer(status: &str, more: &str, body: &[u8]) -> Vec<u8> {
+    let head = format!("HTTP/1.1 {status}\r\n{more}Content-Length: {}\r\n\r\n", body.len());
+    [head.as_bytes(), body].concat()
+}
+
+fn ok(body: &[u8]) -> Reply {
+    Reply::Send(answer("200 OK", "ETag: 12ab\r\nX-Born-Ms: 1\r\nX-Result: hit\r\nX-Stats: x1:0.5\r\n", body))
+}
+
+/// What every stand-in holds for a part of an object.
+fn bytes_of(path: &str, len: usize) -> Vec<u8> {
+    path.bytes().cycle().enumerate().map(|(i, b)| b ^ (i / 7) as u8).take(len).collect()
+}
+
+struct Member(&'static str, &'static str, SocketAddr);
+
+fn endpoint(Member(name, kind, address): &Member, status: &str) -> Value {
+    json!({"name": name, "address": address.to_string(), "zone": "z", "type": kind, "group": 0,
+        "status": status, "weight": 8.0, "since_ms": 0})
+}
+
+fn config(members: &[Member], bulletin: SocketAddr, memory_mb: u64) -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"Name": name, "Repeat": effect, "DedupScope": "all", "MemorySpanUs": 0, "SloUs": 400_000,
+            "AimStretch": 1.5, "DeadlineUs": 3_000_000})
+    };
+    let list: Vec<Value> = members.iter().map(|m| endpoint(m, "up")).collect();
+    json!({
+        "name": "n1", "listen": "127.0.0.1:0", "seed": "7", "bulletin": bulletin.to_string(),
+        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 256},
+        "known": {"no": 1, "items": [{"no": 1, "roster": {"index": 0, "snapshot": true, "endpoints": list}}]},
+        "settings": {
+            "Instances": 1, "Locality": 0, "Weights": "nominal", "Discovery": "push", "TickUs": 1000,
+            "Zones": ["z"], "Shapes": ["box", "parent", "origin"],
+            "Classes": [class("segment", "pure"), class("commit", "side_effect")],
+            "FamilyInfo": {"CrewByZone": [1], "ParentKind": 1, "OriginKind": 2, "BypassAllowed": true,
+                "CanJoin": false, "Neighbours": "off", "LifetimeByClassUs": [0, 0], "UsableAfterUs": [0, 0],
+                "PassOn": [false, true], "ParentColdFrom": 0.1, "UpperColdUs": 9_000_000,
+                "ParentFallMultiple": 2.0, "GoneEverywhereUs": 60_000_000, "ClientKbPerS": 100_000.0},
+            "PolicyLimits": {"Cancel": true, "RetryAfter": true, "MaxRetryAfterUs": 2_000_000,
+                "MaxAttempts": 6, "MaxOpen": 20_000, "ConnectTimeoutUs": 400_000, "ConnIdleUs": 15_000_000},
+            "Contract": {"AskWithinUs": 9_000_000, "ColdFrom": 0.2, "ColdUs": 9_000_000, "FallMultiple": 2.0,
+                "TipAfterUs": 3_000_000},
+        },
+    })
+}
+
+/// A gateway that is ended with the test.
+struct Gateway {
+    child: Child,
+    address: SocketAddr,
+    log: BufReader<std::process::ChildStderr>,
+}
+
+fn spawn(config: &Value) -> Child {
+    static NEXT: Mutex<u32> = Mutex::new(0);
+    let mut next = NEXT.lock().unwrap();
+    *next += 1;
+    let name = format!("{}/{}-{}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id(), *next);
+    std::fs::write(&name, config.to_string()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_kelpcart"));
+    command.env_remove("NODE_LISTEN").env_remove("KELPCART_LOG").env("NODE_CONFIG", name);
+    command.stderr(Stdio::piped()).spawn().unwrap()
+}
+
+impl Gateway {
+    fn start(config: &Value) -> Gateway {
+        let mut child = spawn(config);
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        log.read_line(&mut line).unwrap();
+        let address = line.trim().rsplit(' ').next().unwrap().parse().unwrap();
+        Gateway { child, address, log }
+    }
+
+    /// One with a single edge cache, and nobody in the other places.
+    fn with_edge(edge: &Cache) -> Gateway {
+        let members = [Member("e1", "box", edge.address), Member("o", "origin", nobody())];
+        Gateway::start(&config(&members, nobody(), 64))
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
+    }
+
+    fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.log.read_line(&mut line).unwrap();
+        line
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        _ = self.child.kill();
+        _ = self.child.wait();
+    }
+}
+
+struct Client {
+    stream: TcpStream,
+    next: u8,
+}
+
+#[derive(Debug, PartialEq)]
+struct Answer {
+    id: u64,
+    /// Of an error.
+    word: Option<String>,
+    /// Of a served txn; for a check one byte, 1 for true.
+    body: Vec<u8>,
+    fields: BTreeMap<String, String>,
+}
+
+impl Client {
+    fn of(gateway: &Gateway) -> Client {
+        let stream = TcpStream::connect(gateway.address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client { stream, next: 1 }
+    }
+
+    fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    fn ask_with(&mut self, method: &str, fields: &[(&str, &str)], body: &[u8]) -> u64 {
+        let id = self.next;
+        self.next += 1;
+        let mut out = vec![0x94, 0x00, 0xcc, id];
+        text(&mut out, method);
+        out.extend([0x92, 0x80 | fields.len() as u8]);
+        for (name, value) in fields {
+            text(&mut out, name);
+            text(&mut out, value);
+        }
+        out.push(0xc5);
+        out.extend((body.len() as u16).to_be_bytes());
+        out.extend(body);
+        self.send(&out);
+        u64::from(id)
+    }
+
+    fn ask(&mut self, method: &str, object: u64, timeout: u64, body: &[u8]) -> u64 {
+        let (object, timeout) = (format!("{object:016x}"), timeout.to_string());
+        let fields = [
+            ("req", "9b1f03aa5c7e2d41"),
+            ("timeout", &timeout),
+            ("subject", &object),
+            ("slice", "3"),
+            ("set", "17"),
+            ("need", "40.5"),
+        ];
+        self.ask_with(method, &fields, body)
+    }
+
+    fn check(&mut self) -> bool {
+        let id = self.next;
+        self.next += 1;
+        self.send(&[0x94, 0x00, id, 0xa5, b'c', b'h', b'e', b'c', b'k', 0x91, 0x80]);
+        self.answer().body == [1]
+    }
+
+    fn interrupt(&mut self, id: u64) {
+        let mut out = vec![0x93, 0x02];
+        text(&mut out, "interrupt");
+        out.extend([0x91, 0xcc, id as u8]);
+        self.send(&out);
+    }
+
+    fn byte(&mut self) -> u8 {
+        self.bytes(1)[0]
+    }
+
+    fn bytes(&mut self, n: usize) -> Vec<u8> {
+        let mut bytes = vec![0; n];
+        self.stream.read_exact(&mut bytes).unwrap();
+        bytes
+    }
+
+    fn big(&mut self, n: usize) -> usize {
+        self.bytes(n).iter().fold(0, |all, &b| all << 8 | usize::from(b))
+    }
+
+    /// Text, a body, a number or a truth value.
+    fn value(&mut self) -> Vec<u8> {
+        let len = match self.byte() {
+            tag @ 0xa0..=0xbf => usize::from(tag & 0x1f),
+            0xc0 => return Vec::new(),
+            tag @ (0xc2 | 0xc3) => return vec![tag & 1],
+            tag @ 0x00..=0x7f => return vec![tag],
+            0xcd => return self.bytes(2),
+            0xc6 => self.big(4),
+            0xda => self.big(2),
+            tag => panic!("an answer holds {tag:#x}"),
+        };
+        self.bytes(len)
+    }
+
+    fn fields(&mut self) -> BTreeMap<String, String> {
+        let n = self.byte() & 0x0f;
+        let mut text = || String::from_utf8(self.value()).unwrap();
+        (0..n).map(|_| (text(), text())).collect()
+    }
+
+    fn answer(&mut self) -> Answer {
+        assert_eq!(self.bytes(2), [0x94, 0x01]);
+        let id = self.value().iter().fold(0, |all, &b| all << 8 | u64::from(b));
+        let (mut word, mut body) = (None, Vec::new());
+        let fields = match self.byte() {
+            0xc0 => {
+                assert_eq!(self.byte(), 0x92);
+                body = self.value();
+                self.fields()
+            }
+            0x92 => {
+                word = Some(String::from_utf8(self.value()).unwrap());
+                let fields = self.fields();
+                assert_eq!(self.byte(), 0xc0);
+                fields
+            }
+            tag => panic!("an answer holds {tag:#x}"),
+        };
+        Answer { id, word, body, fields }
+    }
+
+    fn is_closed(&mut self) -> bool {
+        matches!(self.stream.read(&mut [0]), Ok(0) | Err(_))
+    }
+}
+
+fn text(out: &mut Vec<u8>, text: &str) {
+    out.extend([0xd9, text.len() as u8]);
+    out.extend(text.as_bytes());
+}
+
+#[test]
+fn a_body_reaches_the_client_whole_and_the_cache_is_told_all() {
+    let bytes = bytes_of("whole", 240_000);
+    let held = bytes.clone();
+    let edge = Cache::start(move |_| ok(&held));
+    let members = [
+        Member("e1", "box", edge.address),
+        Member("p1", "parent", nobody()),
+        Member("o", "origin", nobody()),
+    ];
+    let gateway = Gateway::start(&config(&members, nobody(), 64));
+    let mut client = Client::of(&gateway);
+    assert!(client.check());
+    let id = client.ask("segment", 5, 3_000, &[]);
+    let answer = client.answer();
+    assert_eq!((answer.id, answer.word, answer.body == bytes), (id, None, true));
+    assert_eq!(answer.fields, BTreeMap::new());
+    let seen = edge.came();
+    assert!(seen.head.starts_with("GET /x/segment/0000000000000005/3 HTTP/1.1\r\n"), "{}", seen.head);
+    assert_eq!(seen.field("X-Trace"), Some("9b1f03aa5c7e2d41"));
+    assert_eq!((seen.field("X-Fill-From"), seen.field("X-Keep")), (Some("p1"), Some("1")));
+    let patience: u64 = seen.field("X-Patience").unwrap().parse().unwrap();
+    assert!((1..=3_000).contains(&patience));
+    assert_eq!((seen.field("X-Max-Age-Ms"), seen.field("If-None-Match")), (None, None));
+}
+
+#[test]
+fn a_copy_that_still_holds_is_confirmed_only_to_who_has_one() {
+    let edge = Cache::start(|_| Reply::Send(b"HTTP/1.1 304 Not Modified\r\nETag: 12ab\r\n\r\n".to_vec()));
+    let gateway = Gateway::with_edge(&edge);
+    let mut client = Client::of(&gateway);
+    let base = [("req", "9b1f03aa5c7e2d41"), ("timeout", "900"), ("subject", "00000000000000ff")];
+    client.ask_with("segment", &[&base[..], &[("seen", "12ab")]].concat(), &[]);
+    let answer = client.answer();
+    assert_eq!((answer.word, answer.body), (None, vec![]));
+    assert_eq!(answer.fields.get("current").map(String::as_str), Some("1"));
+    assert_eq!(edge.came().field("If-None-Match"), Some("12ab"));
+    // Guards a client without a copy from an empty one.
+    client.ask_with("segment", &base, &[]);
+    assert!(client.answer().word.is_some());
+}
+
+#[test]
+fn an_unrepeatable_txn_that_may_have_run_is_aborted_and_not_sent_again() {
+    let cut: [&[u8]; 4] =
+        [b"", b"HTTP/1.1 200 OK\r\nContent-Le", b"HTTP/1.1 500 No\r\n\r\n", b"\xff\xff\xff\xff"];
+    for bytes in cut {
+        let origin = Cache::start(move |_| Reply::SendAndClose(bytes.to_vec()));
+        let members = [Member("e1", "box", nobody()), Member("o", "origin", origin.address)];
+        let gateway = Gateway::start(&config(&members, nobody(), 64));
+        let mut client = Client::of(&gateway);
+        client.ask("commit", 9, 3_000, b"the effect");
+        assert_eq!(client.answer().word.as_deref(), Some("Lost"));
+        assert_eq!(origin.came().body, b"the effect");
+        assert_eq!(origin.came_so_far(), 0);
+    }
+}
+
+#[test]
+fn an_unrepeatable_txn_that_never_ran_is_tried_again_or_rejected() {
+    let declined = || Reply::Send(answer("503 Full", "X-Declined: 1\r\n", b""));
+    let first = Mutex::new(true);
+    let origin =
+        Cache::start(
+            move |_| {
+                if std::mem::take(&mut *first.lock().unwrap()) { declined() } else { ok(b"done") }
+            },
+        );
+    let members = [Member("e1", "box", nobody()), Member("o", "origin", origin.address)];
+    let gateway = Gateway::start(&config(&members, nobody(), 64));
+    let mut client = Client::of(&gateway);
+    client.ask("commit", 9, 3_000, b"x");
+    assert_eq!(client.answer().body, b"done");
+    let full = Cache::start(move |_| declined());
+    let members = [Member("e1", "box", nobody()), Member("o", "origin", full.address)];
+    let gateway = Gateway::start(&config(&members, nobody(), 64));
+    let mut client = Client::of(&gateway);
+    client.ask("commit", 9, 3_000, b"x");
+    let answer = client.answer();
+    assert_eq!(answer.word.as_deref(), Some("Backoff"));
+    assert!(answer.fields["holdoff"].parse::<u64>().unwrap() <= 2_000);
+}
+
+#[test]
+fn damaged_answers_are_not_passed_on_and_their_connections_not_used_again() {
+    let longer = [answer("200 OK", "", b"good"), b"more".to_vec()].concat();
+    let huge = answer("200 OK", "", &vec![0; 300_000]);
+    let short = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".to_vec();
+    let chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n".to_vec();
+    let endless = [b"HTTP/1.1 200 OK\r\nX: ".to_vec(), vec![b'x'; 20_000]].concat();
+    for bad in [longer, huge, short, chunked, endless, b"no HTTP at all\r\n\r\n".to_vec()] {
+        let caches = [(); 2].map(|()| {
+            let bad = bad.clone();
+            Cache::start(move |_| Reply::SendAndClose(bad.clone()))
+        });
+        let parent = Cache::start(|_| ok(b"good"));
+        let members = [
+            Member("e1", "box", caches[0].address),
+            Member("e2", "box", caches[1].address),
+            Member("p1", "parent", parent.address),
+            Member("o", "origin", nobody()),
+        ];
+        let gateway = Gateway::start(&config(&members, nobody(), 64));
+        let mut client = Client::of(&gateway);
+        client.ask("segment", 9, 3_000, &[]);
+        assert_eq!(client.answer().body, b"good");
+    }
+}
+
+#[test]
+fn a_kept_connection_that_was_closed_is_not_written_to() {
+    let edge = Cache::start(|seen| Reply::SendAndClose(answer("200 OK", "", seen.head.as_bytes())));
+    let gateway = Gateway::with_edge(&edge);
+    let mut client = Client::of(&gateway);
+    for object in 0..4 {
+        client.ask("segment", object, 3_000, &[]);
+        assert_eq!(client.answer().word, None);
+        edge.came();
+        // Its end has come to the gateway's side by then.
+        edge.closed();
+    }
+    assert_eq!(edge.came_so_far(), 0);
+}
+
+#[test]
+fn a_kept_connection_is_used_again() {
+    let edge = Cache::start(|_| ok(b"x"));
+    let gateway = Gateway::with_edge(&edge);
+    let mut client = Client::of(&gateway);
+    for object in 0..9 {
+        client.ask("segment", object, 3_000, &[]);
+        assert_eq!(client.answer().body, b"x");
+    }
+    drop(gateway);
+    edge.closed();
+    assert!(edge.news.try_recv().is_err());
+}
+
+#[test]
+fn an_interrupted_txn_gets_no_answer_and_its_hop_is_given_up() {
+    let edge =
+        Cache::start(|seen| if seen.head.contains("/0000000000000001/") { Reply::Silent } else { ok(b"x") });
+    let gateway = Gateway::with_edge(&edge);
+    let mut client = Client::of(&gateway);
+    let first = client.ask("segment", 1, 15_000, &[]);
+    edge.came();
+    client.interrupt(first);
+    edge.closed();
+    let second = client.ask("segment", 2, 3_000, &[]);
+    assert_eq!(client.answer().id, second);
+    // The same for a client that goes.
+    client.ask("segment", 1, 15_000, &[]);
+    drop(client);
+    edge.closed();
+}
+
+#[test]
+fn a_silent_cache_costs_a_txn_its_time_limit_and_no_more() {
+    let edge = Cache::start(|_| Reply::Silent);
+    let gateway = Gateway::with_edge(&edge);
+    let mut client = Client::of(&gateway);
+    let id = client.ask("segment", 1, 200, &[]);
+    let answer = client.answer();
+    assert!(answer.id == id && answer.word.is_some());
+    edge.closed();
+}
+
+#[test]
+fn what_a_client_sends_wrong_costs_its_own_connection_at_most() {
+    let edge = Cache::start(|_| ok(b"x"));
+    let gateway = Gateway::with_edge(&edge);
+    let mut good = Client::of(&gateway);
+    // No MessagePack; a length no frame may have; a nesting without end.
+    let nested = vec![0x91; 5_000];
+    for bytes in [&b"\xc1"[..], b"\xc6\xff\xff\xff\xff", b"\xdd\xff\xff\xff\xff", &nested] {
+        let mut bad = Client::of(&gateway);
+        bad.send(bytes);
+        assert!(bad.is_closed());
+    }
+    let mut bad = Client::of(&gateway);
+    let id = bad.ask_with(
+        "no such method",
+        &[("req", "9b1f03aa5c7e2d41"), ("timeout", "1"), ("subject", "0000000000000001")],
+        &[],
+    );
+    let refused = bad.answer();
+    assert_eq!((refused.id, refused.word.as_deref()), (id, Some("Invalid")));
+    for fields in [&[("req", "short"), ("timeout", "9")][..], &[("timeout", "x")], &[]] {
+        let id = bad.ask_with("segment", fields, &[]);
+        let refused = bad.answer();
+        assert_eq!((refused.id, refused.word.as_deref()), (id, Some("Invalid")));
+    }
+    // Wrong types in a whole frame.
+    bad.next += 1;
+    let id = bad.next - 1;
+    bad.send(&[0x94, 0x00, id, 0xa1, b'x', 0x91, 0x07]);
+    assert_eq!(bad.answer().id, u64::from(id));
+    bad.ask("segment", 1, 3_000, &[]);
+    assert_eq!(bad.answer().body, b"x");
+    // An id that was used before.
+    bad.next -= 1;
+    bad.ask("segment", 1, 3_000, &[]);
+    assert!(bad.is_closed());
+    good.ask("segment", 1, 3_000, &[]);
+    assert_eq!(good.answer().body, b"x");
+}
+
+#[test]
+fn a_client_that_stops_reading_does_not_hold_up_the_others() {
+    let bytes = bytes_of("stalled", 240_000);
+    let held = bytes.clone();
+    let edge = Cache::start(move |_| ok(&held));
+    let members = [Member("e1", "box", edge.address), Member("o", "origin", nobody())];
+    // Room for some bodies only: fewer than the stopped reader asks for.
+    let gateway = Gateway::start(&config(&members, nobody(), 8));
+    let mut stopped = Client::of(&gateway);
+    for object in 0..32 {
+        stopped.ask("segment", object, 15_000, &[]);
+    }
+    let mut good = Client::of(&gateway);
+    // It may be rejected while there is no room, and is served once the other is given up.
+    let (start, mut served) = (Instant::now(), 0);
+    while served < 4 {
+        good.ask("segment", 1, 15_000, &[]);
+        let answer = good.answer();
+        assert!(answer.body == bytes || answer.word.as_deref() == Some("Backoff"));
+        served += usize::from(answer.word.is_none());
+        if answer.word.is_some() {
+            assert!(start.elapsed() < PATIENCE);
+            thread::sleep(Duration::from_millis(200));
+        }
+    }
+}
+
+#[test]
+fn at_a_planned_restart_what_is_open_is_answered_first() {
+    let (release, released) = channel();
+    let released = Mutex::new(released);
+    let edge = Cache::start(move |_| {
+        released.lock().unwrap().recv_timeout(PATIENCE).unwrap();
+        ok(b"late")
+    });
+    let mut gateway = Gateway::with_edge(&edge);
+    let mut client = Client::of(&gateway);
+    let id = client.ask("segment", 1, 15_000, &[]);
+    let mut other = Client::of(&gateway);
+    assert!(other.check());
+    gateway.signal("USR1");
+    assert!(gateway.line().contains("requests 1"));
+    gateway.signal("TERM");
+    while other.check() {}
+    // New connections still come, and are served.
+    let mut newcomer = Client::of(&gateway);
+    assert!(!newcomer.check());
+    release.send(()).unwrap();
+    let answer = client.answer();
+    assert_eq!((answer.id, answer.body), (id, b"late".to_vec()));
+    assert!(gateway.child.wait().unwrap().success());
+    assert!(gateway.line().contains("txns completed 1"));
+}
+
+#[test]
+fn at_a_planned_restart_what_can_not_end_is_aborted_in_time() {
+    let edge = Cache::start(|_| Reply::Silent);
+    let mut gateway = Gateway::with_edge(&edge);
+    let mut client = Client::of(&gateway);
+    client.ask("segment", 1, 15_000, &[]);
+    edge.came();
+    gateway.signal("TERM");
+    assert_eq!(client.answer().word.as_deref(), Some("Lost"));
+    assert!(gateway.child.wait().unwrap().success());
+}
+
+#[test]
+fn a_configuration_that_lacks_a_field_ends_the_start_with_its_name() {
+    let whole = config(&[], nobody(), 64);
+    let without = |path: &[&str]| {
+        let mut all = whole.clone();
+        let (last, way) = path.split_last().unwrap();
+        let inner = way.iter().fold(&mut all, |v, name| &mut v[*name]);
+        inner.as_object_mut().unwrap().remove(*last).unwrap();
+        all
+    };
+    let paths: [&[&str]; 6] = [
+        &["seed"],
+        &["bulletin"],
+        &["limits", "sockets"],
+        &["known", "items"],
+        &["settings", "Classes"],
+        &["settings", "PolicyLimits", "MaxAttempts"],
+    ];
+    for path in paths {
+        let out = spawn(&without(path)).wait_with_output().unwrap();
+        let said = String::from_utf8(out.stderr).unwrap();
+        assert!(!out.status.success());
+        assert!(said.lines().count() == 1 && said.contains(path.last().unwrap()), "{said}");
+    }
+}
+
+/// A stand-in for the bulletin: on each connection it tells the line that came and writes the next lines.
+fn bulletin(lines: Vec<String>) -> (SocketAddr, Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (address, (tell, told)) = (listener.local_addr().unwrap(), channel());
+    thread::spawn(move || {
+        let mut kept = Vec::new();
+        for (i, stream) in listener.incoming().flatten().enumerate() {
+            let mut line = String::new();
+            BufReader::new(stream.try_clone().unwrap()).read_line(&mut line).unwrap();
+            _ = (&stream).write_all(lines.get(i).map_or("", String::as_str).as_bytes());
+            _ = tell.send(line);
+            kept.push(stream);
+        }
+    });
+    (address, told)
+}
+
+#[test]
+fn the_bulletins_events_come_in_order_and_a_gap_is_asked_for_again() {
+    let caches = [(); 2].map(|()| Cache::start(|_| ok(b"x")));
+    let [e1, e2] = [Member("e1", "box", caches[0].address), Member("e2", "box", caches[1].address)];
+    let change = |no: u64, list: Value| {
+        json!({"no": no, "roster": {"index": no, "snapshot": false, "endpoints": list}}).to_string()
+    };
+    let first = change(2, json!([endpoint(&e1, "draining"), endpoint(&e2, "up")]));
+    let purge = json!({"no": 3, "recall": {"lot": 17, "issued": 1_000}}).to_string();
+    // A gap, a line that is no event, a number that is ahead, and what was asked for in two pieces.
+    let gap = change(9, json!([endpoint(&e2, "removed")]));
+    let lines = vec![
+        format!("{first}\n{gap}\n"),
+        "2\n{\"no\":3,\"roster\":{}}\n".to_owned(),
+        "7\n".to_owned(),
+        format!("2\n{first}\n{purge}\n3\nnonsense\n"),
+    ];
+    let (address, told) = bulletin(lines);
+    let members = [Member("o", "origin", nobody()), Member("e1", "box", caches[0].address)];
+    let gateway = Gateway::start(&config(&members, address, 64));
+    let asked: Vec<String> = (0..5).map(|_| told.recv_timeout(PATIENCE).unwrap()).collect();
+    assert_eq!(asked, ["after 1\n", "after 2\n", "after 2\n", "after 2\n", "after 3\n"]);
+    let mut client = Client::of(&gateway);
+    for object in 0..8 {
+        client.ask("segment", object, 3_000, &[]);
+        assert_eq!(client.answer().body, b"x");
+        // An age limit comes with the purge of its group, long ago as that is.
+        assert!(caches[1].came().field("X-Max-Age-Ms").unwrap().parse::<u64>().unwrap() > 0);
+    }
+    assert_eq!(caches[0].came_so_far(), 0);
+}
+
+/// What a stand-in does with the nth request, by chance.
+fn misbehave(chance: u8, body: &[u8]) -> Reply {
+    match chance % 11 {
+        0 => Reply::Send(answer("404 Not Found", "X-Result: src_lacks\r\n", b"")),
+        1 => Reply::Send(answer("503 Full", "X-Declined: 1\r\nX-Result: src_refused\r\n", b"")),
+        2 => Reply::Send(answer("500 Error", "", b"an error page")),
+        3 => Reply::SendAndClose(Vec::new()),
+        4 => Reply::SendAndClose(answer("200 OK", "", body)[..30].to_vec()),
+        5 => Reply::Send(answer("504 Over", "X-Declined: 1\r\n", b"")),
+        6 => Reply::SendAndClose(answer("200 OK", "X-Waited-Ms: 3\r\nX-Result: filled\r\n", body)),
+        7 => Reply::Send(b"\r\n\r\n".to_vec()),
+        _ => ok(body),
+    }
+}
+
+/// Whatever caches do, each txn gets one answer; what is served is whole; no effect happens twice, and none that
+/// may have happened is rejected.
+fn random_day(chances: Vec<u8>, asks: Vec<(bool, u8)>) -> bool {
+    let ran: Arc<Mutex<BTreeMap<String, u32>>> = Arc::default();
+    let count = Arc::new(Mutex::new(0));
+    let start = || {
+        let (ran, count, chances) = (Arc::clone(&ran), Arc::clone(&count), chances.clone());
+        Cache::start(move |seen| {
+            let mut n = count.lock().unwrap();
+            *n += 1;
+            let chance = chances.get(*n % (chances.len() + 1)).copied().unwrap_or(10);
+            let never_ran = matches!(chance % 11, 0 | 1 | 5);
+            if !never_ran && !seen.body.is_empty() {
+                *ran.lock().unwrap().entry(String::from_utf8(seen.body.clone()).unwrap()).or_default() += 1;
+            }
+            let path = seen.head.split(' ').nth(1).unwrap();
+            misbehave(chance, &bytes_of(path, 40_000))
+        })
+    };
+    let caches = [start(), start(), start(), start()];
+    let members = [
+        Member("e1", "box", caches[0].address),
+        Member("e2", "box", caches[1].address),
+        Member("p1", "parent", caches[2].address),
+        Member("o", "origin", caches[3].address),
+    ];
+    let gateway = Gateway::start(&config(&members, nobody(), 16));
+    let mut client = Client::of(&gateway);
+    let mut asked = BTreeMap::new();
+    for (i, (write, object)) in asks.into_iter().take(30).enumerate() {
+        let body = if write { format!("effect {i}") } else { String::new() };
+        let (method, object) = (if write { "commit" } else { "segment" }, u64::from(object));
+        let id = client.ask(method, object, 15_000, body.as_bytes());
+        asked.insert(id, (format!("/x/{method}/{object:016x}/3"), body));
+    }
+    while !asked.is_empty() {
+        let answer = client.answer();
+        let Some((path, body)) = asked.remove(&answer.id) else { return false };
+        let times = ran.lock().unwrap().get(&body).copied().unwrap_or(0);
+        let fits = match answer.word.as_deref() {
+            None => answer.body == bytes_of(&path, 40_000) && (body.is_empty() || times == 1),
+            Some("Backoff") => times == 0,
+            Some(word) => word == "Lost" && times <= 1,
+        };
+        if !fits {
+            return false;
+        }
+    }
+    // Nothing follows the last answer but that to the check.
+    !ran.lock().unwrap().values().any(|&n| n > 1) && client.check()
+}
+
+#[test]
+fn random_days_keep_the_rules() {
+    let seeded = Gen::from_size_and_seed(40, 11);
+    QuickCheck::new().rng(seeded).tests(12).quickcheck(random_day as fn(Vec<u8>, Vec<(bool, u8)>) -> bool);
+}
--- /dev/null
+++ b/gateway/tests/parsers.rs
@@ -0,0 +1,263 @@
+//! The parsers, fed whole, split and damaged input; the pool of buffers; what each end of a connection means.
+
+use futures_lite::future::{block_on, poll_once};
+use kelpcart::Span;
+use kelpcart::interface::{Fill, HopEnd, Note};
+use kelpcart_gateway::buffers::{Pool, SIZE};
+use kelpcart_gateway::end::End;
+use kelpcart_gateway::http::{self, Head, Request};
+use kelpcart_gateway::rpc::{self, Fault, Message, Word};
+use quickcheck::{Gen, QuickCheck, Testable};
+use std::sync::Arc;
+
+fn check<T: Testable>(property: T) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(200, 5)).quickcheck(property);
+}
+
+fn request(id: u8, body: &[u8]) -> Vec<u8> {
+    let mut out = vec![0x94, 0x00, id, 0xa7];
+    out.extend(b"segment\x92\x85");
+    let fields = [
+        ("req", "9b1f03aa5c7e2d41"),
+        ("subject", "7f3a9c21e0b4d655"),
+        ("timeout", "1500"),
+        ("slice", "3"),
+        ("need", "412.5"),
+    ];
+    for text in fields.iter().flat_map(|(name, value)| [name, value]) {
+        out.push(0xa0 | text.len() as u8);
+        out.extend(text.as_bytes());
+    }
+    out.push(0xc6);
+    out.extend((body.len() as u32).to_be_bytes());
+    out.extend(body);
+    out
+}
+
+/// Feeds bytes as they might come: in pieces, parsing as far as is whole each time.
+fn fed(bytes: &[u8], cuts: &[usize]) -> (Vec<Message>, Option<Fault>) {
+    let (mut held, mut all, mut rest) = (Vec::new(), Vec::new(), bytes);
+    let mut cuts = cuts.iter();
+    while !rest.is_empty() {
+        let n = cuts.next().map_or(rest.len(), |c| 1 + c % rest.len());
+        held.extend_from_slice(&rest[..n]);
+        rest = &rest[n..];
+        while let Some((message, len)) = match rpc::message(&held) {
+            Ok(found) => found,
+            Err((fault, len)) => {
+                assert!(len > 0 && len <= held.len());
+                return (all, Some(fault));
+            }
+        } {
+            assert!(len > 0 && len <= held.len());
+            all.push(message);
+            held.drain(..len);
+        }
+    }
+    (all, None)
+}
+
+#[test]
+fn messages_are_the_same_however_they_are_split() {
+    check::<fn(Vec<u8>, Vec<usize>) -> bool>(|body: Vec<u8>, cuts: Vec<usize>| {
+        let check = b"\x94\x00\x02\xa5check\x91\x80".to_vec();
+        let stop = b"\x93\x02\xa9interrupt\x91\x01".to_vec();
+        let bytes = [request(1, &body), check, stop, request(9, &[])].concat();
+        let (all, fault) = fed(&bytes, &cuts);
+        let Message::Request { id: 1, method, ask } = &all[0] else { return false };
+        assert_eq!(
+            (method.as_str(), ask.object, ask.part, ask.timeout_ms),
+            ("segment", 0x7f3a9c21e0b4d655, 3, 1500)
+        );
+        assert_eq!(
+            (ask.req.as_str(), ask.need.as_deref(), &ask.body),
+            ("9b1f03aa5c7e2d41", Some("412.5"), &body)
+        );
+        let rest = [Message::Check { id: 2 }, Message::Interrupt { ids: vec![1] }];
+        fault.is_none()
+            && all[1..3] == rest
+            && matches!(all[3], Message::Request { id: 9, .. })
+            && all.len() == 4
+    });
+}
+
+#[test]
+fn damaged_messages_end_in_a_message_or_a_fault_and_nothing_else() {
+    check::<fn(Vec<u8>, Vec<usize>, Vec<(usize, u8)>) -> bool>(
+        |body: Vec<u8>, cuts: Vec<usize>, hits: Vec<(usize, u8)>| {
+            let mut bytes = [request(1, &body), request(2, &body)].concat();
+            for (at, with) in hits {
+                let at = at % bytes.len();
+                bytes[at] = with;
+            }
+            // What is read is the same however it was split.
+            fed(&bytes, &cuts) == fed(&bytes, &[])
+        },
+    );
+    check::<fn(Vec<u8>) -> bool>(|bytes: Vec<u8>| fed(&bytes, &[]).0.len() <= bytes.len());
+}
+
+#[test]
+fn a_frame_beyond_its_bound_is_refused_before_it_is_whole() {
+    let long = request(7, &vec![0; rpc::MOST_FRAME + 1]);
+    assert_eq!(rpc::message(&long[..200]), Err((Fault::Damaged { id: Some(7) }, 200)));
+    let write = request(7, &vec![1; 48_000]);
+    assert!(matches!(rpc::message(&write), Ok(Some((Message::Request { .. }, n))) if n == write.len()));
+}
+
+#[test]
+fn answers_are_written_as_the_protocol_shows() {
+    let (head, tail) = rpc::served(7, 5, false);
+    assert_eq!((head, tail), (b"\x94\x01\x07\xc0\x92\xc6\x00\x00\x00\x05".to_vec(), b"\x80".to_vec()));
+    assert_eq!(rpc::served(200, 0, true).1, b"\x81\xa7current\xa11");
+    let refused = rpc::unserved(70_000, Word::Backoff, &[("holdoff", "250")]);
+    assert_eq!(refused, b"\x94\x01\xce\x00\x01\x11\x70\x92\xa7Backoff\x81\xa7holdoff\xa3250\xc0");
+    assert_eq!(rpc::unserved(200, Word::Lost, &[]), b"\x94\x01\xcd\x00\xc8\x92\xa4Lost\x80\xc0");
+    assert_eq!(rpc::checked(8, true), b"\x94\x01\x08\xc0\x92\xc3\x80");
+}
+
+const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nETag: 4be0\r\nContent-Length: 12\r\nx-result: via_origin\r\n\
+    X-Waited-Ms: 31\r\nX-Stats: inflight:7;x1:0.61\r\nConnection: keep-alive\r\n\r\n";
+
+#[test]
+fn heads_are_the_same_however_they_are_split() {
+    let (whole, len) = http::head(HEAD).unwrap().unwrap();
+    let stats = Some(b"inflight:7;x1:0.61".to_vec());
+    let (note, waited) = (Some(Note::FilledByOrigin), Some(Span::from_millis(31)));
+    let told = Head { status: 200, length: 12, declined: false, close: false, note, waited, stats };
+    assert_eq!((whole, len), (told, HEAD.len()));
+    assert!((0..HEAD.len()).all(|n| http::head(&HEAD[..n]) == Ok(None)));
+    let full = b"HTTP/1.1 503 Full\r\nX-Declined: 1\r\nContent-Length: 0\r\n\r\n";
+    assert!(http::head(full).unwrap().unwrap().0.declined);
+}
+
+#[test]
+fn damaged_heads_are_refused_or_read_but_never_beyond_their_end() {
+    check::<fn(Vec<(usize, u8)>, Vec<u8>) -> bool>(|hits: Vec<(usize, u8)>, more: Vec<u8>| {
+        let mut bytes = [HEAD, &more].concat();
+        for (at, with) in hits {
+            let at = at % HEAD.len();
+            bytes[at] = with;
+        }
+        match http::head(&bytes) {
+            Ok(Some((head, len))) => len <= bytes.len() && (200..600).contains(&head.status),
+            Ok(None) | Err(_) => true,
+        }
+    });
+    for bad in [
+        "HTTP/1.1 20 OK",
+        "HTTP/2 200 OK",
+        "HTTP/1.1 200 OK\r\nContent-Length: -1",
+        "SMTP",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2",
+        "HTTP/1.1 200 OK",
+        "HTTP/1.1 200 OK\r\nno colon",
+        "HTTP/1.1 99999999999999999999 OK",
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999999",
+    ] {
+        assert!(http::head(format!("{bad}\r\n\r\n").as_bytes()).is_err(), "{bad}");
+    }
+    assert!(http::head(&[HEAD[..20].to_vec(), vec![b'x'; http::MOST_HEAD]].concat()).is_err());
+}
+
+#[test]
+fn load_reports_are_read_by_name() {
+    for (report, value) in
+        [("inflight:7;x1:0.61", Some(0.61)), ("x1:nan", None), ("x11:2;x:1", None), ("", None)]
+    {
+        assert_eq!(http::stat(report.as_bytes(), "x1"), value);
+    }
+}
+
+#[test]
+fn ages_and_times_are_rounded_so_that_no_rule_is_loosened() {
+    let fill = |oldest| {
+        let source = Arc::from("p1");
+        Fill { source, keep: 2, join: true, held_only: false, renew: true, oldest: Some(oldest) }
+    };
+    let head = |micros: u64| {
+        let fill = fill(Span::from_micros(micros));
+        let request = Request {
+            rule: "segment",
+            object: "7f3a9c21e0b4d655",
+            part: 3,
+            trace: "9b1f03aa5c7e2d41",
+            host: "127.0.0.1:1",
+            patience: Span::from_micros(900_999),
+            fill: Some(&fill),
+            have: Some("4be0"),
+            body: None,
+        };
+        String::from_utf8(request.encode()).unwrap()
+    };
+    // 0 would lift the limit; more than what is left would let an older copy pass.
+    assert!(head(3).contains("\r\nX-Max-Age-Ms: 1\r\n"));
+    let all = head(1_500_999);
+    assert_eq!(
+        all,
+        "GET /x/segment/7f3a9c21e0b4d655/3 HTTP/1.1\r\nHost: 127.0.0.1:1\r\nX-Trace: 9b1f03aa5c7e2d41\r\n\
+        X-Patience: 900\r\nX-Fill-From: p1\r\nX-Keep: 2\r\nX-Max-Age-Ms: 1500\r\nX-Flags: ride+update\r\n\
+        If-None-Match: 4be0\r\n\r\n"
+    );
+}
+
+#[test]
+fn only_proof_lets_a_hop_count_as_not_run() {
+    let proven = [
+        End::Lacking,
+        End::Full,
+        End::Over,
+        End::Refused,
+        End::NoConnection,
+        End::NoSocket,
+        End::LateUnsent,
+        End::CutUnsent,
+        End::KeptClosed,
+    ];
+    for end in End::ALL {
+        let not_run = end.to_module().is_some_and(HopEnd::proves_not_run);
+        assert_eq!(not_run, proven.contains(&end), "{end:?}");
+    }
+    let served = End::ALL.iter().filter(|e| e.to_module() == Some(HopEnd::Completed));
+    assert!(served.eq(&[End::Whole, End::Current]));
+}
+
+#[test]
+fn the_pool_hands_out_no_more_than_its_bound_and_makes_the_rest_wait() {
+    let pool = Pool::new(10 * SIZE);
+    assert!(block_on(pool.body(10 * SIZE + 1)).is_none());
+    check::<fn(Vec<usize>) -> bool>(|lens: Vec<usize>| {
+        let pool = Pool::new(10 * SIZE);
+        let mut held = Vec::new();
+        for len in lens.into_iter().map(|n| n % (10 * SIZE)) {
+            let fits = pool.used() + len.div_ceil(SIZE) * SIZE <= 10 * SIZE;
+            let body = block_on(poll_once(pool.body(len)));
+            assert_eq!(body.is_some(), fits);
+            assert!(!pool.is_short() && pool.used() <= 10 * SIZE);
+            match body {
+                Some(body) => held.push(body.unwrap()),
+                None => drop(held.pop()),
+            }
+        }
+        held.clear();
+        pool.used() == 0
+    });
+}
+
+#[test]
+fn a_body_gives_back_what_it_was_filled_with() {
+    check::<fn(Vec<u8>, Vec<usize>) -> bool>(|bytes: Vec<u8>, cuts: Vec<usize>| {
+        let bytes: Vec<u8> =
+            bytes.into_iter().cycle().take(if cuts.is_empty() { 0 } else { 3 * SIZE + 7 }).collect();
+        let pool = Pool::new(10 * SIZE);
+        let mut body = block_on(pool.body(bytes.len())).unwrap();
+        let (mut rest, mut cuts) = (&bytes[..], cuts.into_iter().cycle());
+        while !rest.is_empty() {
+            let n = 1 + cuts.next().unwrap() % rest.len();
+            assert_eq!(body.fill(&rest[..n]), n);
+            rest = &rest[n..];
+        }
+        // Nothing beyond its length gets in.
+        body.is_full() && body.fill(b"more") == 0 && body.slices().collect::<Vec<_>>().concat() == bytes
+    });
+}
