--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -49,6 +49,7 @@
 }
 
 struct Out {
+    member: MemberId,
     task: Option<Task<()>>,
     sent: Time,
     until: Time,
@@ -243,6 +244,12 @@
         let link = ended.stats.as_deref().and_then(|report| http::stat(report, "x1"));
         let first_byte = ended.waited.filter(|waited| *waited > Span::ZERO);
         let (took, closed, note) = (now - out.sent, !self.open.contains_key(&txn), ended.note);
+        log::trace!(
+            "txn {txn} hop {hop} at {} ended {:?} {note:?} after {} us, link {link:?}, closed {closed}",
+            out.member,
+            ended.end,
+            took.as_micros()
+        );
         let load = Load { link };
         self.gateway.outcome(now, Outcome { txn, hop, end, took, closed, note, first_byte, load });
     }
@@ -284,7 +291,7 @@
         open.hops += 1;
         let until = limit.min(open.limit);
         let (rule, write) = self.rules[open.rule].clone();
-        let job = Job { member, until, rule, write, ask: Rc::clone(&open.ask), fill };
+        let job = Job { member: member.clone(), until, rule, write, ask: Rc::clone(&open.ask), fill };
         let mut task = None;
         if hop >= self.max_hops || until <= now {
             self.own.push_back((txn, hop, End::LateUnsent));
@@ -296,7 +303,7 @@
                 _ = queue.try_send(Event::HopEnded { txn, hop, ended });
             }));
         }
-        self.out.insert((txn, hop), Out { task, sent: now, until });
+        self.out.insert((txn, hop), Out { member, task, sent: now, until });
     }
 
     /// The restart can't wait longer: what is still open gets an answer that promises nothing.
