No more is read from a client that lets its answers wait

Seen while reading for unbounded memory: clients.rs, Front::read took in requests as fast as they came while their answers waited for a client that takes none; small refused messages could fill memory within the 5 s after which such a client is left. The reader now pauses while 64 answers wait. A test sends such messages and reads nothing: without the pause it is read on past 64 MB, with it the gateway leaves.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -6,11 +6,12 @@
 use crate::buffers::{Body, Pool};
 use crate::clock::{Clock, millis};
 use crate::counters::{Counters, Held};
-use crate::desk::Event;
+use crate::desk;
 use crate::end::End;
 use crate::rpc::{self, Ask, Fault, Message, Word};
 use async_channel::{Receiver, Sender};
 use async_io::Async;
+use event_listener::Event;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use kelpcart::{Span, Time};
 use std::cell::{Cell, RefCell};
@@ -21,6 +22,8 @@
 
 /// Open requests on a connection, by the protocol.
 const MOST_OPEN: usize = 32;
+/// Answers that may wait for a connection to take bytes before no more is read from it.
+const MOST_WAITING: usize = 2 * MOST_OPEN;
 /// A connection with no open request may be silent for this long.
 const SILENT: Span = millis(10_000);
 /// One that takes no bytes may stall for this long, or for the shorter time while bodies are short of memory.
@@ -43,6 +46,7 @@
     out: Sender<Frame>,
     open: RefCell<BTreeSet<u64>>,
     last: Cell<u64>,
+    written: Event,
     counters: Rc<Counters>,
 }
 
@@ -89,7 +93,7 @@
     pub clock: Clock,
     pub counters: Rc<Counters>,
     pub pool: Rc<Pool>,
-    pub desk: Sender<Event>,
+    pub desk: Sender<desk::Event>,
     pub most: usize,
 }
 
@@ -128,22 +132,29 @@
         _ = stream.get_ref().set_nodelay(true);
         let (out, frames) = async_channel::unbounded();
         let (open, last, counters) = (RefCell::default(), Cell::new(0), Rc::clone(&self.counters));
-        let client = Rc::new(Client { id, out, open, last, counters });
-        let end = future::or(self.read(&stream, &client), self.write(&stream, &frames)).await;
+        let client = Rc::new(Client { id, out, open, last, written: Event::new(), counters });
+        let end = future::or(self.read(&stream, &client), self.write(&stream, &client, &frames)).await;
         if end == End::PeerDamaged {
             // What it is owed goes out before the connection closes.
             client.out.close();
-            self.write(&stream, &frames).await;
+            self.write(&stream, &client, &frames).await;
         }
         frames.close();
         self.counters.ended(end);
-        _ = self.desk.send(Event::Left { client: id }).await;
+        _ = self.desk.send(desk::Event::Left { client: id }).await;
     }
 
     async fn read(&self, mut stream: &Async<TcpStream>, client: &Rc<Client>) -> End {
         let mut held: Vec<u8> = Vec::new();
         let mut bytes = vec![0; 16 * 1024];
         loop {
+            // Guards memory against a client that asks on and on and takes no answer.
+            while client.out.len() > MOST_WAITING {
+                let written = client.written.listen();
+                if client.out.len() > MOST_WAITING {
+                    written.await;
+                }
+            }
             let got = self.clock.by(self.clock.now() + SILENT, stream.read(&mut bytes)).await;
             let n = match got {
                 Some(Ok(0) | Err(_)) => return End::PeerLeft,
@@ -193,7 +204,7 @@
                 for id in ids {
                     if client.open.borrow_mut().remove(&id) {
                         self.counters.add("requests interrupted");
-                        _ = self.desk.send(Event::Interrupted { client: client.id, id }).await;
+                        _ = self.desk.send(desk::Event::Interrupted { client: client.id, id }).await;
                     }
                 }
                 return true;
@@ -202,7 +213,7 @@
                 self.counters.add("message ids used again");
                 return false;
             }
-            Message::Check { id } => Event::Check { client: Rc::clone(client), id },
+            Message::Check { id } => desk::Event::Check { client: Rc::clone(client), id },
             Message::Request { id, .. } if client.open.borrow().len() > MOST_OPEN => {
                 self.counters.add("requests over the connection's bound");
                 client.refuse(id, Word::Backoff, &[]);
@@ -210,7 +221,7 @@
             }
             Message::Request { id, method, ask } => {
                 self.counters.add("requests");
-                Event::Asked { client: Rc::clone(client), id, method, ask: Box::<Ask>::new(ask), at }
+                desk::Event::Asked { client: Rc::clone(client), id, method, ask: Box::<Ask>::new(ask), at }
             }
         };
         // It fails only when the desk has ended, and with it the process.
@@ -218,8 +229,9 @@
         true
     }
 
-    async fn write(&self, stream: &Async<TcpStream>, frames: &Receiver<Frame>) -> End {
+    async fn write(&self, stream: &Async<TcpStream>, client: &Client, frames: &Receiver<Frame>) -> End {
         while let Ok(mut frame) = frames.recv().await {
+            client.written.notify(1);
             if let Some((_, id)) = frame.until.filter(|(until, _)| *until < self.clock.now()) {
                 // Nobody waits for these bytes: they would only keep the buffers and the line busy.
                 self.counters.add("answers too late to write");
--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -585,6 +585,29 @@
     }
 }
 
+#[test]
+fn a_client_that_takes_no_answers_is_not_read_on_and_then_left() {
+    let edge = Cache::start(|_| ok(b"x"));
+    let gateway = Gateway::with_edge(&edge);
+    let mut stopped = Client::of(&gateway);
+    let (mut id, mut sent) = (0_u32, 0);
+    loop {
+        // Each owes a longer answer than it is long itself.
+        let some: Vec<u8> = (0..1_000)
+            .flat_map(|_| {
+                id += 1;
+                [&[0x94, 0x00, 0xce][..], &id.to_be_bytes(), &[0xa1, b'x', 0x91, 0x07]].concat()
+            })
+            .collect();
+        if stopped.stream.write_all(&some).is_err() {
+            break;
+        }
+        sent += some.len();
+        // What the machine holds for both sides is far less.
+        assert!(sent < 64 << 20, "a stopped reader is read on");
+    }
+}
+
 #[test]
 fn at_a_planned_restart_what_is_open_is_answered_first() {
     let (release, released) = channel();
