--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -34,7 +34,7 @@
 
 impl fmt::Display for Counters {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        write!(f, "client connections {}, hop connections {}", self.clients.get(), self.hops.get())?;
+        write!(f, "now: clients {}, hops {}; in all", self.clients.get(), self.hops.get())?;
         self.counts.borrow().iter().try_for_each(|(what, n)| write!(f, ", {what} {n}"))?;
         self.ends.borrow().iter().try_for_each(|(what, n)| write!(f, ", {what} {n}"))
     }
--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -157,6 +157,7 @@
             Event::HopEnded { txn, hop, ended } => self.ended(txn, hop, ended),
             Event::News(said) => self.news(said),
             Event::Stop => {
+                log::info!("told to stop, {} txns open", self.open.len());
                 self.stopped.get_or_insert(self.clock.now());
             }
         }
