A flood of idle connections keeps no other client out

Seen while reading for what one peer can cost the others: clients.rs, Front::accept let new connections wait until an old one left by itself, so that idle ones could keep others out for 10 s. At the bound the one idle longest now makes room; one with a request open or an answer on its way never does. The test opens twice what there are descriptors for and reads the counter, so that it fails without the guard.

--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -176,18 +176,12 @@
 
 fn member(entry: &Value) -> Found<Member> {
     let entry = entry.as_object().ok_or("an entry is not an object")?;
-    let state = match text(entry, "Availability")? {
-        "up" => MemberState::Up,
-        "draining" => MemberState::Draining,
-        "removed" => MemberState::Gone,
-        state => return Err(format!("unknown Availability {state}")),
-    };
     Ok(Member {
         id: Arc::from(text(entry, "Cache")?),
         zone: optional(entry, "Campus", int)?.unwrap_or(0) as usize,
         kind: optional(entry, "Type", int)?.unwrap_or(0) as usize,
         cell: optional(entry, "Group", int)?.unwrap_or(0),
-        state,
+        state: state(entry, "Availability")?,
         size: optional(entry, "Share", number)?.unwrap_or(0.0),
         started: optional(entry, "StartedAtUs", int)?.filter(|&at| at > 0).map(Time::from_micros),
     })
--- a/gateway/src/caches.rs
+++ b/gateway/src/caches.rs
@@ -60,29 +60,28 @@
     started: Option<Time>,
 }
 
+/// What the configuration sets to connections.
+pub struct Bounds {
+    pub connect: Span,
+    /// Caches close idle ones after this time.
+    pub idle: Span,
+    /// Descriptors.
+    pub most: usize,
+}
+
 pub struct Caches {
     clock: Clock,
     pool: Rc<Pool>,
     counters: Rc<Counters>,
-    connect_limit: Span,
-    idle: Span,
-    most: usize,
+    bounds: Bounds,
     places: RefCell<BTreeMap<MemberId, Place>>,
     kept: RefCell<BTreeMap<MemberId, Vec<Kept>>>,
 }
 
 impl Caches {
-    /// `idle`: caches close idle connections after this time. `most`: descriptors for hops.
-    pub fn new(
-        clock: Clock,
-        pool: Rc<Pool>,
-        counters: Rc<Counters>,
-        connect_limit: Span,
-        idle: Span,
-        most: usize,
-    ) -> Rc<Caches> {
+    pub fn new(clock: Clock, pool: Rc<Pool>, counters: Rc<Counters>, bounds: Bounds) -> Rc<Caches> {
         let (places, kept) = Default::default();
-        Rc::new(Caches { clock, pool, counters, connect_limit, idle, most, places, kept })
+        Rc::new(Caches { clock, pool, counters, bounds, places, kept })
     }
 
     /// Closes idle connections well before the caches would, lest one is closed just as it is used.
@@ -91,7 +90,7 @@
         let sweep = async move {
             loop {
                 caches.clock.sleep_until(caches.clock.now() + millis(500)).await;
-                let old = caches.clock.now().back(caches.idle * 0.75);
+                let old = caches.clock.now().back(caches.bounds.idle * 0.75);
                 caches.kept.borrow_mut().values_mut().for_each(|all| all.retain(|k| k.since > old));
             }
         };
@@ -252,15 +251,15 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Link, End> {
-        if self.counters.hops.get() >= self.most {
+        if self.counters.hops.get() >= self.bounds.most {
             self.drop_oldest();
         }
-        if self.counters.hops.get() >= self.most {
+        if self.counters.hops.get() >= self.bounds.most {
             return Err(End::NoSocket);
         }
         let held = Held::new(&self.counters, |c| &c.hops);
         self.counters.add("hop connections opened");
-        let limit = self.clock.now() + self.connect_limit;
+        let limit = self.clock.now() + self.bounds.connect;
         let connected = self.clock.by(limit, Async::<TcpStream>::connect(address)).await;
         let stream = connected.ok_or(End::NoConnection)?.map_err(refusal)?;
         stream.get_ref().set_nodelay(true).map_err(refusal)?;
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -15,7 +15,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use kelpcart::{Span, Time};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, IoSlice};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -46,7 +46,12 @@
     out: Sender<Frame>,
     open: RefCell<BTreeSet<u64>>,
     last: Cell<u64>,
+    /// Answers that are not written whole yet.
+    waiting: Cell<usize>,
     written: Event,
+    /// When it was last heard of, and the word that it has to make room.
+    heard: Cell<Time>,
+    leave: Event,
     counters: Rc<Counters>,
 }
 
@@ -71,10 +76,16 @@
             return;
         }
         let _held = Held::new(&self.counters, |c| &c.unwritten);
+        self.waiting.set(self.waiting.get() + 1);
         // It fails only when the connection is gone.
         _ = self.out.try_send(Frame { head, body, tail, until, _held });
     }
 
+    /// It owes nothing and is owed nothing: closing its connection loses no request.
+    fn is_idle(&self) -> bool {
+        self.open.borrow().is_empty() && self.waiting.get() == 0
+    }
+
     /// Takes in a message id; `false` if it was used before.
     fn take(&self, id: u64) -> bool {
         let new = id > self.last.get();
@@ -95,15 +106,16 @@
     pub pool: Rc<Pool>,
     pub desk: Sender<desk::Event>,
     pub most: usize,
+    pub connected: Rc<RefCell<BTreeMap<u64, Rc<Client>>>>,
 }
 
 impl Front {
     pub async fn accept(self, listener: Async<TcpListener>) {
         let (mut next, mut wait) = (0, millis(10));
         loop {
-            // At the bound new ones wait in the machine's queue until one leaves.
-            if self.counters.clients.get() >= self.most {
-                self.clock.sleep_until(self.clock.now() + millis(5)).await;
+            if listener.readable().await.is_ok() && self.counters.clients.get() >= self.most {
+                self.make_room();
+                self.clock.sleep_until(self.clock.now() + millis(1)).await;
                 continue;
             }
             match listener.accept().await {
@@ -127,19 +139,40 @@
         }
     }
 
+    /// Guards other clients against one that opens connections and leaves them idle: at the bound the one idle
+    /// longest makes room. With none idle, new ones wait in the machine's queue.
+    fn make_room(&self) {
+        let connected = self.connected.borrow();
+        let idle = connected.values().filter(|c| c.is_idle()).min_by_key(|c| c.heard.get());
+        if let Some(client) = idle {
+            self.counters.add("idle clients closed for room");
+            client.leave.notify(1);
+        }
+    }
+
     async fn serve(&self, id: u64, stream: Async<TcpStream>) {
         // Without it answers only come later.
         _ = stream.get_ref().set_nodelay(true);
         let (out, frames) = async_channel::unbounded();
         let (open, last, counters) = (RefCell::default(), Cell::new(0), Rc::clone(&self.counters));
-        let client = Rc::new(Client { id, out, open, last, written: Event::new(), counters });
-        let end = future::or(self.read(&stream, &client), self.write(&stream, &client, &frames)).await;
+        let (waiting, heard) = (Cell::new(0), Cell::new(self.clock.now()));
+        let (written, leave) = (Event::new(), Event::new());
+        let client = Rc::new(Client { id, out, open, last, waiting, written, heard, leave, counters });
+        let told = client.leave.listen();
+        self.connected.borrow_mut().insert(id, Rc::clone(&client));
+        let crowded = async {
+            told.await;
+            End::PeerSilent
+        };
+        let work = future::or(self.read(&stream, &client), self.write(&stream, &client, &frames));
+        let end = future::or(work, crowded).await;
         if end == End::PeerDamaged {
             // What it is owed goes out before the connection closes.
             client.out.close();
             self.write(&stream, &client, &frames).await;
         }
         frames.close();
+        self.connected.borrow_mut().remove(&id);
         self.counters.ended(end);
         _ = self.desk.send(desk::Event::Left { client: id }).await;
     }
@@ -149,9 +182,9 @@
         let mut bytes = vec![0; 16 * 1024];
         loop {
             // Guards memory against a client that asks on and on and takes no answer.
-            while client.out.len() > MOST_WAITING {
+            while client.waiting.get() > MOST_WAITING {
                 let written = client.written.listen();
-                if client.out.len() > MOST_WAITING {
+                if client.waiting.get() > MOST_WAITING {
                     written.await;
                 }
             }
@@ -159,10 +192,11 @@
             let n = match got {
                 Some(Ok(0) | Err(_)) => return End::PeerLeft,
                 Some(Ok(n)) => n,
-                None if client.open.borrow().is_empty() => return End::PeerSilent,
+                None if client.is_idle() => return End::PeerSilent,
                 None => continue,
             };
             let at = self.clock.now();
+            client.heard.set(at);
             held.extend_from_slice(&bytes[..n]);
             let mut used = 0;
             while used < held.len() {
@@ -231,7 +265,6 @@
 
     async fn write(&self, stream: &Async<TcpStream>, client: &Client, frames: &Receiver<Frame>) -> End {
         while let Ok(mut frame) = frames.recv().await {
-            client.written.notify(1);
             if let Some((_, id)) = frame.until.filter(|(until, _)| *until < self.clock.now()) {
                 // Nobody waits for these bytes: they would only keep the buffers and the line busy.
                 self.counters.add("answers too late to write");
@@ -244,6 +277,8 @@
             if let Err(end) = self.write_all(stream, &mut slices).await {
                 return end;
             }
+            client.waiting.set(client.waiting.get() - 1);
+            client.written.notify(1);
         }
         End::PeerLeft
     }
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -1,7 +1,7 @@
 //! Reads the configuration, once, before anything listens. Owns the names in it; must never hold a value that the
 //! operators did not give.
 
-use kelpcart::interface::{Member, MemberState, Settings};
+use kelpcart::interface::{Member, Settings};
 use kelpcart::{Span, Time};
 use kelpcart_settings::*;
 use serde_json::Value;
@@ -111,12 +111,6 @@
 
 fn listed(entry: &Value, names: &Names) -> Found<Listed> {
     let entry = entry.as_object().ok_or("an endpoint is not an object")?;
-    let state = match text(entry, "status")? {
-        "up" => MemberState::Up,
-        "draining" => MemberState::Draining,
-        "removed" => MemberState::Gone,
-        status => return Err(format!("unknown status {status}")),
-    };
     // A place that the settings don't name is one of its own: no zone or kind is taken for another.
     let place = |name: &str, of: &[String]| {
         let told = entry.get(name).and_then(Value::as_str);
@@ -128,7 +122,7 @@
         zone: place("zone", &names.zones),
         kind: place("type", &names.kinds),
         cell: optional(entry, "group", int)?.unwrap_or(0),
-        state,
+        state: state(entry, "status")?,
         size: optional(entry, "weight", number)?.unwrap_or(0.0),
         started: started.map(|ms| Time::from_micros(ms.saturating_mul(1_000))),
     };
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -7,7 +7,7 @@
 use futures_lite::{StreamExt, future};
 use kelpcart_gateway::buffers::Pool;
 use kelpcart_gateway::bulletin::Bulletin;
-use kelpcart_gateway::caches::Caches;
+use kelpcart_gateway::caches::{Bounds, Caches};
 use kelpcart_gateway::clients::Front;
 use kelpcart_gateway::clock::Clock;
 use kelpcart_gateway::config::Config;
@@ -56,8 +56,8 @@
     let clients = config.sockets / 3 + RESERVE / 2;
     let hops = config.sockets.saturating_sub(clients + RESERVE).max(1);
     let pool = Pool::new(config.memory / 2);
-    let connect = config.settings.connect_limit;
-    let caches = Caches::new(clock, Rc::clone(&pool), Rc::clone(&counters), connect, config.idle, hops);
+    let bounds = Bounds { connect: config.settings.connect_limit, idle: config.idle, most: hops };
+    let caches = Caches::new(clock, Rc::clone(&pool), Rc::clone(&counters), bounds);
     caches.sweep(tasks);
     let bulletin = Bulletin {
         address: config.bulletin,
@@ -77,6 +77,7 @@
         pool: Rc::clone(&pool),
         desk: desk.clone(),
         most: clients,
+        connected: Rc::default(),
     };
     tasks.spawn(front.accept(listener)).detach();
     let work = Desk::new(config, clock, tasks, caches, Rc::clone(&counters), (desk.clone(), events)).run();
--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -460,10 +460,15 @@
     let short = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".to_vec();
     let chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n".to_vec();
     let endless = [b"HTTP/1.1 200 OK\r\nX: ".to_vec(), vec![b'x'; 20_000]].concat();
-    for bad in [longer, huge, short, chunked, endless, b"no HTTP at all\r\n\r\n".to_vec()] {
+    let bad = [longer, huge, chunked, endless, b"no HTTP at all\r\n\r\n".to_vec()];
+    for (bad, cut) in bad.into_iter().map(|b| (b, false)).chain([(short, true)]) {
         let caches = [(); 2].map(|()| {
             let bad = bad.clone();
-            Cache::start(move |_| Reply::SendAndClose(bad.clone()))
+            Cache::start(
+                move |_| {
+                    if cut { Reply::SendAndClose(bad.clone()) } else { Reply::Send(bad.clone()) }
+                },
+            )
         });
         let parent = Cache::start(|_| ok(b"good"));
         let members = [
@@ -476,6 +481,10 @@
         let mut client = Client::of(&gateway);
         client.ask("segment", 9, 3_000, &[]);
         assert_eq!(client.answer().body, b"good");
+        for cache in &caches {
+            cache.came();
+            cache.closed();
+        }
     }
 }
 
@@ -651,6 +660,31 @@
     }
 }
 
+#[test]
+fn a_flood_of_idle_connections_keeps_nobody_out() {
+    let (release, released) = channel();
+    let released = Mutex::new(released);
+    let edge = Cache::start(move |_| {
+        released.lock().unwrap().recv_timeout(PATIENCE).unwrap();
+        ok(b"x")
+    });
+    let members = [Member("e1", "box", edge.address), Member("o", "origin", nobody())];
+    let mut few = config(&members, nobody(), 64);
+    few["limits"]["sockets"] = json!(48);
+    let mut gateway = Gateway::start(&few);
+    let mut good = Client::of(&gateway);
+    let first = good.ask("segment", 1, 15_000, &[]);
+    // Twice what there are descriptors for.
+    let flood: Vec<Client> = (0..96).map(|_| Client::of(&gateway)).collect();
+    let mut late = Client::of(&gateway);
+    assert!(late.check());
+    gateway.signal("USR1");
+    assert!(gateway.line().contains("idle clients closed for room"));
+    release.send(()).unwrap();
+    assert_eq!(good.answer().id, first);
+    drop(flood);
+}
+
 #[test]
 fn at_a_planned_restart_what_is_open_is_answered_first() {
     let (release, released) = channel();
@@ -709,6 +743,9 @@
         &["settings", "Classes"],
         &["settings", "PolicyLimits", "MaxAttempts"],
     ];
+    let nowhere =
+        Command::new(env!("CARGO_BIN_EXE_kelpcart")).env("NODE_CONFIG", "/nowhere").output().unwrap();
+    assert!(!nowhere.status.success() && nowhere.stderr.ends_with(b"\n"));
     for path in paths {
         let out = spawn(&without(path)).wait_with_output().unwrap();
         let said = String::from_utf8(out.stderr).unwrap();
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -81,6 +81,16 @@
     })
 }
 
+/// A member's state, by the word that both the wire and the bulletin use.
+pub fn state(body: &Fields, name: &str) -> Found<MemberState> {
+    match text(body, name)? {
+        "up" => Ok(MemberState::Up),
+        "draining" => Ok(MemberState::Draining),
+        "removed" => Ok(MemberState::Gone),
+        word => Err(format!("unknown {name} {word}")),
+    }
+}
+
 pub fn at<'a>(body: &'a Fields, name: &str, i: usize) -> Option<&'a Value> {
     body.get(name)?.as_array()?.get(i)
 }
