Hops at the bound of descriptors wait for one instead of ending at once

A line a hop showed 1135 of 4476 hops at the one gateway left ending as NoSocket at once, after which the module tried the next cache with the same result and rejected. Ruled out: clients' connections (20 in all), memory (2 MB), CPU (0.06 of a core at most). At fault: caches.rs, connect, which gave up at the bound without waiting. A hop now waits for a descriptor within the time that it has for its connection. The test fails without the wait and without the bound.

--- a/gateway/src/caches.rs
+++ b/gateway/src/caches.rs
@@ -10,6 +10,7 @@
 use crate::end::End;
 use crate::{http, rpc};
 use async_io::Async;
+use event_listener::Event;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use kelpcart::interface::{Fill, MemberId, MemberState, Note};
 use kelpcart::{Span, Time};
@@ -76,12 +77,23 @@
     bounds: Bounds,
     places: RefCell<BTreeMap<MemberId, Place>>,
     kept: RefCell<BTreeMap<MemberId, Vec<Kept>>>,
+    /// A hop has ended, so that its descriptor may be free.
+    freed: Event,
+}
+
+/// Tells of the end of a hop, also of one that is taken back.
+struct Tells<'a>(&'a Event);
+
+impl Drop for Tells<'_> {
+    fn drop(&mut self) {
+        self.0.notify(1);
+    }
 }
 
 impl Caches {
     pub fn new(clock: Clock, pool: Rc<Pool>, counters: Rc<Counters>, bounds: Bounds) -> Rc<Caches> {
         let (places, kept) = Default::default();
-        Rc::new(Caches { clock, pool, counters, bounds, places, kept })
+        Rc::new(Caches { clock, pool, counters, bounds, places, kept, freed: Event::new() })
     }
 
     /// Closes idle connections well before the caches would, lest one is closed just as it is used.
@@ -134,7 +146,7 @@
 
     /// Runs one hop to its end, which comes by the job's time at the latest.
     pub async fn hop(&self, job: Job) -> Ended {
-        let sent = Cell::new(false);
+        let (sent, _tells) = (Cell::new(false), Tells(&self.freed));
         let ended = self.clock.by(job.until, self.run(&job, &sent)).await;
         let ended = ended.unwrap_or_else(|| if sent.get() { End::Late } else { End::LateUnsent }.into());
         self.counters.ended(ended.end);
@@ -251,21 +263,28 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Link, End> {
-        if self.counters.hops.get() >= self.bounds.most {
-            self.drop_oldest();
-        }
-        if self.counters.hops.get() >= self.bounds.most {
-            return Err(End::NoSocket);
-        }
+        let limit = self.clock.now() + self.bounds.connect;
+        self.clock.by(limit, self.room()).await.ok_or(End::NoSocket)?;
         let held = Held::new(&self.counters, |c| &c.hops);
         self.counters.add("hop connections opened");
-        let limit = self.clock.now() + self.bounds.connect;
         let connected = self.clock.by(limit, Async::<TcpStream>::connect(address)).await;
         let stream = connected.ok_or(End::NoConnection)?.map_err(refusal)?;
         stream.get_ref().set_nodelay(true).map_err(refusal)?;
         Ok(Link { stream, _held: held })
     }
 
+    /// Guards txns at the bound of descriptors against being told off at once by every cache in turn: a hop waits
+    /// for one as it would for its connection.
+    async fn room(&self) {
+        while self.counters.hops.get() >= self.bounds.most {
+            self.drop_oldest();
+            let freed = self.freed.listen();
+            if self.counters.hops.get() >= self.bounds.most {
+                freed.await;
+            }
+        }
+    }
+
     fn drop_oldest(&self) {
         let mut kept = self.kept.borrow_mut();
         let oldest = kept.values_mut().filter(|all| !all.is_empty()).min_by_key(|all| all[0].since);
--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -554,6 +554,38 @@
     assert_eq!(client.answer().word.as_deref(), Some("Lost"));
 }
 
+#[test]
+fn hops_over_the_bound_of_descriptors_wait_for_one() {
+    let (release, released) = channel();
+    let released = Mutex::new(released);
+    let asked = Arc::new(Mutex::new(0));
+    let count = Arc::clone(&asked);
+    let edge = Cache::start(move |_| {
+        *count.lock().unwrap() += 1;
+        released.lock().unwrap().recv_timeout(PATIENCE).unwrap();
+        ok(b"x")
+    });
+    let members = [Member("e1", "box", edge.address), Member("o", "origin", nobody())];
+    let mut few = config(&members, nobody(), 64);
+    few["limits"]["sockets"] = json!(48);
+    few["settings"]["PolicyLimits"]["ConnectTimeoutUs"] = json!(20_000_000);
+    let mut gateway = Gateway::start(&few);
+    let mut client = Client::of(&gateway);
+    for object in 0..16 {
+        client.ask("segment", object, 20_000, &[]);
+    }
+    assert!(client.check());
+    while *asked.lock().unwrap() < 8 {
+        thread::yield_now();
+    }
+    gateway.signal("USR1");
+    assert!(gateway.line().contains("hops 8;"));
+    (0..16).for_each(|_| release.send(()).unwrap());
+    for _ in 0..16 {
+        assert_eq!(client.answer().body, b"x");
+    }
+}
+
 #[test]
 fn what_is_over_the_bound_of_open_txns_is_rejected_at_once() {
     let edge = Cache::start(|_| Reply::Silent);
