--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -3,7 +3,7 @@
 
 use quickcheck::{Gen, QuickCheck};
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
@@ -285,10 +285,15 @@
         self.ask_with(method, &fields, body)
     }
 
-    fn check(&mut self) -> bool {
+    fn ask_check(&mut self) -> u64 {
         let id = self.next;
         self.next += 1;
         self.send(&[0x94, 0x00, id, 0xa5, b'c', b'h', b'e', b'c', b'k', 0x91, 0x80]);
+        u64::from(id)
+    }
+
+    fn check(&mut self) -> bool {
+        self.ask_check();
         self.answer().body == [1]
     }
 
@@ -897,9 +902,12 @@
     }
 }
 
-/// Whatever caches do, each txn gets one answer; what is served is whole; no effect happens twice, and none that
-/// may have happened is rejected.
-fn random_day(chances: Vec<u8>, asks: Vec<(bool, u8)>) -> bool {
+/// Whether it is a write, its object, and whether it is interrupted.
+type Asked = (bool, u8, u8);
+
+/// Whatever caches do, each txn gets one answer, or none at most if it was interrupted, also at a planned restart;
+/// what is served is whole; no effect happens twice, and none that may have happened is rejected.
+fn random_day(stop: bool, chances: Vec<u8>, asks: Vec<Asked>) -> bool {
     let ran: Arc<Mutex<BTreeMap<String, u32>>> = Arc::default();
     let count = Arc::new(Mutex::new(0));
     let start = || {
@@ -923,18 +931,38 @@
         Member("p1", "parent", caches[2].address),
         Member("o", "origin", caches[3].address),
     ];
-    let gateway = Gateway::start(&config(&members, nobody(), 16));
+    let mut gateway = Gateway::start(&config(&members, nobody(), 16));
     let mut client = Client::of(&gateway);
-    let mut asked = BTreeMap::new();
-    for (i, (write, object)) in asks.into_iter().take(30).enumerate() {
+    let (mut asked, mut owed) = (BTreeMap::new(), BTreeSet::new());
+    for (i, (write, object, interrupt)) in asks.into_iter().take(30).enumerate() {
         let body = if write { format!("effect {i}") } else { String::new() };
         let (method, object) = (if write { "commit" } else { "segment" }, u64::from(object));
         let id = client.ask(method, object, 15_000, body.as_bytes());
         asked.insert(id, (format!("/x/{method}/{object:016x}/3"), body));
+        if interrupt % 4 == 0 {
+            client.interrupt(id);
+        } else {
+            owed.insert(id);
+        }
     }
-    while !asked.is_empty() {
+    if stop {
+        gateway.signal("TERM");
+    }
+    let mut checked = None;
+    loop {
+        if owed.is_empty() && checked.is_none() {
+            if stop {
+                break;
+            }
+            // Nothing follows the answer to this.
+            checked = Some(client.ask_check());
+        }
         let answer = client.answer();
+        if checked == Some(answer.id) {
+            break;
+        }
         let Some((path, body)) = asked.remove(&answer.id) else { return false };
+        owed.remove(&answer.id);
         let times = ran.lock().unwrap().get(&body).copied().unwrap_or(0);
         let fits = match answer.word.as_deref() {
             None => answer.body == bytes_of(&path, 40_000) && (body.is_empty() || times == 1),
@@ -945,12 +973,11 @@
             return false;
         }
     }
-    // Nothing follows the last answer but that to the check.
-    !ran.lock().unwrap().values().any(|&n| n > 1) && client.check()
+    !ran.lock().unwrap().values().any(|&n| n > 1) && (!stop || gateway.child.wait().unwrap().success())
 }
 
 #[test]
 fn random_days_keep_the_rules() {
     let seeded = Gen::from_size_and_seed(40, 11);
-    QuickCheck::new().rng(seeded).tests(12).quickcheck(random_day as fn(Vec<u8>, Vec<(bool, u8)>) -> bool);
+    QuickCheck::new().rng(seeded).tests(12).quickcheck(random_day as fn(bool, Vec<u8>, Vec<Asked>) -> bool);
 }
