--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -10,7 +10,7 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Longer than anything here may take: it ends a test that hangs and decides none.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -863,7 +863,8 @@
     let caches = [(); 2].map(|()| Cache::start(|_| ok(b"x")));
     let [e1, e2] = [Member("e1", "box", caches[0].address), Member("e2", "box", caches[1].address)];
     let first = change(2, json!([endpoint(&e1, "draining"), endpoint(&e2, "up")]));
-    let purge = json!({"no": 3, "recall": {"lot": 17, "issued": 1_000}}).to_string();
+    let issued = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64 - 5_000;
+    let purge = json!({"no": 3, "recall": {"lot": 17, "issued": issued}}).to_string();
     // A gap, a line that is no event, a number that is ahead, and what was asked for in two pieces.
     let gap = change(9, json!([endpoint(&e2, "removed")]));
     let lines = vec![
@@ -874,15 +875,20 @@
     ];
     let bulletin = Bulletin::start(lines);
     let members = [Member("o", "origin", nobody()), Member("e1", "box", caches[0].address)];
-    let gateway = Gateway::start(&config(&members, bulletin.address, 64));
+    let mut gateway = Gateway::start(&config(&members, bulletin.address, 64));
     let asked: Vec<String> = (0..5).map(|_| bulletin.asked()).collect();
     assert_eq!(asked, ["after 1\n", "after 2\n", "after 2\n", "after 2\n", "after 3\n"]);
+    for why in ["number 9 after 2", "endpoints is missing", "number 7 after 2", "not JSON"] {
+        let line = (0..2).map(|_| gateway.line()).find(|l| l.contains("can't be used")).unwrap();
+        assert!(line.contains(why), "{line}");
+    }
     let mut client = Client::of(&gateway);
     for object in 0..8 {
         client.ask("segment", object, 3_000, &[]);
         assert_eq!(client.answer().body, b"x");
-        // An age limit comes with the purge of its group, long ago as that is.
-        assert!(caches[1].came().field("X-Max-Age-Ms").unwrap().parse::<u64>().unwrap() > 0);
+        // Nothing from before the purge of its group, and anything since.
+        let age: u64 = caches[1].came().field("X-Max-Age-Ms").unwrap().parse().unwrap();
+        assert!((4_900..60_000).contains(&age));
     }
     assert_eq!(caches[0].came_so_far(), 0);
 }
