--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -8,7 +8,7 @@
 use crate::counters::{Counters, Held};
 use crate::desk;
 use crate::end::End;
-use crate::rpc::{self, Ask, Fault, Message, Word};
+use crate::rpc::{self, Fault, Message, Word};
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use event_listener::Event;
@@ -255,7 +255,7 @@
             }
             Message::Request { id, method, ask } => {
                 self.counters.add("requests");
-                desk::Event::Asked { client: Rc::clone(client), id, method, ask: Box::<Ask>::new(ask), at }
+                desk::Event::Asked { client: Rc::clone(client), id, method, ask: Box::new(ask), at }
             }
         };
         // It fails only when the desk has ended, and with it the process.
--- a/gateway/src/clock.rs
+++ b/gateway/src/clock.rs
@@ -2,7 +2,7 @@
 //! runs back. Must never be asked for a time by another way; sleeping is by the same clock.
 
 use async_io::Timer;
-use futures_lite::{FutureExt, future};
+use futures_lite::future;
 use kelpcart::{Span, Time};
 use std::future::Future;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -33,7 +33,7 @@
             self.sleep_until(at).await;
             None
         };
-        future::or(async { Some(work.await) }, late.boxed_local()).await
+        future::or(async { Some(work.await) }, late).await
     }
 }
 
--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -62,7 +62,7 @@
     caches: Rc<Caches>,
     counters: Rc<Counters>,
     queue: (Sender<Event>, Receiver<Event>),
-    /// Ends of hops that never came to a connection.
+    /// Ends that no task reports: of hops never begun, or taken back.
     own: VecDeque<(TxnId, u32, End)>,
     open: BTreeMap<TxnId, Open>,
     by_message: BTreeMap<(u64, u64), TxnId>,
