Tests: idle and silent connections are closed; a test's closed no longer means timed out

Seen by breaking the gateway on purpose: the time after which idle hop connections are closed, that of silent clients and that of a silent bulletin failed no test.

--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -4,7 +4,7 @@
 use quickcheck::{Gen, QuickCheck};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -361,7 +361,10 @@
     }
 
     fn is_closed(&mut self) -> bool {
-        matches!(self.stream.read(&mut [0]), Ok(0) | Err(_))
+        match self.stream.read(&mut [0]) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() == ErrorKind::ConnectionReset,
+        }
     }
 }
 
@@ -522,6 +525,32 @@
     assert!(edge.news.try_recv().is_err());
 }
 
+#[test]
+fn idle_connections_are_closed_before_the_caches_would() {
+    let edge = Cache::start(|_| ok(b"x"));
+    let members = [Member("e1", "box", edge.address), Member("o", "origin", nobody())];
+    let mut short = config(&members, nobody(), 64);
+    short["settings"]["PolicyLimits"]["ConnIdleUs"] = json!(1_000_000);
+    let gateway = Gateway::start(&short);
+    let mut client = Client::of(&gateway);
+    client.ask("segment", 1, 3_000, &[]);
+    assert_eq!(client.answer().body, b"x");
+    edge.closed();
+    client.ask("segment", 1, 3_000, &[]);
+    assert_eq!(client.answer().body, b"x");
+}
+
+#[test]
+fn a_silent_client_is_closed_and_a_silent_bulletin_asked_again() {
+    let bulletin = Bulletin::start(Vec::new());
+    let gateway = Gateway::start(&config(&[], bulletin.address, 64));
+    let mut silent = Client::of(&gateway);
+    // Half a message is no more than none.
+    silent.send(&[0x94, 0x00]);
+    assert_eq!([bulletin.asked(), bulletin.asked()], ["after 1\n", "after 1\n"]);
+    assert!(silent.is_closed());
+}
+
 #[test]
 fn an_interrupted_txn_gets_no_answer_and_its_hop_is_given_up() {
     let edge =
