--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -65,6 +65,17 @@
         Cache { address, news }
     }
 
+    /// One that answers each request when it is told to.
+    fn holding(body: &'static [u8]) -> (Cache, Sender<()>) {
+        let (release, released) = channel();
+        let released = Mutex::new(released);
+        let cache = Cache::start(move |_| {
+            released.lock().unwrap().recv_timeout(PATIENCE).unwrap();
+            ok(body)
+        });
+        (cache, release)
+    }
+
     fn came(&self) -> Seen {
         loop {
             if let News::Came(seen) = self.news.recv_timeout(PATIENCE).unwrap() {
@@ -110,8 +121,8 @@
         if lines.read_exact(&mut seen.body).is_err() {
             return;
         }
+        _ = tell.send(News::Came(seen.clone()));
         let reply = script(&seen);
-        _ = tell.send(News::Came(seen));
         let (bytes, close) = match reply {
             Reply::Send(bytes) => (bytes, false),
             Reply::SendAndClose(bytes) => (bytes, true),
@@ -176,6 +187,16 @@
     })
 }
 
+/// With a single edge cache, nobody in the other places, and some numbers set by their paths.
+fn edge_config(edge: &Cache, numbers: &[(&str, u64)]) -> Value {
+    let members = [Member("e1", "box", edge.address), Member("o", "origin", nobody())];
+    let mut all = config(&members, nobody(), 64);
+    for (path, number) in numbers {
+        *all.pointer_mut(path).unwrap() = json!(number);
+    }
+    all
+}
+
 /// A gateway that is ended with the test.
 struct Gateway {
     child: Child,
@@ -206,8 +227,7 @@
 
     /// One with a single edge cache, and nobody in the other places.
     fn with_edge(edge: &Cache) -> Gateway {
-        let members = [Member("e1", "box", edge.address), Member("o", "origin", nobody())];
-        Gateway::start(&config(&members, nobody(), 64))
+        Gateway::start(&edge_config(edge, &[]))
     }
 
     fn signal(&self, name: &str) {
@@ -528,10 +548,8 @@
 #[test]
 fn idle_connections_are_closed_before_the_caches_would() {
     let edge = Cache::start(|_| ok(b"x"));
-    let members = [Member("e1", "box", edge.address), Member("o", "origin", nobody())];
-    let mut short = config(&members, nobody(), 64);
-    short["settings"]["PolicyLimits"]["ConnIdleUs"] = json!(1_000_000);
-    let gateway = Gateway::start(&short);
+    let short = [("/settings/PolicyLimits/ConnIdleUs", 1_000_000)];
+    let gateway = Gateway::start(&edge_config(&edge, &short));
     let mut client = Client::of(&gateway);
     client.ask("segment", 1, 3_000, &[]);
     assert_eq!(client.answer().body, b"x");
@@ -590,28 +608,15 @@
 
 #[test]
 fn hops_over_the_bound_of_descriptors_wait_for_one() {
-    let (release, released) = channel();
-    let released = Mutex::new(released);
-    let asked = Arc::new(Mutex::new(0));
-    let count = Arc::clone(&asked);
-    let edge = Cache::start(move |_| {
-        *count.lock().unwrap() += 1;
-        released.lock().unwrap().recv_timeout(PATIENCE).unwrap();
-        ok(b"x")
-    });
-    let members = [Member("e1", "box", edge.address), Member("o", "origin", nobody())];
-    let mut few = config(&members, nobody(), 64);
-    few["limits"]["sockets"] = json!(48);
-    few["settings"]["PolicyLimits"]["ConnectTimeoutUs"] = json!(20_000_000);
-    let mut gateway = Gateway::start(&few);
+    let (edge, release) = Cache::holding(b"x");
+    let few = [("/limits/sockets", 48), ("/settings/PolicyLimits/ConnectTimeoutUs", 20_000_000)];
+    let mut gateway = Gateway::start(&edge_config(&edge, &few));
     let mut client = Client::of(&gateway);
     for object in 0..16 {
         client.ask("segment", object, 20_000, &[]);
     }
     assert!(client.check());
-    while *asked.lock().unwrap() < 8 {
-        thread::yield_now();
-    }
+    (0..8).for_each(|_| _ = edge.came());
     gateway.signal("USR1");
     assert!(gateway.line().contains("hops 8;"));
     (0..16).for_each(|_| release.send(()).unwrap());
@@ -623,10 +628,7 @@
 #[test]
 fn what_is_over_the_bound_of_open_txns_is_rejected_at_once() {
     let edge = Cache::start(|_| Reply::Silent);
-    let members = [Member("e1", "box", edge.address), Member("o", "origin", nobody())];
-    let mut few = config(&members, nobody(), 64);
-    few["settings"]["PolicyLimits"]["MaxOpen"] = json!(1);
-    let gateway = Gateway::start(&few);
+    let gateway = Gateway::start(&edge_config(&edge, &[("/settings/PolicyLimits/MaxOpen", 1)]));
     let mut client = Client::of(&gateway);
     client.ask("segment", 1, 15_000, &[]);
     let second = client.ask("segment", 2, 15_000, &[]);
@@ -681,9 +683,8 @@
     let bytes = bytes_of("stalled", 240_000);
     let held = bytes.clone();
     let edge = Cache::start(move |_| ok(&held));
-    let members = [Member("e1", "box", edge.address), Member("o", "origin", nobody())];
     // Room for some bodies only: fewer than the stopped reader asks for.
-    let gateway = Gateway::start(&config(&members, nobody(), 8));
+    let gateway = Gateway::start(&edge_config(&edge, &[("/limits/memory_mb", 8)]));
     let mut stopped = Client::of(&gateway);
     for object in 0..32 {
         stopped.ask("segment", object, 15_000, &[]);
@@ -728,16 +729,8 @@
 
 #[test]
 fn a_flood_of_idle_connections_keeps_nobody_out() {
-    let (release, released) = channel();
-    let released = Mutex::new(released);
-    let edge = Cache::start(move |_| {
-        released.lock().unwrap().recv_timeout(PATIENCE).unwrap();
-        ok(b"x")
-    });
-    let members = [Member("e1", "box", edge.address), Member("o", "origin", nobody())];
-    let mut few = config(&members, nobody(), 64);
-    few["limits"]["sockets"] = json!(48);
-    let mut gateway = Gateway::start(&few);
+    let (edge, release) = Cache::holding(b"x");
+    let mut gateway = Gateway::start(&edge_config(&edge, &[("/limits/sockets", 48)]));
     let mut good = Client::of(&gateway);
     let first = good.ask("segment", 1, 15_000, &[]);
     // Twice what there are descriptors for.
@@ -753,12 +746,7 @@
 
 #[test]
 fn at_a_planned_restart_what_is_open_is_answered_first() {
-    let (release, released) = channel();
-    let released = Mutex::new(released);
-    let edge = Cache::start(move |_| {
-        released.lock().unwrap().recv_timeout(PATIENCE).unwrap();
-        ok(b"late")
-    });
+    let (edge, release) = Cache::holding(b"late");
     let mut gateway = Gateway::with_edge(&edge);
     let mut client = Client::of(&gateway);
     let id = client.ask("segment", 1, 15_000, &[]);
