One counting guard, waits by a span in the clock, no list or text built on the way

From a last read of the gateway's code, behaviour as before: buffers.rs had a second guard that counts while it lives (now counters::Held, which clients.rs uses for its waiting answers too); an alias stood for Span::from_millis; nine waits spelled out now plus a span (now Clock::sleep and Clock::within); caches.rs, members built a list of ids to remove them one by one (now one retain); each connection's end formatted a text to count it (now counted by the value itself, so that the counters' line names ends in the order of end.rs); desk.rs parsed a number by hand. No test was changed.

--- a/gateway/src/buffers.rs
+++ b/gateway/src/buffers.rs
@@ -2,6 +2,7 @@
 //! counted. A body takes its place whole before its first byte is read, so that bodies half read can't hold each
 //! other up. Must never hand out more than its bound; who asks beyond that waits, and what it reads waits with it.
 
+use crate::counters::Held;
 use event_listener::Event;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -13,7 +14,7 @@
     out: Cell<usize>,
     most: usize,
     freed: Event,
-    waiting: Cell<usize>,
+    waiting: Rc<Cell<usize>>,
 }
 
 impl Pool {
@@ -25,7 +26,7 @@
             out: Cell::new(0),
             most,
             freed: Event::new(),
-            waiting: Cell::new(0),
+            waiting: Rc::default(),
         })
     }
 
@@ -47,7 +48,7 @@
         while self.out.get() + n > self.most {
             let freed = self.freed.listen();
             if self.out.get() + n > self.most {
-                let _waits = Waits::new(&self.waiting);
+                let _waits = Held::new(&self.waiting);
                 freed.await;
             }
         }
@@ -58,22 +59,6 @@
     }
 }
 
-/// Counts one that waits for as long as it does, also if it is given up meanwhile.
-struct Waits<'a>(&'a Cell<usize>);
-
-impl Waits<'_> {
-    fn new(waiting: &Cell<usize>) -> Waits<'_> {
-        waiting.set(waiting.get() + 1);
-        Waits(waiting)
-    }
-}
-
-impl Drop for Waits<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// The bytes of one answer, in order; all of them count only once it is full.
 pub struct Body {
     parts: Vec<Box<[u8]>>,
--- a/gateway/src/bulletin.rs
+++ b/gateway/src/bulletin.rs
@@ -1,7 +1,7 @@
 //! Follows the bulletin: its events reach the desk in the order of their numbers, each once. Must never pass on an
 //! event after a gap, nor take silence for news: it connects anew and asks for what follows the last good one.
 
-use crate::clock::{Clock, millis};
+use crate::clock::Clock;
 use crate::config::{Names, news};
 use crate::counters::Counters;
 use crate::desk::Event;
@@ -15,9 +15,9 @@
 
 const MOST_LINE: usize = 1024 * 1024;
 /// It writes a line each second; this long without one, and the connection is held to be dead.
-const SILENT: Span = millis(3_000);
-const CONNECT: Span = millis(1_000);
-const WAITS: std::ops::Range<Span> = millis(50)..millis(1_000);
+const SILENT: Span = Span::from_millis(3_000);
+const CONNECT: Span = Span::from_millis(1_000);
+const WAITS: std::ops::Range<Span> = Span::from_millis(50)..Span::from_millis(1_000);
 
 pub struct Bulletin {
     pub address: SocketAddr,
@@ -40,13 +40,12 @@
                 log::warn!("the bulletin's connection ended ({end:?}); asking again after {}", self.last);
             }
             wait = if self.last > before { WAITS.start } else { (wait * 2.0).min(WAITS.end) };
-            self.clock.sleep_until(self.clock.now() + wait).await;
+            self.clock.sleep(wait).await;
         }
     }
 
     async fn read(&mut self) -> End {
-        let limit = self.clock.now() + CONNECT;
-        let mut stream = match self.clock.by(limit, Async::<TcpStream>::connect(self.address)).await {
+        let mut stream = match self.clock.within(CONNECT, Async::<TcpStream>::connect(self.address)).await {
             Some(Ok(stream)) => stream,
             Some(Err(_)) => return End::Refused,
             None => return End::NoConnection,
@@ -56,7 +55,7 @@
         }
         let (mut held, mut bytes) = (Vec::new(), vec![0; 16 * 1024]);
         loop {
-            let got = self.clock.by(self.clock.now() + SILENT, stream.read(&mut bytes)).await;
+            let got = self.clock.within(SILENT, stream.read(&mut bytes)).await;
             let n = match got {
                 Some(Ok(0) | Err(_)) => return End::PeerLeft,
                 Some(Ok(n)) => n,
--- a/gateway/src/caches.rs
+++ b/gateway/src/caches.rs
@@ -4,7 +4,7 @@
 
 use crate::Tasks;
 use crate::buffers::{Body, Pool};
-use crate::clock::{Clock, millis};
+use crate::clock::Clock;
 use crate::config::Listed;
 use crate::counters::{Counters, Held};
 use crate::end::End;
@@ -102,7 +102,7 @@
         let caches = Rc::clone(self);
         let sweep = async move {
             loop {
-                caches.clock.sleep_until(caches.clock.now() + millis(500)).await;
+                caches.clock.sleep(Span::from_millis(500)).await;
                 let old = caches.clock.now().back(caches.bounds.idle * 0.75);
                 caches.kept.borrow_mut().values_mut().for_each(|all| all.retain(|k| k.since > old));
             }
@@ -126,14 +126,7 @@
                 // Hops that were ordered before may still be on their way to one that drains.
                 Some(address) if m.state != MemberState::Gone => {
                     // An address is used again: connections to the one that had it before are not the new one's.
-                    let others: Vec<MemberId> = places
-                        .iter()
-                        .filter(|(id, p)| **id != m.id && p.address == address)
-                        .map(id_of)
-                        .collect();
-                    for id in others {
-                        kept.remove(&id);
-                    }
+                    kept.retain(|id, _| *id == m.id || places.get(id).is_none_or(|p| p.address != address));
                     places.insert(m.id.clone(), Place { address, started: m.started });
                 }
                 _ => _ = places.remove(&m.id),
@@ -266,7 +259,7 @@
     async fn connect(&self, address: SocketAddr) -> Result<Link, End> {
         let limit = self.clock.now() + self.bounds.connect;
         self.clock.by(limit, self.room()).await.ok_or(End::NoSocket)?;
-        let held = Held::new(&self.counters, |c| &c.hops);
+        let held = Held::new(&self.counters.hops);
         self.counters.add("hop connections opened");
         let connected = self.clock.by(limit, Async::<TcpStream>::connect(address)).await;
         let stream = connected.ok_or(End::NoConnection)?.map_err(refusal)?;
@@ -295,10 +288,6 @@
     }
 }
 
-fn id_of((id, _): (&MemberId, &Place)) -> MemberId {
-    id.clone()
-}
-
 fn refusal(e: io::Error) -> End {
     // EMFILE and ENFILE have no kind of their own.
     match (e.kind(), e.raw_os_error()) {
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -4,7 +4,7 @@
 
 use crate::Tasks;
 use crate::buffers::{Body, Pool};
-use crate::clock::{Clock, millis};
+use crate::clock::Clock;
 use crate::counters::{Counters, Held};
 use crate::desk;
 use crate::end::End;
@@ -25,11 +25,11 @@
 /// Answers that may wait for a connection to take bytes before no more is read from it.
 const MOST_WAITING: usize = 2 * MOST_OPEN;
 /// A connection with no open request may be silent for this long.
-const SILENT: Span = millis(10_000);
+const SILENT: Span = Span::from_millis(10_000);
 /// One that takes no bytes may stall for this long, or for the shorter time while bodies are short of memory.
-const STALLED: Span = millis(5_000);
-const STALLED_SHORT: Span = millis(500);
-const LOOKS: Span = millis(250);
+const STALLED: Span = Span::from_millis(5_000);
+const STALLED_SHORT: Span = Span::from_millis(500);
+const LOOKS: Span = Span::from_millis(250);
 
 /// What is written to a client in one piece.
 pub struct Frame {
@@ -38,7 +38,7 @@
     tail: Vec<u8>,
     /// When nobody waits for it any more, and what goes out then in its place.
     until: Option<(Time, u64)>,
-    _held: Held,
+    _held: [Held; 2],
 }
 
 pub struct Client {
@@ -47,7 +47,7 @@
     open: RefCell<BTreeSet<u64>>,
     last: Cell<u64>,
     /// Answers that are not written whole yet.
-    waiting: Cell<usize>,
+    waiting: Rc<Cell<usize>>,
     written: Event,
     /// When it was last heard of, and the word that it has to make room.
     heard: Cell<Time>,
@@ -75,8 +75,7 @@
         if !self.open.borrow_mut().remove(&id) {
             return;
         }
-        let _held = Held::new(&self.counters, |c| &c.unwritten);
-        self.waiting.set(self.waiting.get() + 1);
+        let _held = [Held::new(&self.counters.unwritten), Held::new(&self.waiting)];
         // It fails only when the connection is gone.
         _ = self.out.try_send(Frame { head, body, tail, until, _held });
     }
@@ -111,18 +110,18 @@
 
 impl Front {
     pub async fn accept(self, listener: Async<TcpListener>) {
-        let (mut next, mut wait) = (0, millis(10));
+        let (mut next, mut wait) = (0, Span::from_millis(10));
         loop {
             if listener.readable().await.is_ok() && self.counters.clients.get() >= self.most {
                 self.make_room();
-                self.clock.sleep_until(self.clock.now() + millis(1)).await;
+                self.clock.sleep(Span::from_millis(1)).await;
                 continue;
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    (next, wait) = (next + 1, millis(10));
+                    (next, wait) = (next + 1, Span::from_millis(10));
                     self.counters.add("client connections");
-                    let (front, held) = (self.clone(), Held::new(&self.counters, |c| &c.clients));
+                    let (front, held) = (self.clone(), Held::new(&self.counters.clients));
                     let task = async move {
                         front.serve(next, stream).await;
                         drop(held);
@@ -132,8 +131,8 @@
                 Err(e) => {
                     log::warn!("a connection can't be accepted: {e}");
                     self.counters.add("accepts failed");
-                    self.clock.sleep_until(self.clock.now() + wait).await;
-                    wait = (wait * 2.0).min(millis(1_000));
+                    self.clock.sleep(wait).await;
+                    wait = (wait * 2.0).min(Span::from_millis(1_000));
                 }
             }
         }
@@ -154,10 +153,17 @@
         // Without it answers only come later.
         _ = stream.get_ref().set_nodelay(true);
         let (out, frames) = async_channel::unbounded();
-        let (open, last, counters) = (RefCell::default(), Cell::new(0), Rc::clone(&self.counters));
-        let (waiting, heard) = (Cell::new(0), Cell::new(self.clock.now()));
-        let (written, leave) = (Event::new(), Event::new());
-        let client = Rc::new(Client { id, out, open, last, waiting, written, heard, leave, counters });
+        let client = Rc::new(Client {
+            id,
+            out,
+            open: RefCell::default(),
+            last: Cell::new(0),
+            waiting: Rc::default(),
+            written: Event::new(),
+            heard: Cell::new(self.clock.now()),
+            leave: Event::new(),
+            counters: Rc::clone(&self.counters),
+        });
         let told = client.leave.listen();
         self.connected.borrow_mut().insert(id, Rc::clone(&client));
         let crowded = async {
@@ -188,7 +194,7 @@
                     written.await;
                 }
             }
-            let got = self.clock.by(self.clock.now() + SILENT, stream.read(&mut bytes)).await;
+            let got = self.clock.within(SILENT, stream.read(&mut bytes)).await;
             let n = match got {
                 Some(Ok(0) | Err(_)) => return End::PeerLeft,
                 Some(Ok(n)) => n,
@@ -212,11 +218,9 @@
                         self.counters.add("client messages refused");
                         log::debug!("a client's message is refused: {fault:?}");
                         let (Fault::Damaged { id } | Fault::Refused { id, .. }) = fault;
-                        let answered = id.is_some_and(|id| client.take(id));
-                        if answered {
-                            client.refuse(id.unwrap_or(0), Word::Invalid, &[]);
-                        }
-                        if !answered || matches!(fault, Fault::Damaged { .. }) {
+                        let Some(id) = id.filter(|id| client.take(*id)) else { return End::PeerDamaged };
+                        client.refuse(id, Word::Invalid, &[]);
+                        if matches!(fault, Fault::Damaged { .. }) {
                             return End::PeerDamaged;
                         }
                         len
@@ -277,7 +281,7 @@
             if let Err(end) = self.write_all(stream, &mut slices).await {
                 return end;
             }
-            client.waiting.set(client.waiting.get() - 1);
+            drop(frame);
             client.written.notify(1);
         }
         End::PeerLeft
@@ -291,9 +295,8 @@
         IoSlice::advance_slices(&mut slices, 0);
         let mut moved = self.clock.now();
         while !slices.is_empty() {
-            let now = self.clock.now();
             let written: Option<io::Result<usize>> =
-                self.clock.by(now + LOOKS, stream.write_vectored(slices)).await;
+                self.clock.within(LOOKS, stream.write_vectored(slices)).await;
             match written {
                 // Guards the bodies of others: what a stopped reader pins is freed the sooner they wait for it.
                 None => {
--- a/gateway/src/clock.rs
+++ b/gateway/src/clock.rs
@@ -27,6 +27,10 @@
         Timer::after(Duration::from_micros((at - self.now()).as_micros())).await;
     }
 
+    pub async fn sleep(&self, span: Span) {
+        self.sleep_until(self.now() + span).await;
+    }
+
     /// What `work` gives, or `None` when it is not done by `at`.
     pub async fn by<T>(&self, at: Time, work: impl Future<Output = T>) -> Option<T> {
         let late = async {
@@ -35,8 +39,9 @@
         };
         future::or(async { Some(work.await) }, late).await
     }
-}
 
-pub const fn millis(n: u64) -> Span {
-    Span::from_millis(n)
+    /// What `work` gives, or `None` when it takes longer than the span.
+    pub async fn within<T>(&self, span: Span, work: impl Future<Output = T>) -> Option<T> {
+        self.by(self.now() + span, work).await
+    }
 }
--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -10,12 +10,12 @@
 #[derive(Default)]
 pub struct Counters {
     counts: RefCell<BTreeMap<&'static str, u64>>,
-    ends: RefCell<BTreeMap<String, u64>>,
+    ends: RefCell<BTreeMap<End, u64>>,
     /// Answers handed to connections and not yet written.
-    pub unwritten: Cell<usize>,
+    pub unwritten: Rc<Cell<usize>>,
     /// Descriptors of clients, and of hops with those kept for later ones.
-    pub clients: Cell<usize>,
-    pub hops: Cell<usize>,
+    pub clients: Rc<Cell<usize>>,
+    pub hops: Rc<Cell<usize>>,
 }
 
 impl Counters {
@@ -24,7 +24,7 @@
     }
 
     pub fn ended(&self, end: End) {
-        *self.ends.borrow_mut().entry(format!("end {end:?}")).or_default() += 1;
+        *self.ends.borrow_mut().entry(end).or_default() += 1;
     }
 }
 
@@ -32,24 +32,22 @@
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         write!(f, "now: clients {}, hops {}; in all", self.clients.get(), self.hops.get())?;
         self.counts.borrow().iter().try_for_each(|(what, n)| write!(f, ", {what} {n}"))?;
-        self.ends.borrow().iter().try_for_each(|(what, n)| write!(f, ", {what} {n}"))
+        self.ends.borrow().iter().try_for_each(|(end, n)| write!(f, ", end {end:?} {n}"))
     }
 }
 
 /// Counts a thing as there until it is dropped.
-pub struct Held(Rc<Counters>, fn(&Counters) -> &Cell<usize>);
+pub struct Held(Rc<Cell<usize>>);
 
 impl Held {
-    pub fn new(counters: &Rc<Counters>, which: fn(&Counters) -> &Cell<usize>) -> Held {
-        let cell = which(counters);
-        cell.set(cell.get() + 1);
-        Held(Rc::clone(counters), which)
+    pub fn new(count: &Rc<Cell<usize>>) -> Held {
+        count.set(count.get() + 1);
+        Held(Rc::clone(count))
     }
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        let cell = (self.1)(&self.0);
-        cell.set(cell.get() - 1);
+        self.0.set(self.0.get() - 1);
     }
 }
--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -3,15 +3,15 @@
 //! next time. Must never decide in the module's place, give a txn two final answers, or let it have none: what
 //! still comes for one that has ended is told to the module and goes no further.
 
-use crate::Tasks;
 use crate::caches::{Caches, Ended, Job};
 use crate::clients::Client;
-use crate::clock::{Clock, millis};
+use crate::clock::Clock;
 use crate::config::{Config, News};
 use crate::counters::Counters;
 use crate::end::End;
 use crate::http;
 use crate::rpc::{Ask, Word};
+use crate::{Tasks, number};
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use kelpcart::interface::*;
@@ -21,13 +21,13 @@
 
 /// After SIGTERM: requests still come for this long; all is answered this long before the longest wait and the
 /// time given on top of it are over; bytes written get this long to leave.
-const STILL_COMING: Span = millis(700);
-const ANSWERED_BEFORE: Span = millis(250);
-const LEAVING: Span = millis(50);
+const STILL_COMING: Span = Span::from_millis(700);
+const ANSWERED_BEFORE: Span = Span::from_millis(250);
+const LEAVING: Span = Span::from_millis(50);
 /// The longest wait that a planned restart allows for.
-const LONGEST: Span = millis(3_000);
+const LONGEST: Span = Span::from_millis(3_000);
 /// A client that leaves this shortly before its time is over has waited for it.
-const AT_LIMIT: Span = millis(20);
+const AT_LIMIT: Span = Span::from_millis(20);
 
 pub enum Event {
     Asked { client: Rc<Client>, id: u64, method: String, ask: Box<Ask>, at: Time },
@@ -127,7 +127,7 @@
                 }
                 let quiet = self.open.is_empty() && self.counters.unwritten.get() == 0;
                 if quiet && now - at >= STILL_COMING || now + LEAVING >= end {
-                    self.clock.sleep_until(now + LEAVING).await;
+                    self.clock.sleep(LEAVING).await;
                     return;
                 }
             }
@@ -190,8 +190,8 @@
         }
         self.next += 1;
         let (txn, now) = (self.next, self.clock.now());
-        let limit = at + millis(ask.timeout_ms.min(u64::from(u32::MAX)));
-        let size = ask.need.as_deref().and_then(|n| n.trim().parse().ok());
+        let limit = at + Span::from_millis(ask.timeout_ms.min(u64::from(u32::MAX)));
+        let size = ask.need.as_deref().and_then(|need| number(need.as_bytes()));
         let size = size.filter(|kb: &f64| kb.is_finite() && *kb > 0.0);
         let (object, group, part, write) = (ask.object, ask.group, ask.part, self.rules[rule].1);
         let left = limit - now;
--- a/gateway/src/end.rs
+++ b/gateway/src/end.rs
@@ -4,7 +4,7 @@
 
 use kelpcart::interface::HopEnd;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum End {
     /// 200: the bytes, whole.
     Whole,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -18,7 +18,7 @@
 /// The one thread's tasks; it lives as long as the process.
 pub type Tasks = &'static LocalExecutor<'static>;
 
-/// A number that an unsigned field of a peer's message holds.
+/// A number as a field of a peer's message holds it.
 pub fn number<T: std::str::FromStr>(text: &[u8]) -> Option<T> {
     std::str::from_utf8(text).ok()?.trim().parse().ok()
 }
