SIGHUP moves the bulletin to the replaced configuration's address instead of ending us

The signal was not among those that main waits for, so the machine's default action ended the process (main.rs, the list of signals). Ruled out: a damaged configuration (the process ended before it read one), a slow end. Now the signal is heeded before anything listens; only the bulletin's address is read, and the follower leaves the old connection at once and asks the new one for what follows the last event. A file that can't be used is logged. Test: moves there and back with events, four unusable files; fails with the signal taken out of the list.

--- a/gateway/src/bulletin.rs
+++ b/gateway/src/bulletin.rs
@@ -1,14 +1,15 @@
-//! Follows the bulletin: its events reach the desk in the order of their numbers, each once. Must never pass on an
-//! event after a gap, nor take silence for news: it connects anew and asks for what follows the last good one.
+//! Follows the bulletin: its events reach the desk in the order of their numbers, each once, also when its address
+//! is changed on the way. Must never pass on an event after a gap, nor take silence for news: it connects anew and
+//! asks for what follows the last good one.
 
 use crate::clock::Clock;
 use crate::config::{Names, news};
 use crate::counters::Counters;
 use crate::desk::Event;
 use crate::end::End;
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use kelpcart::Span;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -21,6 +22,8 @@
 
 pub struct Bulletin {
     pub address: SocketAddr,
+    /// Further addresses, as the configuration comes to name them.
+    pub moves: Receiver<SocketAddr>,
     /// The number of the last event that was passed on.
     pub last: u64,
     pub names: Names,
@@ -31,16 +34,33 @@
 
 impl Bulletin {
     pub async fn follow(mut self) {
-        let mut wait = WAITS.start;
+        let (moves, mut wait) = (self.moves.clone(), WAITS.start);
         loop {
-            let before = self.last;
-            let end = self.read().await;
-            self.counters.ended(end);
-            if end == End::PeerDamaged || self.last > before {
-                log::warn!("the bulletin's connection ended ({end:?}); asking again after {}", self.last);
+            let here = self.address;
+            let moved = async {
+                while let Ok(address) = moves.recv().await {
+                    if address != here {
+                        return address;
+                    }
+                }
+                future::pending().await
+            };
+            let followed = async {
+                let before = self.last;
+                let end = self.read().await;
+                self.counters.ended(end);
+                if end == End::PeerDamaged || self.last > before {
+                    log::warn!("the bulletin's connection ended ({end:?}); asking again after {}", self.last);
+                }
+                wait = if self.last > before { WAITS.start } else { (wait * 2.0).min(WAITS.end) };
+                self.clock.sleep(wait).await;
+                here
+            };
+            self.address = future::or(moved, followed).await;
+            if self.address != here {
+                wait = WAITS.start;
+                log::info!("the bulletin is now followed at {}, after {}", self.address, self.last);
             }
-            wait = if self.last > before { WAITS.start } else { (wait * 2.0).min(WAITS.end) };
-            self.clock.sleep(wait).await;
         }
     }
 
@@ -66,7 +86,7 @@
             let mut used = 0;
             while let Some(end) = held[seen.max(used)..].iter().position(|&b| b == b'\n') {
                 let end = seen.max(used) + end;
-                if let Err(why) = self.line(&held[used..end]).await {
+                if let Err(why) = self.line(&held[used..end]) {
                     log::warn!("a line of the bulletin can't be used: {why}");
                     return End::PeerDamaged;
                 }
@@ -79,7 +99,7 @@
         }
     }
 
-    async fn line(&mut self, line: &[u8]) -> Result<(), String> {
+    fn line(&mut self, line: &[u8]) -> Result<(), String> {
         if line.trim_ascii().is_empty() {
             return Ok(());
         }
@@ -97,7 +117,7 @@
             self.counters.add("bulletin events");
             if let Some(said) = said {
                 // It fails only when the desk has ended, and with it the process.
-                _ = self.desk.send(Event::News(said)).await;
+                _ = self.desk.try_send(Event::News(said));
             }
         }
         Ok(())
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -1,5 +1,5 @@
-//! Reads the configuration, once, before anything listens. Owns the names in it; must never hold a value that the
-//! operators did not give.
+//! Reads the configuration: all of it once, before anything listens, and the bulletin's address each time it is
+//! replaced. Owns the names in it; must never hold a value that the operators did not give.
 
 use kelpcart::interface::{Member, Settings};
 use kelpcart::{Span, Time};
@@ -86,6 +86,12 @@
     }
 }
 
+/// The address of the bulletin, the one thing that may change on the way.
+pub fn bulletin(json: &str) -> Found<SocketAddr> {
+    let all: Value = serde_json::from_str(json).map_err(|e| format!("not JSON: {e}"))?;
+    address(all.as_object().ok_or("not an object")?, "bulletin")
+}
+
 /// The number of an event and what it says; `None` for kinds of event not known here.
 pub fn news(item: &Value, names: &Names) -> Found<(u64, Option<News>)> {
     let item = item.as_object().ok_or("not an event")?;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,5 +1,6 @@
 //! Starts one gateway: reads the environment and the configuration, listens, runs until SIGTERM and ends when all
-//! is answered. Must never listen before the configuration is whole, nor elsewhere than it is told.
+//! is answered; SIGHUP has the bulletin's address read again. Must never listen before the configuration is whole
+//! and signals are heeded, nor elsewhere than it is told.
 
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -10,7 +11,7 @@
 use kelpcart_gateway::caches::{Bounds, Caches};
 use kelpcart_gateway::clients::Front;
 use kelpcart_gateway::clock::Clock;
-use kelpcart_gateway::config::Config;
+use kelpcart_gateway::config::{self, Config};
 use kelpcart_gateway::counters::Counters;
 use kelpcart_gateway::desk::{Desk, Event};
 use kelpcart_gateway::{Tasks, logger};
@@ -35,21 +36,25 @@
 
 fn start() -> Result<(), String> {
     let path = env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG is not set")?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
-    let mut config = Config::read(&text).map_err(|e| format!("{path}: {e}"))?;
+    let mut config = read(&path, Config::read)?;
     if let Ok(listen) = env::var("NODE_LISTEN") {
         config.listen = listen.parse().map_err(|_| "NODE_LISTEN is not an address")?;
     }
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1]);
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup]);
     let signals = signals.map_err(|e| format!("signals: {e}"))?;
     let listener = Async::<TcpListener>::bind(config.listen);
     let listener = listener.map_err(|e| format!("{}: {e}", config.listen))?;
     let tasks: Tasks = Box::leak(Box::new(LocalExecutor::new()));
-    async_io::block_on(tasks.run(run(tasks, config, listener, signals)));
+    async_io::block_on(tasks.run(run(tasks, &path, config, listener, signals)));
     Ok(())
 }
 
-async fn run(tasks: Tasks, config: Config, listener: Async<TcpListener>, mut signals: Signals) {
+fn read<T>(path: &str, what: fn(&str) -> Result<T, String>) -> Result<T, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| e.to_string());
+    text.and_then(|text| what(&text)).map_err(|e| format!("{path}: {e}"))
+}
+
+async fn run(tasks: Tasks, path: &str, config: Config, listener: Async<TcpListener>, mut signals: Signals) {
     let (clock, counters) = (Clock::start(), Rc::new(Counters::default()));
     let (desk, events) = async_channel::unbounded();
     // Clients hold a third of the descriptors at most; some of theirs may still be closing.
@@ -59,8 +64,10 @@
     let bounds = Bounds { connect: config.settings.connect_limit, idle: config.idle, most: hops };
     let caches = Caches::new(clock, Rc::clone(&pool), Rc::clone(&counters), bounds);
     caches.sweep(tasks);
+    let (moved, moves) = async_channel::unbounded();
     let bulletin = Bulletin {
         address: config.bulletin,
+        moves,
         last: config.last,
         names: config.names.clone(),
         clock,
@@ -85,6 +92,10 @@
         while let Some(signal) = signals.next().await {
             match signal {
                 Ok(Signal::Usr1) => log::info!("{counters}"),
+                Ok(Signal::Hup) => match read(path, config::bulletin) {
+                    Ok(address) => _ = moved.try_send(address),
+                    Err(why) => log::warn!("{why}; the bulletin stays where it was"),
+                },
                 Ok(_) => _ = desk.send(Event::Stop).await,
                 Err(e) => log::warn!("signals: {e}"),
             }
--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -200,29 +200,31 @@
 /// A gateway that is ended with the test.
 struct Gateway {
     child: Child,
+    /// The path of its configuration.
+    config: String,
     address: SocketAddr,
     log: BufReader<std::process::ChildStderr>,
 }
 
-fn spawn(config: &Value) -> Child {
+fn spawn(config: &Value) -> (Child, String) {
     static NEXT: Mutex<u32> = Mutex::new(0);
     let mut next = NEXT.lock().unwrap();
     *next += 1;
     let name = format!("{}/{}-{}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id(), *next);
     std::fs::write(&name, config.to_string()).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_kelpcart"));
-    command.env_remove("NODE_LISTEN").env_remove("KELPCART_LOG").env("NODE_CONFIG", name);
-    command.stderr(Stdio::piped()).spawn().unwrap()
+    command.env_remove("NODE_LISTEN").env_remove("KELPCART_LOG").env("NODE_CONFIG", &name);
+    (command.stderr(Stdio::piped()).spawn().unwrap(), name)
 }
 
 impl Gateway {
     fn start(config: &Value) -> Gateway {
-        let mut child = spawn(config);
+        let (mut child, config) = spawn(config);
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
         log.read_line(&mut line).unwrap();
         let address = line.trim().rsplit(' ').next().unwrap().parse().unwrap();
-        Gateway { child, address, log }
+        Gateway { child, config, address, log }
     }
 
     /// One with a single edge cache, and nobody in the other places.
@@ -235,6 +237,12 @@
         assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
     }
 
+    /// Replaces the configuration and tells of it.
+    fn replace(&self, config: &str) {
+        std::fs::write(&self.config, config).unwrap();
+        self.signal("HUP");
+    }
+
     fn line(&mut self) -> String {
         let mut line = String::new();
         self.log.read_line(&mut line).unwrap();
@@ -801,7 +809,7 @@
         Command::new(env!("CARGO_BIN_EXE_kelpcart")).env("NODE_CONFIG", "/nowhere").output().unwrap();
     assert!(!nowhere.status.success() && nowhere.stderr.ends_with(b"\n"));
     for path in paths {
-        let out = spawn(&without(path)).wait_with_output().unwrap();
+        let out = spawn(&without(path)).0.wait_with_output().unwrap();
         let said = String::from_utf8(out.stderr).unwrap();
         assert!(!out.status.success());
         assert!(said.lines().count() == 1 && said.contains(path.last().unwrap()), "{said}");
@@ -838,9 +846,16 @@
     }
 
     /// Writes on the last connection.
+    fn write(&self, text: &str) {
+        self.last.lock().unwrap().as_ref().unwrap().write_all(text.as_bytes()).unwrap();
+    }
+
     fn tell(&self, line: &str) {
-        let last = self.last.lock().unwrap();
-        last.as_ref().unwrap().write_all(format!("{line}\n").as_bytes()).unwrap();
+        self.write(&format!("{line}\n"));
+    }
+
+    fn cut(&self) {
+        *self.last.lock().unwrap() = None;
     }
 }
 
@@ -910,6 +925,39 @@
     assert_eq!(caches[0].came_so_far(), 0);
 }
 
+#[test]
+fn on_sighup_the_bulletin_moves_and_a_file_that_can_not_be_used_moves_nothing() {
+    let cache = Cache::start(|_| ok(b"x"));
+    let e1 = Member("e1", "box", cache.address);
+    let [old, new] = [(); 2].map(|()| Bulletin::start(Vec::new()));
+    let listed = [Member("o", "origin", nobody()), Member("e1", "box", cache.address)];
+    let mut gateway = Gateway::start(&config(&listed, old.address, 64));
+    let mut client = Client::of(&gateway);
+    let mut event = |at: &Bulletin, no: u64| {
+        client.ask("segment", 1, 3_000, &[]);
+        assert_eq!(client.answer().body, b"x");
+        let mut anew = endpoint(&e1, "up");
+        anew["since_ms"] = json!(no);
+        at.tell(&change(no, json!([anew])));
+        // The event has come: the connections of the member are those to one that is no more.
+        cache.closed();
+    };
+    assert_eq!(old.asked(), "after 1\n");
+    event(&old, 2);
+    for bad in ["", "{\"bulletin\":", "{\"bulletin\": 7}", "[]"] {
+        gateway.replace(bad);
+        assert!(gateway.line().contains("stays where it was"));
+    }
+    event(&old, 3);
+    gateway.replace(&config(&listed, new.address, 64).to_string());
+    assert_eq!(new.asked(), "after 3\n");
+    assert!(gateway.line().contains("now followed at"));
+    event(&new, 4);
+    gateway.replace(&config(&listed, old.address, 64).to_string());
+    assert_eq!(old.asked(), "after 4\n");
+    event(&old, 5);
+}
+
 /// What a stand-in does with the nth request, by chance.
 fn misbehave(chance: u8, body: &[u8]) -> Reply {
     match chance % 11 {
