A bulletin that breaks off or falls silent is asked again within the stated times

Seen by reading bulletin.rs: 3 s of silence, 1 s for a connection and waits that grow to 1 s come to more than the 4 s after a stop; the wait was reset by a new event only, so that a healthy connection with nothing new to tell left the next break with up to a second more each time. Silence is now 2 s, a connection 0.5 s, waits 50 to 400 ms, reset by any good line; that these fit the stated times, with one failed try, is checked when the program is built.

--- a/gateway/src/bulletin.rs
+++ b/gateway/src/bulletin.rs
@@ -16,9 +16,13 @@
 
 const MOST_LINE: usize = 1024 * 1024;
 /// It writes a line each second; this long without one, and the connection is held to be dead.
-const SILENT: Span = Span::from_millis(3_000);
-const CONNECT: Span = Span::from_millis(1_000);
-const WAITS: std::ops::Range<Span> = Span::from_millis(50)..Span::from_millis(1_000);
+const SILENT: Span = Span::from_millis(2_000);
+const CONNECT: Span = Span::from_millis(500);
+const WAITS: std::ops::Range<Span> = Span::from_millis(50)..Span::from_millis(400);
+
+// What it has to tell counts as told 2 s after a break and 4 s after it stops: one try may fail before that.
+const ONE_TRY: u64 = CONNECT.as_micros() + WAITS.end.as_micros();
+const _: () = assert!(2 * ONE_TRY < 2_000_000 && SILENT.as_micros() + 2 * ONE_TRY < 4_000_000);
 
 pub struct Bulletin {
     pub address: SocketAddr,
@@ -46,13 +50,13 @@
                 future::pending().await
             };
             let followed = async {
-                let before = self.last;
-                let end = self.read().await;
+                let (before, mut healthy) = (self.last, false);
+                let end = self.read(&mut healthy).await;
                 self.counters.ended(end);
                 if end == End::PeerDamaged || self.last > before {
                     log::warn!("the bulletin's connection ended ({end:?}); asking again after {}", self.last);
                 }
-                wait = if self.last > before { WAITS.start } else { (wait * 2.0).min(WAITS.end) };
+                wait = if healthy { WAITS.start } else { (wait * 2.0).min(WAITS.end) };
                 self.clock.sleep(wait).await;
                 here
             };
@@ -64,7 +68,8 @@
         }
     }
 
-    async fn read(&mut self) -> End {
+    /// `healthy` becomes true with the first line that can be used.
+    async fn read(&mut self, healthy: &mut bool) -> End {
         let mut stream = match self.clock.within(CONNECT, Async::<TcpStream>::connect(self.address)).await {
             Some(Ok(stream)) => stream,
             Some(Err(_)) => return End::Refused,
@@ -90,6 +95,7 @@
                     log::warn!("a line of the bulletin can't be used: {why}");
                     return End::PeerDamaged;
                 }
+                *healthy = true;
                 used = end + 1;
             }
             held.drain(..used);
--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -958,6 +958,22 @@
     event(&old, 5);
 }
 
+#[test]
+fn a_bulletin_that_breaks_off_is_asked_again_without_growing_waits() {
+    // Waits that grow, if only to their bound, would take longer than all patience here.
+    const BREAKS: usize = 64;
+    let bulletin = Bulletin::start(vec!["1\n".to_owned(); BREAKS]);
+    let _gateway = Gateway::start(&config(&[], bulletin.address, 64));
+    let start = Instant::now();
+    for _ in 0..BREAKS {
+        assert_eq!(bulletin.asked(), "after 1\n");
+        // In the middle of an event: it has not been told.
+        bulletin.write("{\"no\":2,\"recall\":{\"lot\":17,");
+        bulletin.cut();
+    }
+    assert!(start.elapsed() < PATIENCE);
+}
+
 /// What a stand-in does with the nth request, by chance.
 fn misbehave(chance: u8, body: &[u8]) -> Reply {
     match chance % 11 {
