Good answers with more around them are used, and damaged ones are no silence

Their first bytes in the log: a third were good answers after 103 and 102, or with a second copy, noise or an end of chunks behind them (http.rs, the status below 200; caches.rs, 'longer than told'). Each cost an unrepeatable txn its answer and others a second hop. Further, end.rs called a damaged answer broken off, so that two in a row (one in 200 hops) had a healthy cache passed over. Now interim heads are skipped, bytes behind an answer leave it good, and the connection is closed in both cases; kept ones rest 20 ms, so that late bytes are found before they pass for the next answer; a bad line is told at once. A trace line a rejection and an abort. What is left: the spoilt writes, and second hops that come late.

--- a/gateway/src/caches.rs
+++ b/gateway/src/caches.rs
@@ -20,8 +20,11 @@
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
-/// The largest body that is taken from a cache.
-const MOST_BODY: usize = 256 * 1024;
+/// The largest body that is taken from a cache: no object is larger.
+const MOST_BODY: usize = 240_000;
+/// A connection rests this long before it carries another hop: what still follows an answer has come by then, and
+/// is found before it could pass for the next one.
+const REST: Span = Span::from_millis(20);
 
 pub struct Job {
     pub member: MemberId,
@@ -210,9 +213,8 @@
             return Err(damaged("too large"));
         }
         let mut body = self.pool.body(head.length).await.ok_or(End::Damaged)?;
-        if body.fill(&bytes[used..n]) < n - used {
-            return Err(damaged("longer than told"));
-        }
+        // What follows a whole answer does not make it a bad one; but nothing more is read from there.
+        let more = body.fill(&bytes[used..n]) < n - used;
         while !body.is_full() {
             let got = link.stream.read(body.space()).await.map_err(|_| End::Cut)?;
             if got == 0 {
@@ -232,14 +234,15 @@
         };
         let body = (end == End::Whole).then_some(body);
         let ended = Ended { end, note: head.note, waited: head.waited, stats: head.stats, body };
-        Ok((ended, !head.close))
+        Ok((ended, !head.close && !more))
     }
 
     /// A connection kept from an earlier hop on which nothing has come since, its end included.
     fn take_kept(&self, id: &MemberId) -> Option<Link> {
-        let mut kept = self.kept.borrow_mut();
+        let (mut kept, rested) = (self.kept.borrow_mut(), self.clock.now().back(REST));
         let all = kept.get_mut(id)?;
-        while let Some(Kept { link, .. }) = all.pop() {
+        while let Some(last) = all.iter().rposition(|k| k.since <= rested) {
+            let link = all.remove(last).link;
             let quiet = link.stream.get_ref().peek(&mut [0]);
             if quiet.is_err_and(|e| e.kind() == ErrorKind::WouldBlock) {
                 return Some(link);
--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -272,6 +272,11 @@
             Decision::Reject { txn, come_back } => {
                 let Some(open) = self.close(txn) else { return };
                 self.counters.add("txns rejected");
+                log::trace!(
+                    "txn {txn} rejected after {} hops, {} us left",
+                    open.hops,
+                    (open.limit - now).as_micros()
+                );
                 let wait = come_back.map(|span| (span.as_micros() / 1_000).to_string());
                 let fields = wait.as_deref().map(|wait| ("holdoff", wait));
                 open.client.refuse(open.id, Word::Backoff, fields.as_slice());
@@ -279,6 +284,11 @@
             Decision::Abort { txn } => {
                 let Some(open) = self.close(txn) else { return };
                 self.counters.add("txns aborted");
+                log::trace!(
+                    "txn {txn} aborted after {} hops, {} us left",
+                    open.hops,
+                    (open.limit - now).as_micros()
+                );
                 open.client.refuse(open.id, Word::Lost, &[]);
             }
             // The bulletin is followed from the start.
--- a/gateway/src/end.rs
+++ b/gateway/src/end.rs
@@ -32,7 +32,7 @@
     KeptClosed,
     /// The connection ended after that, before the answer was whole.
     Cut,
-    /// The answer can't be read, is longer than told or larger than allowed.
+    /// The answer can't be read or is larger than allowed.
     Damaged,
     /// The hop's time was over.
     Late,
@@ -78,10 +78,11 @@
             End::Whole | End::Current => HopEnd::Completed,
             End::Lacking => HopEnd::Lacking,
             End::Full => HopEnd::TurnedAway,
-            End::Errored => HopEnd::Errored,
+            // An answer that can't be read is one all the same: its sender is alive and took the txn.
+            End::Errored | End::Damaged => HopEnd::Errored,
             End::Refused | End::NoConnection | End::CutUnsent => HopEnd::Unreachable,
             End::Over | End::NoSocket | End::LateUnsent | End::KeptClosed => HopEnd::NeverSent,
-            End::Cut | End::Damaged => HopEnd::Broken,
+            End::Cut => HopEnd::Broken,
             End::Late => HopEnd::TimedOut,
             End::Withdrawn => HopEnd::Withdrawn,
             End::PeerLeft | End::PeerSilent | End::PeerStalled | End::PeerDamaged => return None,
--- a/gateway/src/http.rs
+++ b/gateway/src/http.rs
@@ -7,6 +7,7 @@
 use std::fmt::Write;
 
 pub const MOST_HEAD: usize = 8 * 1024;
+const STATUS: &[u8] = b"HTTP/1.";
 
 /// What goes out with a hop, beside its body.
 pub struct Request<'a> {
@@ -74,30 +75,43 @@
 #[derive(Debug, PartialEq, Eq)]
 pub struct Damaged(pub &'static str);
 
-/// The head at the start of `bytes` and its length; `None` while it is not whole.
+/// The head at the start of `bytes` and its length, with that of interim ones (1xx) before it; `None` while it is not
+/// whole. What is damaged is told as soon as the line that shows it is whole.
 pub fn head(bytes: &[u8]) -> Result<Option<(Head, usize)>, Damaged> {
-    let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") else {
-        if bytes.len() >= MOST_HEAD {
-            return Err(Damaged("a head is too long"));
+    let mut from = 0;
+    while let Some((mut found, len)) = one_head(&bytes[from..])? {
+        from += len;
+        if from > MOST_HEAD {
+            break;
+        }
+        if found.status >= 200 {
+            // Whoever sends more than the answer may send more behind it, too.
+            found.close |= from > len;
+            return Ok(Some((found, from)));
         }
-        let status = &bytes[..bytes.len().min(5)];
-        return if b"HTTP/".starts_with(status) { Ok(None) } else { Err(Damaged("not HTTP")) };
-    };
-    if end + 4 > MOST_HEAD {
-        return Err(Damaged("a head is too long"));
     }
-    let mut lines = bytes[..end].split(|&b| b == b'\n').map(|l| l.strip_suffix(b"\r").unwrap_or(l));
+    if bytes.len() >= MOST_HEAD { Err(Damaged("a head is too long")) } else { Ok(None) }
+}
+
+fn one_head(bytes: &[u8]) -> Result<Option<(Head, usize)>, Damaged> {
+    if !bytes.starts_with(&STATUS[..STATUS.len().min(bytes.len())]) {
+        return Err(Damaged("not HTTP"));
+    }
+    let end = bytes.windows(4).position(|w| w == b"\r\n\r\n");
+    let Some(whole) = end.or_else(|| bytes.iter().rposition(|&b| b == b'\n')) else { return Ok(None) };
+    let mut lines = bytes[..whole].split(|&b| b == b'\n').map(|l| l.strip_suffix(b"\r").unwrap_or(l));
     let first = lines.next().unwrap_or_default();
-    let status = first.strip_prefix(b"HTTP/1.").filter(|f| f.len() >= 5 && f[1] == b' ');
-    let status = status.and_then(|f| number(&f[2..5])).filter(|s| (200..600).contains(s));
-    let mut found = Head { status: status.ok_or(Damaged("no status"))?, ..Head::default() };
+    let status = first.strip_prefix(STATUS).filter(|f| f.len() >= 5 && f[1] == b' ');
+    // 101 would make another protocol of what follows.
+    let status = status.and_then(|f| digits(&f[2..5])).filter(|s| (100..600).contains(s) && *s != 101);
+    let mut found = Head { status: status.ok_or(Damaged("no status"))? as u16, ..Head::default() };
     found.close = first.starts_with(b"HTTP/1.0");
     let mut length = None;
     for line in lines {
         let colon = line.iter().position(|&b| b == b':').ok_or(Damaged("a field without a colon"))?;
         let (name, value) = (&line[..colon], line[colon + 1..].trim_ascii());
         if name.eq_ignore_ascii_case(b"content-length") {
-            let told = number(value).ok_or(Damaged("a length that is no number"))?;
+            let told = digits(value).ok_or(Damaged("a length that is no number"))?;
             if length.replace(told).is_some_and(|other| other != told) {
                 return Err(Damaged("two lengths"));
             }
@@ -115,14 +129,19 @@
             found.stats = Some(value.to_vec());
         }
     }
+    let Some(end) = end else { return Ok(None) };
     found.length = match (found.status, length) {
-        (204 | 304, _) => 0,
+        (..200 | 204 | 304, _) => 0,
         (_, Some(length)) => length,
         (_, None) => return Err(Damaged("no length")),
     };
     Ok(Some((found, end + 4)))
 }
 
+fn digits(value: &[u8]) -> Option<usize> {
+    value.iter().all(u8::is_ascii_digit).then(|| number(value))?
+}
+
 fn note(word: &[u8]) -> Option<Note> {
     Some(match word {
         b"hit" => Note::Held,
--- a/gateway/tests/parsers.rs
+++ b/gateway/tests/parsers.rs
@@ -127,6 +127,13 @@
     let told = Head { status: 200, length: 12, declined: false, close: false, note, waited, stats };
     assert_eq!((whole, len), (told, HEAD.len()));
     assert!((0..HEAD.len()).all(|n| http::head(&HEAD[..n]) == Ok(None)));
+    // Interim ones before it belong to it; the connection is not to be used again.
+    let interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 P\r\n\r\n";
+    let both = [interim, HEAD].concat();
+    let (head, len) = http::head(&both).unwrap().unwrap();
+    assert_eq!((head.status, head.length, head.close, len), (200, 12, true, both.len()));
+    assert!((0..both.len()).all(|n| http::head(&both[..n]) == Ok(None)));
+    assert!(http::head(&interim.repeat(http::MOST_HEAD / 32)).is_err());
     let full = b"HTTP/1.1 503 Full\r\nX-Declined: 1\r\nContent-Length: 0\r\n\r\n";
     assert!(http::head(full).unwrap().unwrap().0.declined);
 }
@@ -154,8 +161,13 @@
         "HTTP/1.1 200 OK\r\nno colon",
         "HTTP/1.1 99999999999999999999 OK",
         "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999999",
+        "HTTP/1.1 200 OK\r\nContent-Length: +4",
+        "HTTP/1.1 101 Switching Protocols\r\nContent-Length: 0",
     ] {
         assert!(http::head(format!("{bad}\r\n\r\n").as_bytes()).is_err(), "{bad}");
+        // All but a missing length is told by its line, whatever still comes.
+        let last = bad == "HTTP/1.1 200 OK";
+        assert_eq!(http::head(format!("{bad}\r\n").as_bytes()).is_err(), !last, "{bad}");
     }
     assert!(http::head(&[HEAD[..20].to_vec(), vec![b'x'; http::MOST_HEAD]].concat()).is_err());
 }
