--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -302,6 +302,10 @@
         open.hops += 1;
         let until = limit.min(open.limit);
         let (rule, write) = self.rules[open.rule].clone();
+        log::trace!(
+            "txn {txn} hop {hop} to {member} by {rule}, filled from {:?}",
+            fill.as_ref().map(|f| &*f.source)
+        );
         let job = Job { member: member.clone(), until, rule, write, ask: Rc::clone(&open.ask), fill };
         let mut task = None;
         if hop >= self.max_hops || until <= now {
