Clients' fields are checked as the protocol says, and nobody holds a connection half-asked

Seen by reading clients.rs and rpc.rs beside the protocol, and by probes between stand-ins: a silent or trickling client was held for 10 s where it is owed a close in 3 s; set 256, need nan, timeout 0 and the like went on to caches, as did an open id with another object; one client that sends interrupts without pause kept every other from being read (20 s without an answer to a check); at the bound of descriptors a client that had asked made room before those that never did; a refusal was followed by a reset while bytes were unread. Now fields are read strictly, a message has 2.5 s from its first byte (the first from the connection), idle ones 5 s, a refused client is drained for a bounded time, and a reader yields after each piece. No txn waits longer than the settings' longest time limit. Tests: 30 bad fields, each missing and doubled one; silent, half, trickled and half-behind-open; drained refusal; the open id; a flood of interrupts; who makes room. Each fails with its guard taken out (tried one by one).

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -17,15 +17,21 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, IoSlice};
-use std::net::{TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 
 /// Open requests on a connection, by the protocol.
 const MOST_OPEN: usize = 32;
 /// Answers that may wait for a connection to take bytes before no more is read from it.
 const MOST_WAITING: usize = 2 * MOST_OPEN;
-/// A connection with no open request may be silent for this long.
-const SILENT: Span = Span::from_millis(10_000);
+/// A connection on which something was asked may be idle for this long: usual clients close theirs earlier.
+const IDLE: Span = Span::from_millis(5_000);
+/// From the connection, or from the first byte of a message, to its last: short of the 3 s after which even a
+/// client that sends nothing whole is owed a close.
+const WHOLE: Span = Span::from_millis(2_500);
+/// What a refused client still sends is read for this long and this far, lest the refusal be lost with it.
+const DRAINED: Span = Span::from_millis(300);
+const MOST_DRAINED: usize = 1024 * 1024;
 /// One that takes no bytes may stall for this long, or for the shorter time while bodies are short of memory.
 const STALLED: Span = Span::from_millis(5_000);
 const STALLED_SHORT: Span = Span::from_millis(500);
@@ -49,7 +55,7 @@
     /// Answers that are not written whole yet.
     waiting: Rc<Cell<usize>>,
     written: Event,
-    /// When it was last heard of, and the word that it has to make room.
+    /// When it last sent or was sent something, and the word that it has to make room.
     heard: Cell<Time>,
     leave: Event,
     counters: Rc<Counters>,
@@ -85,6 +91,10 @@
         self.open.borrow().is_empty() && self.waiting.get() == 0
     }
 
+    fn has_asked(&self) -> bool {
+        self.last.get() > 0
+    }
+
     /// Takes in a message id; `false` if it was used before.
     fn take(&self, id: u64) -> bool {
         let new = id > self.last.get();
@@ -127,6 +137,8 @@
                         drop(held);
                     };
                     self.tasks.spawn(task).detach();
+                    // Guards those that are connected against a flood of those that connect.
+                    future::yield_now().await;
                 }
                 Err(e) => {
                     log::warn!("a connection can't be accepted: {e}");
@@ -139,10 +151,10 @@
     }
 
     /// Guards other clients against one that opens connections and leaves them idle: at the bound the one idle
-    /// longest makes room. With none idle, new ones wait in the machine's queue.
+    /// longest makes room, those first that never asked. With none idle, new ones wait in the machine's queue.
     fn make_room(&self) {
         let connected = self.connected.borrow();
-        let idle = connected.values().filter(|c| c.is_idle()).min_by_key(|c| c.heard.get());
+        let idle = connected.values().filter(|c| c.is_idle()).min_by_key(|c| (c.has_asked(), c.heard.get()));
         if let Some(client) = idle {
             self.counters.add("idle clients closed for room");
             client.leave.notify(1);
@@ -176,6 +188,7 @@
             // What it is owed goes out before the connection closes.
             client.out.close();
             self.write(&stream, &client, &frames).await;
+            self.clock.within(DRAINED, drain(&stream)).await;
         }
         frames.close();
         self.connected.borrow_mut().remove(&id);
@@ -186,7 +199,11 @@
     async fn read(&self, mut stream: &Async<TcpStream>, client: &Rc<Client>) -> End {
         let mut held: Vec<u8> = Vec::new();
         let mut bytes = vec![0; 16 * 1024];
+        // When what is held began to come, or the connection.
+        let mut began = self.clock.now();
         loop {
+            // Guards the others against one that sends at full speed: they have their turn after each piece.
+            future::yield_now().await;
             // Guards memory against a client that asks on and on and takes no answer.
             while client.waiting.get() > MOST_WAITING {
                 let written = client.written.listen();
@@ -194,15 +211,28 @@
                     written.await;
                 }
             }
-            let got = self.clock.within(SILENT, stream.read(&mut bytes)).await;
-            let n = match got {
+            let due = !held.is_empty() || !client.has_asked();
+            let until = if due { began + WHOLE } else { client.heard.get() + IDLE };
+            let n = match self.clock.by(until, stream.read(&mut bytes)).await {
                 Some(Ok(0) | Err(_)) => return End::PeerLeft,
                 Some(Ok(n)) => n,
-                None if client.is_idle() => return End::PeerSilent,
-                None => continue,
+                // Nothing more is read from one that sends half a message; what it is owed still goes out.
+                None if due => return self.idle(client).await,
+                None => {
+                    let now = self.clock.now();
+                    if !client.is_idle() {
+                        client.heard.set(now);
+                    } else if client.heard.get() + IDLE <= now {
+                        return End::PeerSilent;
+                    }
+                    continue;
+                }
             };
             let at = self.clock.now();
             client.heard.set(at);
+            if held.is_empty() && client.has_asked() {
+                began = at;
+            }
             held.extend_from_slice(&bytes[..n]);
             let mut used = 0;
             while used < held.len() {
@@ -229,12 +259,23 @@
                 used += len;
             }
             held.drain(..used);
+            if used > 0 && client.has_asked() {
+                began = at;
+            }
             if held.is_empty() {
                 held.shrink_to(bytes.len());
             }
         }
     }
 
+    /// The end of one that is read no more, once it has all that it is owed.
+    async fn idle(&self, client: &Client) -> End {
+        while !client.is_idle() {
+            self.clock.sleep(LOOKS).await;
+        }
+        End::PeerSilent
+    }
+
     /// `false`: the connection can't go on.
     async fn take(&self, client: &Rc<Client>, message: Message, at: Time) -> bool {
         let event = match message {
@@ -282,6 +323,7 @@
                 return end;
             }
             drop(frame);
+            client.heard.set(self.clock.now());
             client.written.notify(1);
         }
         End::PeerLeft
@@ -315,3 +357,18 @@
         Ok(())
     }
 }
+
+/// Ends what is written and throws away what still comes, up to a bound.
+async fn drain(mut stream: &Async<TcpStream>) {
+    if stream.get_ref().shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let (mut bytes, mut left) = (vec![0; 16 * 1024], MOST_DRAINED);
+    while let Ok(n @ 1..) = stream.read(&mut bytes).await {
+        left = left.saturating_sub(n);
+        if left == 0 {
+            return;
+        }
+        future::yield_now().await;
+    }
+}
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -23,7 +23,7 @@
     /// Idle connections to caches are closed by these after this time.
     pub idle: Span,
     pub most_open: usize,
-    /// The longest time that a client waits, as far as a planned restart allows for it.
+    /// The longest time that a client waits.
     pub longest: Span,
 }
 
@@ -80,7 +80,7 @@
             settings: settings(told).map_err(|e| inside("settings", e))?,
             idle: span(policy, "ConnIdleUs").map_err(|e| inside("settings", e))?,
             most_open: int(policy, "MaxOpen").map_err(|e| inside("settings", e))? as usize,
-            longest: Span::from_micros(deadlines.max().unwrap_or(0)),
+            longest: Span::from_micros(deadlines.max().ok_or("settings: no class has DeadlineUs")?),
             names,
         })
     }
--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -3,6 +3,7 @@
 //! next time. Must never decide in the module's place, give a txn two final answers, or let it have none: what
 //! still comes for one that has ended is told to the module and goes no further.
 
+use crate::Tasks;
 use crate::caches::{Caches, Ended, Job};
 use crate::clients::Client;
 use crate::clock::Clock;
@@ -11,12 +12,11 @@
 use crate::end::End;
 use crate::http;
 use crate::rpc::{Ask, Word};
-use crate::{Tasks, number};
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use kelpcart::interface::*;
 use kelpcart::{Gateway, Span, Time};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
 /// After SIGTERM: requests still come for this long; all is answered this long before the longest wait and the
@@ -66,6 +66,8 @@
     own: VecDeque<(TxnId, u32, End)>,
     open: BTreeMap<TxnId, Open>,
     by_message: BTreeMap<(u64, u64), TxnId>,
+    /// Open txns by the clients' own ids.
+    by_req: BTreeSet<(u64, TxnId)>,
     out: BTreeMap<(TxnId, u32), Out>,
     next: TxnId,
     rules: Vec<(Rc<str>, bool)>,
@@ -74,7 +76,7 @@
     /// Bytes of the bodies of open writes, and their bound.
     held: usize,
     most_held: usize,
-    longest: Span,
+    most_wait: Span,
     stopped: Option<Time>,
 }
 
@@ -95,7 +97,7 @@
             most_open: config.most_open,
             held: 0,
             most_held: config.memory / 8,
-            longest: config.longest.min(LONGEST),
+            most_wait: config.longest,
             gateway: Gateway::new(set, config.seed, clock.now()),
             clock,
             tasks,
@@ -105,6 +107,7 @@
             own: VecDeque::new(),
             open: BTreeMap::new(),
             by_message: BTreeMap::new(),
+            by_req: BTreeSet::new(),
             out: BTreeMap::new(),
             next: 0,
             stopped: None,
@@ -121,7 +124,7 @@
             let now = self.clock.now();
             self.pull(now);
             if let Some(at) = self.stopped {
-                let end = at + self.longest + STILL_COMING;
+                let end = at + self.most_wait.min(LONGEST) + STILL_COMING;
                 if now + ANSWERED_BEFORE >= end {
                     self.abort_all();
                 }
@@ -183,6 +186,14 @@
             self.counters.add("unknown methods");
             return client.refuse(id, Word::Invalid, &[]);
         };
+        let write = self.rules[rule].1;
+        // Guards caches from two txns under one id, and from bodies that nobody reads.
+        let same = self.by_req.range((ask.trace, 0)..=(ask.trace, TxnId::MAX));
+        let other = same.map(|(_, txn)| &self.open[txn].ask).any(|open| open.object != ask.object);
+        if other || !write && !ask.body.is_empty() {
+            self.counters.add("requests at odds with their method or id");
+            return client.refuse(id, Word::Invalid, &[]);
+        }
         // The bounds of the process itself: nothing has run, so that another try is harmless.
         if self.open.len() >= self.most_open || self.held + ask.body.len() > self.most_held {
             self.counters.add("requests over the open bound");
@@ -190,13 +201,13 @@
         }
         self.next += 1;
         let (txn, now) = (self.next, self.clock.now());
-        let limit = at + Span::from_millis(ask.timeout_ms.min(u64::from(u32::MAX)));
-        let size = ask.need.as_deref().and_then(|need| number(need.as_bytes()));
-        let size = size.filter(|kb: &f64| kb.is_finite() && *kb > 0.0);
-        let (object, group, part, write) = (ask.object, ask.group, ask.part, self.rules[rule].1);
+        // Nobody waits longer than the settings say: what claims to would only stay in the tables.
+        let limit = at + Span::from_millis(ask.timeout_ms.into()).min(self.most_wait);
+        let (object, group, part, size) = (ask.object, ask.group.into(), ask.part, ask.need);
         let left = limit - now;
         self.held += ask.body.len();
         self.by_message.insert((client.id, id), txn);
+        self.by_req.insert((ask.trace, txn));
         self.open.insert(txn, Open { client, id, rule, ask: Rc::from(ask), limit, hops: 0 });
         self.gateway.txn(now, Txn { id: txn, rule, object, group, part, write, size, left });
     }
@@ -205,6 +216,7 @@
     fn close(&mut self, txn: TxnId) -> Option<Open> {
         let open = self.open.remove(&txn)?;
         self.by_message.remove(&(open.client.id, open.id));
+        self.by_req.remove(&(open.ask.trace, txn));
         self.held -= open.ask.body.len();
         Some(open)
     }
--- a/gateway/src/http.rs
+++ b/gateway/src/http.rs
@@ -1,7 +1,7 @@
 //! Writes requests to caches and reads the heads of their answers (HTTP/1.1), without I/O. Must never panic on
 //! what a peer sends, nor take in a head beyond its bound; the body's bytes are the caller's.
 
-use crate::number;
+use crate::{digits, number};
 use kelpcart::Span;
 use kelpcart::interface::{Fill, Note};
 use std::fmt::Write;
@@ -104,7 +104,7 @@
     let status = first.strip_prefix(STATUS).filter(|f| f.len() >= 5 && f[1] == b' ');
     // 101 would make another protocol of what follows.
     let status = status.and_then(|f| digits(&f[2..5])).filter(|s| (100..600).contains(s) && *s != 101);
-    let mut found = Head { status: status.ok_or(Damaged("no status"))? as u16, ..Head::default() };
+    let mut found = Head { status: status.ok_or(Damaged("no status"))?, ..Head::default() };
     found.close = first.starts_with(b"HTTP/1.0");
     let mut length = None;
     for line in lines {
@@ -138,10 +138,6 @@
     Ok(Some((found, end + 4)))
 }
 
-fn digits(value: &[u8]) -> Option<usize> {
-    value.iter().all(u8::is_ascii_digit).then(|| number(value))?
-}
-
 fn note(word: &[u8]) -> Option<Note> {
     Some(match word {
         b"hit" => Note::Held,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -18,6 +18,11 @@
 /// The one thread's tasks; it lives as long as the process.
 pub type Tasks = &'static LocalExecutor<'static>;
 
+/// A whole number written in digits and nothing else.
+pub fn digits<T: std::str::FromStr>(text: &[u8]) -> Option<T> {
+    text.iter().all(u8::is_ascii_digit).then(|| number(text))?
+}
+
 /// A number as a field of a peer's message holds it.
 pub fn number<T: std::str::FromStr>(text: &[u8]) -> Option<T> {
     std::str::from_utf8(text).ok()?.trim().parse().ok()
--- a/gateway/src/rpc.rs
+++ b/gateway/src/rpc.rs
@@ -1,10 +1,12 @@
 //! Reads and writes MessagePack-RPC, without I/O. Must never panic on what a client sends, nor hold more than one
 //! frame of the bounded length; what the frames mean to the gateway is decided elsewhere.
 
-use crate::number;
+use crate::{digits, number};
 
 /// A body of 48,000 bytes with its fields fits; more is no request.
 pub const MOST_FRAME: usize = 64 * 1024;
+/// A write's body.
+const MOST_BODY: usize = 48_000;
 /// Values in a frame and their nesting.
 const MOST_VALUES: usize = 256;
 const MOST_DEPTH: usize = 6;
@@ -17,7 +19,7 @@
     Refused { id: Option<u64>, why: &'static str },
 }
 
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug, PartialEq)]
 pub enum Message {
     Request { id: u64, method: String, ask: Ask },
     Check { id: u64 },
@@ -25,16 +27,18 @@
 }
 
 /// A request's fields, as sent.
-#[derive(Debug, Default, PartialEq, Eq)]
+#[derive(Debug, Default, PartialEq)]
 pub struct Ask {
     pub req: String,
+    /// The same as a number.
+    pub trace: u64,
     pub subject: String,
     pub object: u64,
     pub part: u64,
-    pub group: u64,
-    pub timeout_ms: u64,
-    /// The size in KB, as sent.
-    pub need: Option<String>,
+    pub group: u8,
+    pub timeout_ms: u32,
+    /// The size in KB.
+    pub need: Option<f64>,
     pub seen: Option<String>,
     pub body: Vec<u8>,
 }
@@ -205,25 +209,30 @@
         [Value::Map(fields), Value::Bytes(body)] => (fields, *body),
         _ => return Err("no fields"),
     };
+    let twice = |i: usize| fields[..i].iter().any(|(name, _)| name.bytes() == fields[i].0.bytes());
+    if body.len() > MOST_BODY || (0..fields.len()).any(twice) {
+        return Err("too long a body, or a field twice");
+    }
     let mut ask = Ask { body: body.to_vec(), ..Ask::default() };
-    let mut timeout = None;
+    let (mut part, mut group, mut timeout) = (None, None, None);
     for (name, value) in fields {
         let (Some(name), Some(value)) = (name.bytes(), value.bytes()) else {
             return Err("a field is no text");
         };
-        let text = || std::str::from_utf8(value).map(str::to_owned).map_err(|_| "a field is no text");
         match name {
-            b"req" => (ask.req, _) = hex(value).ok_or("no req")?,
+            b"req" => (ask.req, ask.trace) = hex(value).ok_or("no req")?,
             b"subject" => (ask.subject, ask.object) = hex(value).ok_or("no subject")?,
-            b"slice" => ask.part = number(value).ok_or("no slice")?,
-            b"set" => ask.group = number(value).ok_or("no set")?,
-            b"timeout" => timeout = number(value),
-            b"need" => ask.need = Some(text()?),
-            // It is passed on in a head: only what can stand there.
-            b"seen" if value.iter().all(u8::is_ascii_graphic) => ask.seen = Some(text()?),
+            b"slice" => part = digits::<u32>(value),
+            b"set" => group = digits(value),
+            b"timeout" => timeout = digits(value).filter(|ms| *ms > 0),
+            b"need" => ask.need = Some(size(value).ok_or("no need")?),
+            b"seen" => ask.seen = Some(hex(value).ok_or("no seen")?.0),
+            b"resent" if value != b"1" => return Err("no resent"),
             _ => {}
         }
     }
+    ask.part = part.ok_or("no slice")?.into();
+    ask.group = group.ok_or("no set")?;
     ask.timeout_ms = timeout.ok_or("no timeout")?;
     if ask.req.is_empty() || ask.subject.is_empty() {
         return Err("no req or subject");
@@ -231,6 +240,12 @@
     Ok(ask)
 }
 
+/// A size in KB: digits with a point at most, and more than nothing.
+fn size(value: &[u8]) -> Option<f64> {
+    let plain = value.iter().all(|b| b.is_ascii_digit() || *b == b'.');
+    number(value).filter(|kb: &f64| plain && kb.is_finite() && *kb > 0.0)
+}
+
 fn hex(value: &[u8]) -> Option<(String, u64)> {
     let text = std::str::from_utf8(value).ok().filter(|t| t.len() == 16)?;
     let plain = text.bytes().all(|b| b.is_ascii_hexdigit());
--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -266,6 +266,8 @@
 struct Client {
     stream: TcpStream,
     next: u8,
+    /// Its last txn's own id.
+    req: String,
 }
 
 #[derive(Debug, PartialEq)]
@@ -282,7 +284,7 @@
     fn of(gateway: &Gateway) -> Client {
         let stream = TcpStream::connect(gateway.address).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Client { stream, next: 1 }
+        Client { stream, next: 1, req: String::new() }
     }
 
     fn send(&mut self, bytes: &[u8]) {
@@ -307,9 +309,16 @@
     }
 
     fn ask(&mut self, method: &str, object: u64, timeout: u64, body: &[u8]) -> u64 {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        self.req = format!("{:016x}", NEXT.fetch_add(1, Ordering::SeqCst));
+        self.ask_again(method, object, timeout, body)
+    }
+
+    fn ask_again(&mut self, method: &str, object: u64, timeout: u64, body: &[u8]) -> u64 {
         let (object, timeout) = (format!("{object:016x}"), timeout.to_string());
+        let req = self.req.clone();
         let fields = [
-            ("req", "9b1f03aa5c7e2d41"),
+            ("req", &*req),
             ("timeout", &timeout),
             ("subject", &object),
             ("slice", "3"),
@@ -426,7 +435,7 @@
     assert_eq!(answer.fields, BTreeMap::new());
     let seen = edge.came();
     assert!(seen.head.starts_with("GET /x/segment/0000000000000005/3 HTTP/1.1\r\n"), "{}", seen.head);
-    assert_eq!(seen.field("X-Trace"), Some("9b1f03aa5c7e2d41"));
+    assert_eq!(seen.field("X-Trace"), Some(&*client.req));
     assert_eq!((seen.field("X-Fill-From"), seen.field("X-Keep")), (Some("p1"), Some("1")));
     let patience: u64 = seen.field("X-Patience").unwrap().parse().unwrap();
     assert!((1..=3_000).contains(&patience));
@@ -438,13 +447,19 @@
     let edge = Cache::start(|_| Reply::Send(b"HTTP/1.1 304 Not Modified\r\nETag: 12ab\r\n\r\n".to_vec()));
     let gateway = Gateway::with_edge(&edge);
     let mut client = Client::of(&gateway);
-    let base =
-        [("req", "9b1f03aa5c7e2d41"), ("timeout", "900"), ("subject", "00000000000000ff"), ("need", "1")];
-    client.ask_with("segment", &[&base[..], &[("seen", "12ab")]].concat(), &[]);
+    let base = [
+        ("req", "9b1f03aa5c7e2d41"),
+        ("timeout", "900"),
+        ("subject", "00000000000000ff"),
+        ("slice", "0"),
+        ("set", "1"),
+        ("need", "1"),
+    ];
+    client.ask_with("segment", &[&base[..], &[("seen", "4be0c1927d55a6f3")]].concat(), &[]);
     let answer = client.answer();
     assert_eq!((answer.word, answer.body), (None, vec![]));
     assert_eq!(answer.fields.get("current").map(String::as_str), Some("1"));
-    assert_eq!(edge.came().field("If-None-Match"), Some("12ab"));
+    assert_eq!(edge.came().field("If-None-Match"), Some("4be0c1927d55a6f3"));
     // Guards a client without a copy from an empty one.
     client.ask_with("segment", &base, &[]);
     assert!(client.answer().word.is_some());
@@ -624,14 +639,81 @@
 }
 
 #[test]
-fn a_silent_client_is_closed_and_a_silent_bulletin_asked_again() {
+fn a_silent_bulletin_is_asked_again() {
     let bulletin = Bulletin::start(Vec::new());
-    let gateway = Gateway::start(&config(&[], bulletin.address, 64));
-    let mut silent = Client::of(&gateway);
-    // Half a message is no more than none.
-    silent.send(&[0x94, 0x00]);
+    let _gateway = Gateway::start(&config(&[], bulletin.address, 64));
     assert_eq!([bulletin.asked(), bulletin.asked()], ["after 1\n", "after 1\n"]);
-    assert!(silent.is_closed());
+}
+
+#[test]
+fn who_sends_nothing_whole_is_closed_before_who_asked_and_rests() {
+    let (edge, release) = Cache::holding(b"x");
+    let gateway = Gateway::with_edge(&edge);
+    let mut usual = Client::of(&gateway);
+    assert!(usual.check());
+    // Nothing, half a message, one that trickles in, and half a message behind a txn that is open.
+    let mut bad = [(); 4].map(|()| Client::of(&gateway));
+    bad[1].send(&[0x94, 0x00]);
+    let trickles = bad[2].stream.try_clone().unwrap();
+    bad[2].send(&[0xc5, 0xff, 0x00]);
+    thread::spawn(move || {
+        while (&trickles).write_all(&[0x00]).is_ok() {
+            thread::sleep(Duration::from_millis(700));
+        }
+    });
+    bad[3].ask("segment", 1, 25_000, &[]);
+    bad[3].send(&[0x94, 0x00]);
+    edge.came();
+    assert!(bad[..3].iter_mut().all(Client::is_closed));
+    assert!(usual.check());
+    // What is owed still goes out.
+    release.send(()).unwrap();
+    assert_eq!(bad[3].answer().body, b"x");
+    assert!(bad[3].is_closed() && usual.is_closed());
+}
+
+#[test]
+fn a_refusal_reaches_a_client_that_sends_on() {
+    let gateway = Gateway::start(&config(&[], nobody(), 64));
+    let mut client = Client::of(&gateway);
+    // The start of a request whose body claims 60 MB, and a little of it.
+    let endless = [b"\x94\x00\x07\xa7segment\x92\x80\xc6\x03\x93\x87\x00".to_vec(), vec![0; 64 * 1024]];
+    client.send(&endless.concat());
+    let answer = client.answer();
+    assert_eq!((answer.id, answer.word.as_deref()), (7, Some("Invalid")));
+    // An end and no reset, which could overtake the refusal.
+    assert_eq!(client.stream.read(&mut [0]).unwrap(), 0);
+}
+
+#[test]
+fn an_id_that_is_open_can_not_name_another_object() {
+    let (edge, release) = Cache::holding(b"x");
+    let gateway = Gateway::with_edge(&edge);
+    let mut client = Client::of(&gateway);
+    let first = client.ask("segment", 1, 15_000, &[]);
+    edge.came();
+    let second = client.ask_again("segment", 2, 15_000, &[]);
+    let answer = client.answer();
+    assert_eq!((answer.id, answer.word.as_deref()), (second, Some("Invalid")));
+    release.send(()).unwrap();
+    assert_eq!(client.answer().id, first);
+    // Once that is answered the id is free.
+    client.ask_again("segment", 2, 15_000, &[]);
+    release.send(()).unwrap();
+    assert_eq!(client.answer().body, b"x");
+}
+
+#[test]
+fn a_client_at_full_speed_does_not_starve_others() {
+    let gateway = Gateway::start(&config(&[], nobody(), 64));
+    let flood = TcpStream::connect(gateway.address).unwrap();
+    let mut usual = Client::of(&gateway);
+    // These are owed no answer, so that nothing but its turn holds their reader up.
+    let many = b"\x93\x02\xa9interrupt\x91\x01".repeat(4_096);
+    thread::spawn(move || while (&flood).write_all(&many).is_ok() {});
+    for _ in 0..20 {
+        assert!(usual.check());
+    }
 }
 
 #[test]
@@ -716,11 +798,7 @@
         assert!(bad.is_closed());
     }
     let mut bad = Client::of(&gateway);
-    let id = bad.ask_with(
-        "no such method",
-        &[("req", "9b1f03aa5c7e2d41"), ("timeout", "1"), ("subject", "0000000000000001")],
-        &[],
-    );
+    let id = bad.ask("no such method", 1, 3_000, &[]);
     let refused = bad.answer();
     assert_eq!((refused.id, refused.word.as_deref()), (id, Some("Invalid")));
     for fields in [&[("req", "short"), ("timeout", "9")][..], &[("timeout", "x")], &[]] {
@@ -728,6 +806,9 @@
         let refused = bad.answer();
         assert_eq!((refused.id, refused.word.as_deref()), (id, Some("Invalid")));
     }
+    // A read with a body.
+    let id = bad.ask("segment", 1, 3_000, b"x");
+    assert_eq!((bad.answer().id, edge.came_so_far()), (id, 0));
     // Wrong types in a whole frame.
     bad.next += 1;
     let id = bad.next - 1;
@@ -798,12 +879,16 @@
     let mut gateway = Gateway::start(&edge_config(&edge, &[("/limits/sockets", 48)]));
     let mut good = Client::of(&gateway);
     let first = good.ask("segment", 1, 15_000, &[]);
+    let mut rests = Client::of(&gateway);
+    assert!(rests.check());
     // Twice what there are descriptors for.
     let flood: Vec<Client> = (0..96).map(|_| Client::of(&gateway)).collect();
     let mut late = Client::of(&gateway);
     assert!(late.check());
     gateway.signal("USR1");
     assert!(gateway.line().contains("idle clients closed for room"));
+    // Those that never asked make room before those that did.
+    assert!(rests.check());
     release.send(()).unwrap();
     assert_eq!(good.answer().id, first);
     drop(flood);
--- a/gateway/tests/parsers.rs
+++ b/gateway/tests/parsers.rs
@@ -14,16 +14,23 @@
     QuickCheck::new().rng(Gen::from_size_and_seed(200, 5)).quickcheck(property);
 }
 
+const FIELDS: [(&str, &str); 6] = [
+    ("req", "9b1f03aa5c7e2d41"),
+    ("subject", "7f3a9c21e0b4d655"),
+    ("timeout", "1500"),
+    ("slice", "3"),
+    ("set", "17"),
+    ("need", "412.5"),
+];
+
 fn request(id: u8, body: &[u8]) -> Vec<u8> {
+    request_with(id, &FIELDS, body)
+}
+
+fn request_with(id: u8, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut out = vec![0x94, 0x00, id, 0xa7];
-    out.extend(b"segment\x92\x85");
-    let fields = [
-        ("req", "9b1f03aa5c7e2d41"),
-        ("subject", "7f3a9c21e0b4d655"),
-        ("timeout", "1500"),
-        ("slice", "3"),
-        ("need", "412.5"),
-    ];
+    out.extend(b"segment\x92");
+    out.push(0x80 | fields.len() as u8);
     for text in fields.iter().flat_map(|(name, value)| [name, value]) {
         out.push(0xa0 | text.len() as u8);
         out.extend(text.as_bytes());
@@ -69,10 +76,7 @@
             (method.as_str(), ask.object, ask.part, ask.timeout_ms),
             ("segment", 0x7f3a9c21e0b4d655, 3, 1500)
         );
-        assert_eq!(
-            (ask.req.as_str(), ask.need.as_deref(), &ask.body),
-            ("9b1f03aa5c7e2d41", Some("412.5"), &body)
-        );
+        assert_eq!((ask.req.as_str(), ask.need, &ask.body), ("9b1f03aa5c7e2d41", Some(412.5), &body));
         let rest = [Message::Check { id: 2 }, Message::Interrupt { ids: vec![1] }];
         fault.is_none()
             && all[1..3] == rest
@@ -97,6 +101,39 @@
     check::<fn(Vec<u8>) -> bool>(|bytes: Vec<u8>| fed(&bytes, &[]).0.len() <= bytes.len());
 }
 
+#[test]
+fn fields_that_the_protocol_does_not_allow_are_refused_by_their_message() {
+    let refused = |fields: &[(&str, &str)], body: &[u8]| {
+        let bytes = request_with(9, fields, body);
+        matches!(rpc::message(&bytes), Err((Fault::Refused { id: Some(9), .. }, n)) if n == bytes.len())
+    };
+    let bad = [
+        ("req", "9b1f03aa5c7e2d4 9b1f03aa5c7e2d4g"),
+        ("subject", "-f3a9c21e0b4d655 7f3a9c21e0b4d655a"),
+        ("timeout", "0 -5 1e3 1.5 +4 99999999999 nan"),
+        ("slice", "-1 x 1.0 99999999999"),
+        ("set", "256 -1 x"),
+        ("need", "-3 nan inf 0 x 1e9 1.2.3"),
+        ("seen", "12ab \u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9} 4be0c1927d55a6f34"),
+        ("resent", "2 x"),
+    ];
+    for (name, values) in bad {
+        for value in values.split(' ').chain([""]) {
+            let others = FIELDS.into_iter().filter(|f| f.0 != name);
+            let fields: Vec<_> = others.chain([(name, value)]).collect();
+            assert!(refused(&fields, &[]), "{name} {value}");
+        }
+    }
+    for i in 0..FIELDS.len() - 1 {
+        let without = [&FIELDS[..i], &FIELDS[i + 1..]].concat();
+        assert!(refused(&without, &[]));
+        assert!(refused(&[&FIELDS[..], &FIELDS[i..i + 1]].concat(), &[]));
+    }
+    assert!(refused(&FIELDS, &[0; 48_001]) && !refused(&FIELDS, &[0; 48_000]));
+    let more = [&FIELDS[..], &[("seen", "4be0c1927d55a6f3"), ("resent", "1"), ("else", "x")]].concat();
+    assert!(!refused(&more, &[]));
+}
+
 #[test]
 fn a_frame_beyond_its_bound_is_refused_before_it_is_whole() {
     let long = request(7, &vec![0; rpc::MOST_FRAME + 1]);
