No table grows with the ids that have been, and each one's size is counted

Tests: 100 members one after the other with hops out at the first four; 60 caches, clients and objects between stand-ins, sizes before and after. Both fail without the reuse, the first also without the check for names.

--- a/gateway/src/caches.rs
+++ b/gateway/src/caches.rs
@@ -141,6 +141,12 @@
         kept.retain(|id, _| places.contains_key(id));
     }
 
+    /// How much is kept, by name.
+    pub fn sizes(&self) -> [(&'static str, usize); 2] {
+        let idle = self.kept.borrow().values().map(Vec::len).sum();
+        [("members with an address", self.places.borrow().len()), ("idle hop connections", idle)]
+    }
+
     /// Runs one hop to its end, which comes by the job's time at the latest.
     pub async fn hop(&self, job: Job) -> Ended {
         let (sent, _tells) = (Cell::new(false), Tells(&self.freed));
--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -16,6 +16,8 @@
     /// Descriptors of clients, and of hops with those kept for later ones.
     pub clients: Rc<Cell<usize>>,
     pub hops: Rc<Cell<usize>>,
+    /// How much the tables of the gateway held when they were last asked.
+    pub sizes: RefCell<Vec<(&'static str, usize)>>,
 }
 
 impl Counters {
@@ -30,7 +32,9 @@
 
 impl fmt::Display for Counters {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        write!(f, "now: clients {}, hops {}; in all", self.clients.get(), self.hops.get())?;
+        write!(f, "now: clients {}, hops {}", self.clients.get(), self.hops.get())?;
+        self.sizes.borrow().iter().try_for_each(|(what, n)| write!(f, ", {what} {n}"))?;
+        write!(f, "; in all")?;
         self.counts.borrow().iter().try_for_each(|(what, n)| write!(f, ", {what} {n}"))?;
         self.ends.borrow().iter().try_for_each(|(end, n)| write!(f, ", end {end:?} {n}"))
     }
--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -36,6 +36,7 @@
     Left { client: u64 },
     HopEnded { txn: TxnId, hop: u32, ended: Ended },
     News(News),
+    Tell,
     Stop,
 }
 
@@ -131,7 +132,7 @@
                 let quiet = self.open.is_empty() && self.counters.unwritten.get() == 0;
                 if quiet && now - at >= STILL_COMING || now + LEAVING >= end {
                     self.clock.sleep(LEAVING).await;
-                    return;
+                    return self.tell();
                 }
             }
             let mut wake = self.gateway.next_wake();
@@ -159,6 +160,7 @@
             }
             Event::HopEnded { txn, hop, ended } => self.ended(txn, hop, ended),
             Event::News(said) => self.news(said),
+            Event::Tell => self.tell(),
             Event::Stop => {
                 log::info!("told to stop, {} txns open", self.open.len());
                 self.stopped.get_or_insert(self.clock.now());
@@ -166,6 +168,20 @@
         }
     }
 
+    /// Writes the counters, with the size of every table that could grow with the day.
+    fn tell(&self) {
+        let own = [
+            ("txns open", self.open.len()),
+            ("txns by message", self.by_message.len()),
+            ("txns by id", self.by_req.len()),
+            ("hops out", self.out.len()),
+            ("bytes of writes", self.held),
+        ];
+        let all = own.into_iter().chain(self.caches.sizes()).chain(self.gateway.sizes());
+        *self.counters.sizes.borrow_mut() = all.collect();
+        log::info!("{}", self.counters);
+    }
+
     fn news(&mut self, said: News) {
         let now = self.clock.now();
         match said {
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -87,11 +87,11 @@
         connected: Rc::default(),
     };
     tasks.spawn(front.accept(listener)).detach();
-    let work = Desk::new(config, clock, tasks, caches, Rc::clone(&counters), (desk.clone(), events)).run();
+    let work = Desk::new(config, clock, tasks, caches, counters, (desk.clone(), events)).run();
     let told = async {
         while let Some(signal) = signals.next().await {
             match signal {
-                Ok(Signal::Usr1) => log::info!("{counters}"),
+                Ok(Signal::Usr1) => _ = desk.send(Event::Tell).await,
                 Ok(Signal::Hup) => match read(path, config::bulletin) {
                     Ok(address) => _ = moved.try_send(address),
                     Err(why) => log::warn!("{why}; the bulletin stays where it was"),
@@ -103,5 +103,4 @@
         future::pending().await
     };
     future::or(work, told).await;
-    log::info!("{counters}");
 }
--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -765,7 +765,7 @@
     assert!(client.check());
     (0..8).for_each(|_| _ = edge.came());
     gateway.signal("USR1");
-    assert!(gateway.line().contains("hops 8;"));
+    assert!(gateway.line().contains("clients 1, hops 8,"));
     (0..16).for_each(|_| release.send(()).unwrap());
     for _ in 0..16 {
         assert_eq!(client.answer().body, b"x");
@@ -1116,6 +1116,37 @@
     assert!(start.elapsed() < PATIENCE);
 }
 
+#[test]
+fn no_table_grows_with_the_ids_that_have_been() {
+    let cache = Cache::start(|_| ok(b"x"));
+    let bulletin = Bulletin::start(Vec::new());
+    let mut gateway = Gateway::start(&config(&[], bulletin.address, 64));
+    bulletin.asked();
+    let mut sizes = |days: std::ops::Range<u64>| {
+        for no in days {
+            // A new cache at the address of the last, a new client, and a new object.
+            let [new, old] = [no, no - 1].map(|n| format!("e{n}"));
+            let [new, old] = [(&new, "up"), (&old, "removed")].map(|(id, state)| {
+                let mut at = endpoint(&Member("", "box", cache.address), state);
+                at["name"] = json!(id);
+                at
+            });
+            bulletin.tell(&change(no + 1, json!([old, new])));
+            let mut client = Client::of(&gateway);
+            while client.ask("segment", no, 3_000, &[]) > 0 && client.answer().word.is_some() {
+                assert!(client.next < 200);
+                thread::sleep(Duration::from_millis(20));
+            }
+        }
+        gateway.signal("USR1");
+        let line = gateway.line();
+        let now = line.split_once("now: ").unwrap().1.split_once("; in all").unwrap().0.to_owned();
+        now.split(", ").map(|size| size.rsplit(' ').next().unwrap().parse::<usize>().unwrap()).sum::<usize>()
+    };
+    let (few, many) = (sizes(1..8), sizes(8..60));
+    assert!(many <= few + 8, "{few} then {many}");
+}
+
 /// What a stand-in does with the nth request, by chance.
 fn misbehave(chance: u8, body: &[u8]) -> Reply {
     match chance % 11 {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,3 +8,10 @@
 
 pub use logic::Gateway;
 pub use time::{Span, Time};
+
+impl Gateway {
+    /// How much is kept, by name, for the host's counters.
+    pub fn sizes(&self) -> impl Iterator<Item = (&'static str, usize)> {
+        self.book.sizes().into_iter()
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -80,7 +80,7 @@
 pub struct Gateway {
     set: Settings,
     rng: Pcg64Mcg,
-    book: Book,
+    pub(crate) book: Book,
     further: f64,
     miss_share: f64,
     /// The part of the gates of fills that the own zone's link leaves.
@@ -179,10 +179,9 @@
 
     /// News of the list; with `whole`, members that it does not name are gone.
     pub fn members(&mut self, now: Time, whole: bool, list: Vec<Member>) {
-        let known = self.book.caches.len();
-        if whole {
-            self.book.caches.iter_mut().for_each(|c| c.m.state = MemberState::Gone);
-        }
+        let mut new = Vec::new();
+        let unnamed = |c: &&mut Cache| whole && list.iter().all(|m| m.id != c.m.id);
+        self.book.caches.iter_mut().filter(unnamed).for_each(|c| c.m.state = MemberState::Gone);
         for m in list {
             let role = match Some(m.kind) {
                 k if k == self.set.parent_kind => Role::Parent,
@@ -200,13 +199,8 @@
                 (c.m, c.role) = (m, role);
                 continue;
             }
-            let i = self.book.caches.len();
-            if role == Role::Origin {
-                self.book.origin = Some(i);
-            }
-            self.book.by_id.insert(Arc::clone(&m.id), i);
             let (n, par) = (sharers(&self.set, role), Weight::new(weight));
-            self.book.caches.push(Cache::new(now, m, role, n, SECOND * (AVERAGED * n.sqrt()), par));
+            new.push(self.book.place(Cache::new(now, m, role, n, SECOND * (AVERAGED * n.sqrt()), par)));
         }
         self.book.by_role = Default::default();
         for (i, c) in self.book.caches.iter().enumerate().filter(|(_, c)| c.m.state != MemberState::Gone) {
@@ -214,7 +208,7 @@
         }
         let near = |i: &&usize| self.book.caches[**i].m.zone == self.set.zone;
         self.book.near = self.book.by_role[Role::Edge as usize].iter().filter(near).copied().collect();
-        for i in known..self.book.caches.len() {
+        for i in new {
             self.book.caches[i].gate = self.first_gate(i);
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,9 +1,10 @@
 //! What a gateway keeps between calls; plain records, filled and read by the decisions.
 
 use crate::histogram::Histogram;
-use crate::interface::{Member, MemberId, Txn, TxnId};
+use crate::interface::{Member, MemberId, MemberState, Txn, TxnId};
 use crate::time::{Span, Time};
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -180,6 +181,42 @@
     pub steps: u32,
 }
 
+impl Book {
+    /// Puts a member where one was that has gone and that nothing names any more, or behind all others: what is
+    /// kept does not grow with the ids that have been.
+    pub fn place(&mut self, cache: Cache) -> usize {
+        let named = |i: usize| {
+            let of_open = |o: &Open| o.avoid.contains(&i) || o.may_have_run.is_some_and(|(m, _)| m == i);
+            let of_hop = |h: &Hop| h.member == i || h.source == Some(i);
+            self.open.values().any(of_open) || self.hops.values().any(of_hop)
+        };
+        let free = |&i: &usize| self.caches[i].m.state == MemberState::Gone && !named(i);
+        let i = (0..self.caches.len()).find(free).unwrap_or(self.caches.len());
+        let (id, role) = (Arc::clone(&cache.m.id), cache.role);
+        match self.caches.get_mut(i) {
+            Some(gone) => _ = self.by_id.remove(&std::mem::replace(gone, cache).m.id),
+            None => self.caches.push(cache),
+        }
+        self.by_id.insert(id, i);
+        self.origin = if role == Role::Origin { Some(i) } else { self.origin.filter(|&o| o != i) };
+        i
+    }
+
+    /// How much is kept, by name.
+    pub fn sizes(&self) -> [(&'static str, usize); 7] {
+        let spent = self.caches.iter().map(|c| c.spent.len()).sum();
+        [
+            ("members kept", self.caches.len()),
+            ("members by id", self.by_id.len()),
+            ("txns decided on", self.open.len()),
+            ("hops decided on", self.hops.len()),
+            ("txns ready", self.ready.len()),
+            ("purges kept", self.purges.len()),
+            ("sent to cold members", spent),
+        ]
+    }
+}
+
 /// A share of 1, evenly spread over hashes.
 pub fn unit(hash: u64) -> f64 {
     ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -340,6 +340,29 @@
     assert_eq!(admitted(300), admitted(0));
 }
 
+#[test]
+fn members_that_have_gone_leave_their_place_to_new_ones() {
+    let mut world = World::new(settings());
+    // Hops that are out name the first four: their places are kept for them.
+    (0..40).for_each(|id| _ = world.ask(at(0), txn(id, 0, id)));
+    let gone = |m: Member| Member { state: MemberState::Gone, ..m };
+    let mut old: Vec<Member> = fleet().into_iter().filter(|m| m.kind == EDGE).collect();
+    for n in 0..100 {
+        let new = member(&format!("n{n}"), EDGE);
+        let list = old.drain(..).map(gone).chain([new.clone()]).collect();
+        world.gateway.members(at(n), false, list);
+        old.push(new);
+    }
+    let kept = world.gateway.sizes().find(|s| s.0 == "members kept").unwrap().1;
+    assert!(kept <= fleet().len() + 2, "{kept}");
+    // What ends at the old ones is not booked on the new one.
+    for id in 0..40 {
+        world.gateway.hangup(id);
+        world.end(at(100), id, HopEnd::Broken, None);
+    }
+    assert_eq!(place(&world.ask(at(101), txn(100, 0, 1))[0]).0, "n99");
+}
+
 #[test]
 fn small_txns_find_room_where_large_ones_do_not() {
     let taken = |size: f64| {
