--- a/src/logic.rs
+++ b/src/logic.rs
@@ -263,7 +263,12 @@
         let Some(hop) = self.book.hops.remove(&(o.txn, o.hop)) else { return };
         self.adjust(now, &hop, &o);
         let near = self.book.caches[hop.member].role == Role::Edge;
-        if matches!(o.end, HopEnd::Completed | HopEnd::TimedOut) && hop.sized {
+        let in_time = o.end == HopEnd::Completed && o.took <= hop.sla;
+        let c = &mut self.book.caches[hop.member];
+        c.prompt = c.prompt.max(if in_time { hop.sent } else { c.prompt });
+        // Answers that never come, while later hops are completed in time, are no sign of a jam.
+        let jammed = o.end == HopEnd::TimedOut && c.prompt <= hop.sent;
+        if (o.end == HopEnd::Completed || jammed) && hop.sized {
             follow(&mut self.book.took, o.took.as_secs_f64(), SLOW);
             follow(&mut self.book.sent, hop.sending, SLOW);
         }
@@ -353,11 +358,17 @@
     /// Guards against work piling up at a cache, a parent or the link before it, whatever fills it: overload,
     /// retries, large objects, a slow machine. What comes late or is turned away shrinks the gate of the place
     /// that it went through, what comes in time widens it. Harmful where txns are late for other reasons: fills
-    /// don't count against the cache, hits against the parent, nor an error (a txn none can use) against any.
+    /// don't count against the cache, hits against the parent, nor errors of a txn that none can use against any.
     fn adjust(&mut self, now: Time, hop: &Hop, o: &Outcome) {
         let slow_start = o.first_byte.is_some_and(|first| first > hop.sla * SLOW_START);
         let place = match o.note {
-            None if o.end == HopEnd::Errored => None,
+            // A second member's error tells of the txn: the first one's gate is given back what it lost.
+            None if o.end == HopEnd::Errored && o.hop > 0 => {
+                let first = self.book.open.get(&o.txn).and_then(|open| open.avoid.first().copied());
+                let first = first.filter(|_| o.hop == 1).map(|i| &mut self.book.caches[i]);
+                _ = first.map(|c| c.gate /= GATE_CUT.powf(c.sharers.sqrt()));
+                None
+            }
             None | Some(Note::Held | Note::Old | Note::Joined | Note::NoPlace) => Some(hop.member),
             Some(Note::OriginFailed) => self.book.origin,
             Some(Note::FilledByOrigin) if slow_start => self.book.origin,
@@ -510,14 +521,9 @@
                 self.strike(now, i);
             }
         }
-        if !self.set.cancel {
-            return;
-        }
-        for (&(id, seq), hop) in &mut self.book.hops {
-            let stuck = |i: usize| {
-                let c = &self.book.caches[i];
-                c.trial_at.is_some() && c.answered <= hop.sent
-            };
+        let caches = &self.book.caches;
+        for (&(id, seq), hop) in self.book.hops.iter_mut().filter(|_| self.set.cancel) {
+            let stuck = |i: usize| caches[i].trial_at.is_some() && caches[i].answered <= hop.sent;
             if hop.cancelled || hop.due > now || !(stuck(hop.member) || hop.source.is_some_and(stuck)) {
                 continue;
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -43,6 +43,8 @@
     pub strikes: u32,
     pub trial_at: Option<Time>,
     pub answered: Time,
+    /// When the newest of the hops was sent that it completed in time.
+    pub prompt: Time,
     /// What was sent of late to one that may be cold: when, its sending time, by which hop.
     pub spent: VecDeque<(Time, f64, (TxnId, u32))>,
     /// Sending time completed since the last step, and a second on average.
@@ -56,7 +58,7 @@
     pub fn new(now: Time, m: Member, role: Role, sharers: f64, span: Span, par: Weight) -> Cache {
         let (load, mean, changed, work, rate, gate) = (0.0, 0.0, now, 0.0, 0.0, 0.0);
         let key = xxh3_64(m.id.as_bytes());
-        let (strikes, trial_at, answered, spent) = (0, None, now, VecDeque::new());
+        let (strikes, trial_at, answered, prompt, spent) = (0, None, now, now, VecDeque::new());
         Cache {
             m,
             key,
@@ -69,6 +71,7 @@
             strikes,
             trial_at,
             answered,
+            prompt,
             spent,
             work,
             rate,
