A hop's waits for the gateway's own descriptors and memory are not the cache's slowness

Seen by reading caches.rs: what a hop took was counted from the decision to the desk's turn, with waits for a descriptor (up to the connect limit) and for a body's room; one whose time ran out while it waited for room counted as the cache's time-out, and so for its silence and the pace of late. Test: the pool held by the test, and one descriptor for two hops; fails with the measuring taken out.

--- a/gateway/src/caches.rs
+++ b/gateway/src/caches.rs
@@ -41,14 +41,24 @@
     pub waited: Option<Span>,
     pub stats: Option<Vec<u8>>,
     pub body: Option<Body>,
+    /// When it ended at the socket; `None` where no task reports it.
+    pub at: Option<Time>,
+    /// How long the hop waited for what the gateway itself lacked.
+    pub own: Span,
 }
 
 impl From<End> for Ended {
     fn from(end: End) -> Ended {
-        Ended { end, note: None, waited: None, stats: None, body: None }
+        Ended { end, note: None, waited: None, stats: None, body: None, at: None, own: Span::ZERO }
     }
 }
 
+/// What a hop has come to: its end should its time be over now, and its waits for the gateway's own means.
+struct Progress {
+    late: Cell<End>,
+    own: Cell<Span>,
+}
+
 struct Link {
     stream: Async<TcpStream>,
     _held: Held,
@@ -149,19 +159,30 @@
 
     /// Runs one hop to its end, which comes by the job's time at the latest.
     pub async fn hop(&self, job: Job) -> Ended {
-        let (sent, _tells) = (Cell::new(false), Tells(&self.freed));
-        let ended = self.clock.by(job.until, self.run(&job, &sent)).await;
-        let ended = ended.unwrap_or_else(|| if sent.get() { End::Late } else { End::LateUnsent }.into());
+        let progress = Progress { late: Cell::new(End::LateUnsent), own: Cell::default() };
+        let _tells = Tells(&self.freed);
+        let ended = self.clock.by(job.until, self.run(&job, &progress)).await;
+        let mut ended = ended.unwrap_or_else(|| progress.late.get().into());
+        (ended.at, ended.own) = (Some(self.clock.now()), progress.own.get());
         self.counters.ended(ended.end);
         ended
     }
 
-    async fn run(&self, job: &Job, sent: &Cell<bool>) -> Ended {
+    /// Guards members against being held to be slow for what the gateway itself lacks.
+    async fn own<T>(&self, progress: &Progress, late: End, wait: impl Future<Output = T>) -> T {
+        let (before, since) = (progress.late.replace(late), self.clock.now());
+        let got = wait.await;
+        progress.late.set(before);
+        progress.own.set(progress.own.get() + (self.clock.now() - since));
+        got
+    }
+
+    async fn run(&self, job: &Job, progress: &Progress) -> Ended {
         let place = self.places.borrow().get(&job.member).map(|p| p.address);
         let Some(address) = place else { return End::NoSocket.into() };
         let (mut link, again) = match self.take_kept(&job.member) {
             Some(link) => (link, true),
-            None => match self.connect(address).await {
+            None => match self.connect(address, progress).await {
                 Ok(link) => (link, false),
                 Err(end) => return end.into(),
             },
@@ -185,8 +206,8 @@
         if link.stream.write_all(&bytes).await.is_err() {
             return if again { End::KeptClosed } else { End::CutUnsent }.into();
         }
-        sent.set(true);
-        match self.answer(&mut link, request.have.is_some()).await {
+        progress.late.set(End::Late);
+        match self.answer(&mut link, request.have.is_some(), progress).await {
             Ok((ended, keep)) => {
                 if keep && ended.end.leaves_connection() {
                     self.keep(&job.member, address, link);
@@ -198,7 +219,12 @@
     }
 
     /// Reads one answer; tells whether the connection can be used again.
-    async fn answer(&self, link: &mut Link, has_copy: bool) -> Result<(Ended, bool), End> {
+    async fn answer(
+        &self,
+        link: &mut Link,
+        has_copy: bool,
+        progress: &Progress,
+    ) -> Result<(Ended, bool), End> {
         let damaged = |what: &str| {
             log::debug!("a cache's answer can't be used: {what}");
             End::Damaged
@@ -218,7 +244,8 @@
         if head.length > MOST_BODY {
             return Err(damaged("too large"));
         }
-        let mut body = self.pool.body(head.length).await.ok_or(End::Damaged)?;
+        let room = self.own(progress, End::LateForRoom, self.pool.body(head.length)).await;
+        let mut body = room.ok_or(End::Damaged)?;
         // What follows a whole answer does not make it a bad one; but nothing more is read from there.
         let more = body.fill(&bytes[used..n]) < n - used;
         while !body.is_full() {
@@ -239,7 +266,7 @@
             _ => End::Errored,
         };
         let body = (end == End::Whole).then_some(body);
-        let ended = Ended { end, note: head.note, waited: head.waited, stats: head.stats, body };
+        let ended = Ended { note: head.note, waited: head.waited, stats: head.stats, body, ..end.into() };
         Ok((ended, !head.close && !more))
     }
 
@@ -265,9 +292,10 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Link, End> {
+    async fn connect(&self, address: SocketAddr, progress: &Progress) -> Result<Link, End> {
+        let room = self.clock.within(self.bounds.connect, self.room());
+        self.own(progress, End::LateUnsent, room).await.ok_or(End::NoSocket)?;
         let limit = self.clock.now() + self.bounds.connect;
-        self.clock.by(limit, self.room()).await.ok_or(End::NoSocket)?;
         let held = Held::new(&self.counters.hops);
         self.counters.add("hop connections opened");
         let connected = self.clock.by(limit, Async::<TcpStream>::connect(address)).await;
--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -272,7 +272,9 @@
         }
         let link = ended.stats.as_deref().and_then(|report| http::stat(report, "x1"));
         let first_byte = ended.waited.filter(|waited| *waited > Span::ZERO);
-        let (took, closed, note) = (now - out.sent, !self.open.contains_key(&txn), ended.note);
+        // At the socket, and without the gateway's own waits: neither is the member's slowness.
+        let took = ended.at.unwrap_or(now).back(ended.own) - out.sent;
+        let (closed, note) = (!self.open.contains_key(&txn), ended.note);
         log::trace!(
             "txn {txn} hop {hop} at {} ended {:?} {note:?} after {} us, link {link:?}, closed {closed}",
             out.member,
--- a/gateway/src/end.rs
+++ b/gateway/src/end.rs
@@ -36,6 +36,8 @@
     Damaged,
     /// The hop's time was over.
     Late,
+    /// It was over while the gateway had no room for the answer's body.
+    LateForRoom,
     /// Taken back by the module.
     Withdrawn,
     /// A client or the bulletin closed, or broke off.
@@ -49,7 +51,7 @@
 }
 
 impl End {
-    pub const ALL: [End; 20] = [
+    pub const ALL: [End; 21] = [
         End::Whole,
         End::Current,
         End::Lacking,
@@ -65,6 +67,7 @@
         End::Cut,
         End::Damaged,
         End::Late,
+        End::LateForRoom,
         End::Withdrawn,
         End::PeerLeft,
         End::PeerSilent,
@@ -84,7 +87,8 @@
             End::Over | End::NoSocket | End::LateUnsent | End::KeptClosed => HopEnd::NeverSent,
             End::Cut => HopEnd::Broken,
             End::Late => HopEnd::TimedOut,
-            End::Withdrawn => HopEnd::Withdrawn,
+            // Given up here for a reason of the gateway's own: nothing is told of the member.
+            End::Withdrawn | End::LateForRoom => HopEnd::Withdrawn,
             End::PeerLeft | End::PeerSilent | End::PeerStalled | End::PeerDamaged => return None,
         })
     }
--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -1,12 +1,21 @@
 //! The gateway as a process, between stand-ins on loopback: caches, a bulletin and clients that do as they should,
 //! and as they should not.
 
+use async_io::block_on;
+use futures_lite::future;
+use kelpcart::Span;
+use kelpcart_gateway::buffers::{self, Pool};
+use kelpcart_gateway::caches::{Bounds, Caches, Job};
+use kelpcart_gateway::clock::Clock;
+use kelpcart_gateway::config::{self, news};
+use kelpcart_gateway::end::End;
 use quickcheck::{Gen, QuickCheck};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
@@ -772,6 +781,39 @@
     }
 }
 
+#[test]
+fn waits_for_the_gateways_own_means_are_not_the_caches() {
+    let (edge, release) = Cache::holding(b"x");
+    let (clock, counters, pool) = (Clock::start(), Rc::default(), Pool::new(2 * buffers::SIZE));
+    let second = Span::from_millis(1_000);
+    let bounds = Bounds { connect: second * 20.0, idle: second, most: 1 };
+    let caches = Caches::new(clock, Rc::clone(&pool), counters, bounds);
+    let entry = endpoint(&Member("e1", "box", edge.address), "up");
+    let roster = json!({"no": 1, "roster": {"index": 0, "snapshot": true, "endpoints": [entry]}});
+    let Ok((_, Some(config::News::Roster { list, .. }))) = news(&roster, &Default::default()) else {
+        panic!("no roster")
+    };
+    caches.members(true, &list);
+    let hop = |wait: Span| {
+        let (member, until, rule, ask) = ("e1".into(), clock.now() + wait, "segment".into(), Rc::default());
+        caches.hop(Job { member, until, rule, write: false, ask, fill: None })
+    };
+    // No room for the body: the answer is there, and the time runs out.
+    let held = block_on(pool.body(2 * buffers::SIZE));
+    release.send(()).unwrap();
+    assert_eq!(block_on(hop(Span::from_millis(300))).end, End::LateForRoom);
+    drop(held);
+    // No descriptor until the first hop ends.
+    let both = future::zip(hop(second * 20.0), hop(second * 20.0));
+    let later = async {
+        clock.sleep(Span::from_millis(100)).await;
+        (0..2).for_each(|_| release.send(()).unwrap());
+    };
+    let ((first, second), ()) = block_on(future::zip(both, later));
+    assert_eq!((first.end, second.end), (End::Whole, End::Whole));
+    assert!(first.own < second.own && second.own >= Span::from_millis(100));
+}
+
 #[test]
 fn what_is_over_the_bound_of_open_txns_is_rejected_at_once() {
     let edge = Cache::start(|_| Reply::Silent);
