A spoilt answer has an end of its own in the module and narrows no gate

An answer that can't be read says nothing of load, so it is now HopEnd::Spoilt: it may have run, its sender is alive, no gate moves. Test: 60 spoilt answers leave room for as many txns; fails when they count as errors.

--- a/gateway/src/end.rs
+++ b/gateway/src/end.rs
@@ -81,8 +81,9 @@
             End::Whole | End::Current => HopEnd::Completed,
             End::Lacking => HopEnd::Lacking,
             End::Full => HopEnd::TurnedAway,
+            End::Errored => HopEnd::Errored,
             // An answer that can't be read is one all the same: its sender is alive and took the txn.
-            End::Errored | End::Damaged => HopEnd::Errored,
+            End::Damaged => HopEnd::Spoilt,
             End::Refused | End::NoConnection | End::CutUnsent => HopEnd::Unreachable,
             End::Over | End::NoSocket | End::LateUnsent | End::KeptClosed => HopEnd::NeverSent,
             End::Cut => HopEnd::Broken,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -129,6 +129,8 @@
     TimedOut,
     Unreachable,
     Broken,
+    /// It answered what can't be used, though its load is as it should be.
+    Spoilt,
     Withdrawn,
     NeverSent,
     Lacking,
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -342,9 +342,9 @@
 }
 
 #[test]
-fn txns_that_every_member_answers_with_an_error_narrow_no_gate() {
+fn spoilt_answers_and_txns_that_every_member_errs_on_narrow_no_gate() {
     // Guards usual clients against those whose txns no cache can use.
-    let admitted = |errors: u64| {
+    let admitted = |errors: u64, end: HopEnd| {
         let mut world = World::new(settings());
         for id in 0..errors * 40 {
             let mut made = world.ask(at(id), txn(id, 0, id));
@@ -353,14 +353,20 @@
                 continue;
             }
             while let Some(Decision::Hop { .. }) = made.last() {
-                made = world.end(at(id), id, HopEnd::Errored, None);
+                made = world.end(at(id), id, end, None);
+                // Spoilt answers come once; an error of one's own comes from all.
+                if end == HopEnd::Spoilt {
+                    world.gateway.hangup(id);
+                    break;
+                }
             }
         }
         let asked = (5_000..5_400).map(|id| world.ask(at(6_000), txn(id, 0, id)));
         asked.filter(|made| matches!(made[..], [Decision::Hop { .. }])).count()
     };
-    assert!(admitted(0) < 400);
-    assert!(admitted(60) * 10 > admitted(0) * 9);
+    let fresh = admitted(0, HopEnd::Errored);
+    assert!(fresh < 400 && admitted(60, HopEnd::Spoilt) * 10 > fresh * 9);
+    assert!(admitted(60, HopEnd::Errored) * 10 > fresh * 9);
 }
 
 #[test]
