--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -177,7 +177,7 @@
             ("hops out", self.out.len()),
             ("bytes of writes", self.held),
         ];
-        let all = own.into_iter().chain(self.caches.sizes()).chain(self.gateway.sizes());
+        let all = own.into_iter().chain(self.caches.sizes()).chain(self.gateway.sizes(self.clock.now()));
         *self.counters.sizes.borrow_mut() = all.collect();
         log::info!("{}", self.counters);
     }
--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -258,6 +258,20 @@
         self.signal("HUP");
     }
 
+    /// What the counters say there is now.
+    fn now(&mut self) -> BTreeMap<String, usize> {
+        self.signal("USR1");
+        let line = loop {
+            let line = self.line();
+            if line.contains("now: ") {
+                break line;
+            }
+        };
+        let now = line.split_once("now: ").unwrap().1.split_once("; in all").unwrap().0;
+        let pair = |size: &str| size.rsplit_once(' ').map(|(what, n)| (what.to_owned(), n.parse().unwrap()));
+        now.split(", ").map(|size| pair(size).unwrap()).collect()
+    }
+
     fn line(&mut self) -> String {
         let mut line = String::new();
         self.log.read_line(&mut line).unwrap();
@@ -773,8 +787,10 @@
     }
     assert!(client.check());
     (0..8).for_each(|_| _ = edge.came());
-    gateway.signal("USR1");
-    assert!(gateway.line().contains("clients 1, hops 8,"));
+    // The module's view, the desk's and the sockets': eight of the sixteen wait for a descriptor.
+    let now = gateway.now();
+    assert_eq!((now["hops decided on"], now["hops out"], now["hops"], now["clients"]), (16, 16, 8, 1));
+    assert_eq!(edge.came_so_far(), 0);
     (0..16).for_each(|_| release.send(()).unwrap());
     for _ in 0..16 {
         assert_eq!(client.answer().body, b"x");
@@ -1158,6 +1174,33 @@
     assert!(start.elapsed() < PATIENCE);
 }
 
+#[test]
+fn who_is_left_out_and_the_age_of_reports_agree_with_the_sockets() {
+    let edge = Cache::start(|_| ok(b"x"));
+    let members =
+        [Member("e1", "box", edge.address), Member("e2", "box", nobody()), Member("o", "origin", nobody())];
+    let mut gateway = Gateway::start(&config(&members, nobody(), 64));
+    let mut client = Client::of(&gateway);
+    assert_eq!(gateway.now()["members left out"], 0);
+    for object in 0..24 {
+        // What is at home at the one that nobody can reach is served by the other.
+        client.ask("segment", object, 3_000, &[]);
+        _ = client.answer();
+    }
+    let before = Instant::now();
+    while client.ask("segment", 1, 3_000, &[]) > 0 && client.answer().word.is_some() {
+        assert!(client.next < 200);
+    }
+    let after = Instant::now();
+    thread::sleep(Duration::from_millis(100));
+    let least = after.elapsed().as_millis();
+    let now = gateway.now();
+    assert_eq!(now["members left out"], 1);
+    let age = now["ms of the longest silence"] as u128;
+    assert!(least <= age + 1 && age <= before.elapsed().as_millis(), "{least} {age}");
+    assert_eq!((now["txns open"], now["hops out"], now["hops decided on"]), (0, 0, 0));
+}
+
 #[test]
 fn no_table_grows_with_the_ids_that_have_been() {
     let cache = Cache::start(|_| ok(b"x"));
@@ -1180,10 +1223,7 @@
                 thread::sleep(Duration::from_millis(20));
             }
         }
-        gateway.signal("USR1");
-        let line = gateway.line();
-        let now = line.split_once("now: ").unwrap().1.split_once("; in all").unwrap().0.to_owned();
-        now.split(", ").map(|size| size.rsplit(' ').next().unwrap().parse::<usize>().unwrap()).sum::<usize>()
+        gateway.now().iter().filter(|(what, _)| !what.starts_with("ms ")).map(|(_, n)| n).sum::<usize>()
     };
     let (few, many) = (sizes(1..8), sizes(8..60));
     assert!(many <= few + 8, "{few} then {many}");
@@ -1275,6 +1315,13 @@
             return false;
         }
     }
+    if !stop {
+        // What is answered is on no table any more, and the module's hops are those on the sockets.
+        let now = gateway.now();
+        let open =
+            ["txns open", "txns by message", "txns by id", "txns decided on", "hops out", "hops decided on"];
+        assert_eq!(open.map(|what| now[what]), [0; 6]);
+    }
     !ran.lock().unwrap().values().any(|&n| n > 1) && (!stop || gateway.child.wait().unwrap().success())
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,8 +10,8 @@
 pub use time::{Span, Time};
 
 impl Gateway {
-    /// How much is kept, by name, for the host's counters.
-    pub fn sizes(&self) -> impl Iterator<Item = (&'static str, usize)> {
-        self.book.sizes().into_iter()
+    /// How much is kept and what is held of the members, by name, for the host's counters.
+    pub fn sizes(&self, now: Time) -> impl Iterator<Item = (&'static str, usize)> {
+        self.book.sizes(now).into_iter()
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -205,8 +205,13 @@
         i
     }
 
-    /// How much is kept, by name.
-    pub fn sizes(&self) -> [(&'static str, usize); 7] {
+    /// How much is kept, by name, and what is held of the members: how many are passed over, and how long ago
+    /// the near one that has been quiet longest answered, of those that are not.
+    pub fn sizes(&self, now: Time) -> [(&'static str, usize); 9] {
+        let listed = self.caches.iter().filter(|c| c.m.state != MemberState::Gone);
+        let left_out = listed.filter(|c| c.trial_at.is_some()).count();
+        let near = self.near.iter().map(|&i| &self.caches[i]).filter(|c| c.trial_at.is_none());
+        let quiet = near.map(|c| now - c.answered).max().unwrap_or(Span::ZERO);
         let spent = self.caches.iter().map(|c| c.spent.len()).sum();
         [
             ("members kept", self.caches.len()),
@@ -216,6 +221,8 @@
             ("txns ready", self.ready.len()),
             ("purges kept", self.purges.len()),
             ("sent to cold members", spent),
+            ("members left out", left_out),
+            ("ms of the longest silence", (quiet.as_micros() / 1_000) as usize),
         ]
     }
 }
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -382,7 +382,7 @@
         world.gateway.members(at(n), false, list);
         old.push(new);
     }
-    let kept = world.gateway.sizes().find(|s| s.0 == "members kept").unwrap().1;
+    let kept = world.gateway.sizes(at(100)).find(|s| s.0 == "members kept").unwrap().1;
     assert!(kept <= fleet().len() + 2, "{kept}");
     // What ends at the old ones is not booked on the new one.
     for id in 0..40 {
