--- a/examples/toy_client.rs
+++ b/examples/toy_client.rs
@@ -16,7 +16,14 @@
     let mut stream = TcpStream::connect(gateway)?;
     let nanos = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
     let req = format!("{nanos:016x}");
-    let fields = [("req", &*req), ("subject", object), ("timeout", "2000"), ("slice", "0"), ("need", "1")];
+    let fields = [
+        ("req", &*req),
+        ("subject", object),
+        ("timeout", "2000"),
+        ("slice", "0"),
+        ("set", "1"),
+        ("need", "1"),
+    ];
     // [0, 1, class, [fields, body]]
     let mut out = vec![0x94, 0x00, 0x01];
     text(&mut out, class);
