One place closes, counts and traces a txn that is not served

Found on a last read: rejections and aborts closed, counted and traced a txn by the same lines twice, and the abort at the stop counted without a trace. The counts and answers are the same; the trace line now begins with the count's name.

--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -127,7 +127,7 @@
             if let Some(at) = self.stopped {
                 let end = at + self.most_wait.min(LONGEST) + STILL_COMING;
                 if now + ANSWERED_BEFORE >= end {
-                    self.abort_all();
+                    self.abort_all(now);
                 }
                 let quiet = self.open.is_empty() && self.counters.unwritten.get() == 0;
                 if quiet && now - at >= STILL_COMING || now + LEAVING >= end {
@@ -237,6 +237,15 @@
         Some(open)
     }
 
+    /// Closes a txn that is not served, and counts and traces how it ended.
+    fn give_up(&mut self, now: Time, txn: TxnId, counted: &'static str) -> Option<Open> {
+        let open = self.close(txn)?;
+        self.counters.add(counted);
+        let left = (open.limit - now).as_micros();
+        log::trace!("{counted}: txn {txn} after {} hops, {left} us left", open.hops);
+        Some(open)
+    }
+
     /// The client does not wait any more: what is out for it is given up.
     fn left(&mut self, key: (u64, u64)) {
         let Some(txn) = self.by_message.get(&key).copied() else { return };
@@ -300,25 +309,13 @@
             Decision::Hop { txn, member, fill, limit } => self.hop(now, txn, member, fill, limit),
             Decision::Cancel { txn, hop } => self.take_back(txn, hop, End::Withdrawn),
             Decision::Reject { txn, come_back } => {
-                let Some(open) = self.close(txn) else { return };
-                self.counters.add("txns rejected");
-                log::trace!(
-                    "txn {txn} rejected after {} hops, {} us left",
-                    open.hops,
-                    (open.limit - now).as_micros()
-                );
+                let Some(open) = self.give_up(now, txn, "txns rejected") else { return };
                 let wait = come_back.map(|span| (span.as_micros() / 1_000).to_string());
                 let fields = wait.as_deref().map(|wait| ("holdoff", wait));
                 open.client.refuse(open.id, Word::Backoff, fields.as_slice());
             }
             Decision::Abort { txn } => {
-                let Some(open) = self.close(txn) else { return };
-                self.counters.add("txns aborted");
-                log::trace!(
-                    "txn {txn} aborted after {} hops, {} us left",
-                    open.hops,
-                    (open.limit - now).as_micros()
-                );
+                let Some(open) = self.give_up(now, txn, "txns aborted") else { return };
                 open.client.refuse(open.id, Word::Lost, &[]);
             }
             // The bulletin is followed from the start.
@@ -352,10 +349,9 @@
     }
 
     /// The restart can't wait longer: what is still open gets an answer that promises nothing.
-    fn abort_all(&mut self) {
+    fn abort_all(&mut self, now: Time) {
         for txn in self.open.keys().copied().collect::<Vec<_>>() {
-            if let Some(open) = self.close(txn) {
-                self.counters.add("txns aborted at the stop");
+            if let Some(open) = self.give_up(now, txn, "txns aborted at the stop") {
                 self.gateway.hangup(txn);
                 open.client.refuse(open.id, Word::Lost, &[]);
             }
