Fronts and carriers meet the desk at one seam; no circle between desk and clients

Need: txns are to come from another site's gateway and hops to be carried by a link, and later from further fronts; the desk knew only MessagePack clients, and desk and clients imported each other. Change: seam.rs holds what a txn asks, Caller (serve, reject, abort, invalid, ready), Carrier (hop, stop, sizes) and the events.

--- a/gateway/src/bulletin.rs
+++ b/gateway/src/bulletin.rs
@@ -5,8 +5,8 @@
 use crate::clock::Clock;
 use crate::config::{Names, news};
 use crate::counters::Counters;
-use crate::desk::Event;
 use crate::end::End;
+use crate::seam::Event;
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
--- a/gateway/src/caches.rs
+++ b/gateway/src/caches.rs
@@ -3,16 +3,17 @@
 //! did not order; whatever goes wrong is reported by its one value in `end` and left to the module.
 
 use crate::Tasks;
-use crate::buffers::{Body, Pool};
+use crate::buffers::Pool;
 use crate::clock::Clock;
 use crate::config::Listed;
 use crate::counters::{Counters, Held};
 use crate::end::End;
-use crate::{http, rpc};
+use crate::http;
+use crate::seam::{Ended, Job};
 use async_io::Async;
 use event_listener::Event;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use kelpcart::interface::{Fill, MemberId, MemberState, Note};
+use kelpcart::interface::{MemberId, MemberState};
 use kelpcart::{Span, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -26,33 +27,6 @@
 /// is found before it could pass for the next one.
 const REST: Span = Span::from_millis(20);
 
-pub struct Job {
-    pub member: MemberId,
-    pub until: Time,
-    pub rule: Rc<str>,
-    pub write: bool,
-    pub ask: Rc<rpc::Ask>,
-    pub fill: Option<Fill>,
-}
-
-pub struct Ended {
-    pub end: End,
-    pub note: Option<Note>,
-    pub waited: Option<Span>,
-    pub stats: Option<Vec<u8>>,
-    pub body: Option<Body>,
-    /// When it ended at the socket; `None` where no task reports it.
-    pub at: Option<Time>,
-    /// How long the hop waited for what the gateway itself lacked.
-    pub own: Span,
-}
-
-impl From<End> for Ended {
-    fn from(end: End) -> Ended {
-        Ended { end, note: None, waited: None, stats: None, body: None, at: None, own: Span::ZERO }
-    }
-}
-
 /// What a hop has come to: its end should its time be over now, and its waits for the gateway's own means.
 struct Progress {
     late: Cell<End>,
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -6,9 +6,9 @@
 use crate::buffers::{Body, Pool};
 use crate::clock::Clock;
 use crate::counters::{Counters, Held};
-use crate::desk;
 use crate::end::End;
 use crate::rpc::{self, Fault, Message, Word};
+use crate::seam::{Caller, Event as Said, Keys, Told};
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use event_listener::Event;
@@ -62,21 +62,11 @@
 }
 
 impl Client {
-    /// A request's one answer; none goes out for one that is not open any more.
-    pub fn serve(&self, id: u64, body: Option<Body>, until: Time) {
-        let len = body.as_ref().map_or(0, Body::len);
-        let (head, tail) = rpc::served(id, len, body.is_none());
-        self.answer(id, head, body, tail, Some((until, id)));
-    }
-
-    pub fn refuse(&self, id: u64, word: Word, fields: &[(&str, &str)]) {
+    fn refuse(&self, id: u64, word: Word, fields: &[(&str, &str)]) {
         self.answer(id, rpc::unserved(id, word, fields), None, Vec::new(), None);
     }
 
-    pub fn check(&self, id: u64, ready: bool) {
-        self.answer(id, rpc::checked(id, ready), None, Vec::new(), None);
-    }
-
+    /// A request's one answer; none goes out for one that is not open any more.
     fn answer(&self, id: u64, head: Vec<u8>, body: Option<Body>, tail: Vec<u8>, until: Option<(Time, u64)>) {
         if !self.open.borrow_mut().remove(&id) {
             return;
@@ -106,6 +96,36 @@
     }
 }
 
+impl Caller for Client {
+    fn key(&self) -> u64 {
+        self.id
+    }
+
+    fn serve(&self, id: u64, body: Option<Body>, until: Time, _: Told) {
+        let len = body.as_ref().map_or(0, Body::len);
+        let (head, tail) = rpc::served(id, len, body.is_none());
+        self.answer(id, head, body, tail, Some((until, id)));
+    }
+
+    fn reject(&self, id: u64, come_back: Option<Span>) {
+        let wait = come_back.map(|span| (span.as_micros() / 1_000).to_string());
+        let fields = wait.as_deref().map(|wait| ("holdoff", wait));
+        self.refuse(id, Word::Backoff, fields.as_slice());
+    }
+
+    fn abort(&self, id: u64) {
+        self.refuse(id, Word::Lost, &[]);
+    }
+
+    fn invalid(&self, id: u64) {
+        self.refuse(id, Word::Invalid, &[]);
+    }
+
+    fn ready(&self, id: u64, ready: bool) {
+        self.answer(id, rpc::checked(id, ready), None, Vec::new(), None);
+    }
+}
+
 /// What the tasks of all connections share.
 #[derive(Clone)]
 pub struct Front {
@@ -113,14 +133,15 @@
     pub clock: Clock,
     pub counters: Rc<Counters>,
     pub pool: Rc<Pool>,
-    pub desk: Sender<desk::Event>,
+    pub desk: Sender<Said>,
     pub most: usize,
     pub connected: Rc<RefCell<BTreeMap<u64, Rc<Client>>>>,
+    pub keys: Keys,
 }
 
 impl Front {
     pub async fn accept(self, listener: Async<TcpListener>) {
-        let (mut next, mut wait) = (0, Span::from_millis(10));
+        let mut wait = Span::from_millis(10);
         loop {
             if listener.readable().await.is_ok() && self.counters.clients.get() >= self.most {
                 self.make_room();
@@ -129,11 +150,11 @@
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    (next, wait) = (next + 1, Span::from_millis(10));
+                    wait = Span::from_millis(10);
                     self.counters.add("client connections");
                     let (front, held) = (self.clone(), Held::new(&self.counters.clients));
                     let task = async move {
-                        front.serve(next, stream).await;
+                        front.serve(stream).await;
                         drop(held);
                     };
                     self.tasks.spawn(task).detach();
@@ -161,7 +182,8 @@
         }
     }
 
-    async fn serve(&self, id: u64, stream: Async<TcpStream>) {
+    async fn serve(&self, stream: Async<TcpStream>) {
+        let id = self.keys.next();
         // Without it answers only come later.
         _ = stream.get_ref().set_nodelay(true);
         let (out, frames) = async_channel::unbounded();
@@ -193,7 +215,7 @@
         frames.close();
         self.connected.borrow_mut().remove(&id);
         self.counters.ended(end);
-        _ = self.desk.send(desk::Event::Left { client: id }).await;
+        _ = self.desk.send(Said::Left { client: id }).await;
     }
 
     async fn read(&self, mut stream: &Async<TcpStream>, client: &Rc<Client>) -> End {
@@ -249,7 +271,7 @@
                         log::debug!("a client's message is refused: {fault:?}");
                         let (Fault::Damaged { id } | Fault::Refused { id, .. }) = fault;
                         let Some(id) = id.filter(|id| client.take(*id)) else { return End::PeerDamaged };
-                        client.refuse(id, Word::Invalid, &[]);
+                        client.invalid(id);
                         if matches!(fault, Fault::Damaged { .. }) {
                             return End::PeerDamaged;
                         }
@@ -283,7 +305,7 @@
                 for id in ids {
                     if client.open.borrow_mut().remove(&id) {
                         self.counters.add("requests interrupted");
-                        _ = self.desk.send(desk::Event::Interrupted { client: client.id, id }).await;
+                        _ = self.desk.send(Said::Interrupted { client: client.id, id }).await;
                     }
                 }
                 return true;
@@ -292,15 +314,15 @@
                 self.counters.add("message ids used again");
                 return false;
             }
-            Message::Check { id } => desk::Event::Check { client: Rc::clone(client), id },
+            Message::Check { id } => Said::Check { client: Rc::clone(client) as _, id },
             Message::Request { id, .. } if client.open.borrow().len() > MOST_OPEN => {
                 self.counters.add("requests over the connection's bound");
-                client.refuse(id, Word::Backoff, &[]);
+                client.reject(id, None);
                 return true;
             }
             Message::Request { id, method, ask } => {
                 self.counters.add("requests");
-                desk::Event::Asked { client: Rc::clone(client), id, method, ask: Box::new(ask), at }
+                Said::Asked { client: Rc::clone(client) as _, id, method, ask: Box::new(ask), at }
             }
         };
         // It fails only when the desk has ended, and with it the process.
--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -4,14 +4,13 @@
 //! still comes for one that has ended is told to the module and goes no further.
 
 use crate::Tasks;
-use crate::caches::{Caches, Ended, Job};
-use crate::clients::Client;
+use crate::caches::Caches;
 use crate::clock::Clock;
-use crate::config::{Config, News};
+use crate::config::{Config, Listed, News};
 use crate::counters::Counters;
 use crate::end::End;
 use crate::http;
-use crate::rpc::{Ask, Word};
+use crate::seam::{Ask, Caller, Carrier, Ended, Event, Job, Told};
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use kelpcart::interface::*;
@@ -29,19 +28,8 @@
 /// A client that leaves this shortly before its time is over has waited for it.
 const AT_LIMIT: Span = Span::from_millis(20);
 
-pub enum Event {
-    Asked { client: Rc<Client>, id: u64, method: String, ask: Box<Ask>, at: Time },
-    Check { client: Rc<Client>, id: u64 },
-    Interrupted { client: u64, id: u64 },
-    Left { client: u64 },
-    HopEnded { txn: TxnId, hop: u32, ended: Ended },
-    News(News),
-    Tell,
-    Stop,
-}
-
 struct Open {
-    client: Rc<Client>,
+    client: Rc<dyn Caller>,
     id: u64,
     rule: usize,
     ask: Rc<Ask>,
@@ -61,6 +49,9 @@
     clock: Clock,
     tasks: Tasks,
     caches: Rc<Caches>,
+    carriers: Vec<Rc<dyn Carrier>>,
+    /// Members that carriers reach, listed beside those of the bulletin.
+    carried: Vec<Listed>,
     counters: Rc<Counters>,
     queue: (Sender<Event>, Receiver<Event>),
     /// Ends that no task reports: of hops never begun, or taken back.
@@ -103,6 +94,8 @@
             clock,
             tasks,
             caches,
+            carriers: Vec::new(),
+            carried: Vec::new(),
             counters,
             queue,
             own: VecDeque::new(),
@@ -119,6 +112,13 @@
         desk
     }
 
+    /// Adds a way to members of its own; they stay listed whatever the bulletin says.
+    pub fn add(&mut self, carrier: Rc<dyn Carrier>, members: Vec<Listed>) {
+        self.carriers.push(carrier);
+        self.carried.extend(members.iter().cloned());
+        self.news(News::Roster { whole: false, list: members });
+    }
+
     /// Ends some time after `Stop`, with all answered.
     pub async fn run(mut self) {
         loop {
@@ -151,7 +151,7 @@
     fn event(&mut self, event: Event) {
         match event {
             Event::Asked { client, id, method, ask, at } => self.asked(client, id, &method, ask, at),
-            Event::Check { client, id } => client.check(id, self.stopped.is_none()),
+            Event::Check { client, id } => client.ready(id, self.stopped.is_none()),
             Event::Interrupted { client, id } => self.left((client, id)),
             Event::Left { client } => {
                 let of_client = self.by_message.range((client, 0)..=(client, u64::MAX));
@@ -164,6 +164,7 @@
             Event::Stop => {
                 log::info!("told to stop, {} txns open", self.open.len());
                 self.stopped.get_or_insert(self.clock.now());
+                self.carriers.iter().for_each(|c| c.stop());
             }
         }
     }
@@ -177,7 +178,9 @@
             ("hops out", self.out.len()),
             ("bytes of writes", self.held),
         ];
-        let all = own.into_iter().chain(self.caches.sizes()).chain(self.gateway.sizes(self.clock.now()));
+        let carried = self.carriers.iter().flat_map(|c| c.sizes());
+        let all = own.into_iter().chain(self.caches.sizes()).chain(carried);
+        let all = all.chain(self.gateway.sizes(self.clock.now()));
         *self.counters.sizes.borrow_mut() = all.collect();
         log::info!("{}", self.counters);
     }
@@ -185,7 +188,10 @@
     fn news(&mut self, said: News) {
         let now = self.clock.now();
         match said {
-            News::Roster { whole, list } => {
+            News::Roster { whole, mut list } => {
+                if whole {
+                    list.extend(self.carried.iter().cloned());
+                }
                 self.caches.members(whole, &list);
                 self.gateway.members(now, whole, list.into_iter().map(|l| l.member).collect());
             }
@@ -197,10 +203,10 @@
         }
     }
 
-    fn asked(&mut self, client: Rc<Client>, id: u64, method: &str, ask: Box<Ask>, at: Time) {
+    fn asked(&mut self, client: Rc<dyn Caller>, id: u64, method: &str, ask: Box<Ask>, at: Time) {
         let Some(rule) = self.rules.iter().position(|(name, _)| **name == *method) else {
             self.counters.add("unknown methods");
-            return client.refuse(id, Word::Invalid, &[]);
+            return client.invalid(id);
         };
         let write = self.rules[rule].1;
         // Guards caches from two txns under one id, and from bodies that nobody reads.
@@ -208,12 +214,12 @@
         let other = same.map(|(_, txn)| &self.open[txn].ask).any(|open| open.object != ask.object);
         if other || !write && !ask.body.is_empty() {
             self.counters.add("requests at odds with their method or id");
-            return client.refuse(id, Word::Invalid, &[]);
+            return client.invalid(id);
         }
         // The bounds of the process itself: nothing has run, so that another try is harmless.
         if self.open.len() >= self.most_open || self.held + ask.body.len() > self.most_held {
             self.counters.add("requests over the open bound");
-            return client.refuse(id, Word::Backoff, &[]);
+            return client.reject(id, None);
         }
         self.next += 1;
         let (txn, now) = (self.next, self.clock.now());
@@ -222,7 +228,7 @@
         let (object, group, part, size) = (ask.object, ask.group.into(), ask.part, ask.need);
         let left = limit - now;
         self.held += ask.body.len();
-        self.by_message.insert((client.id, id), txn);
+        self.by_message.insert((client.key(), id), txn);
         self.by_req.insert((ask.trace, txn));
         self.open.insert(txn, Open { client, id, rule, ask: Rc::from(ask), limit, hops: 0 });
         self.gateway.txn(now, Txn { id: txn, rule, object, group, part, write, size, left });
@@ -231,7 +237,7 @@
     /// Takes a txn off the table: from here on it can't be answered again.
     fn close(&mut self, txn: TxnId) -> Option<Open> {
         let open = self.open.remove(&txn)?;
-        self.by_message.remove(&(open.client.id, open.id));
+        self.by_message.remove(&(open.client.key(), open.id));
         self.by_req.remove(&(open.ask.trace, txn));
         self.held -= open.ask.body.len();
         Some(open)
@@ -277,7 +283,7 @@
             && let Some(open) = self.close(txn)
         {
             self.counters.add("txns completed");
-            open.client.serve(open.id, ended.body, open.limit);
+            open.client.serve(open.id, ended.body, open.limit, Told { note: ended.note });
         }
         let link = ended.stats.as_deref().and_then(|report| http::stat(report, "x1"));
         let first_byte = ended.waited.filter(|waited| *waited > Span::ZERO);
@@ -310,13 +316,11 @@
             Decision::Cancel { txn, hop } => self.take_back(txn, hop, End::Withdrawn),
             Decision::Reject { txn, come_back } => {
                 let Some(open) = self.give_up(now, txn, "txns rejected") else { return };
-                let wait = come_back.map(|span| (span.as_micros() / 1_000).to_string());
-                let fields = wait.as_deref().map(|wait| ("holdoff", wait));
-                open.client.refuse(open.id, Word::Backoff, fields.as_slice());
+                open.client.reject(open.id, come_back);
             }
             Decision::Abort { txn } => {
                 let Some(open) = self.give_up(now, txn, "txns aborted") else { return };
-                open.client.refuse(open.id, Word::Lost, &[]);
+                open.client.abort(open.id);
             }
             // The bulletin is followed from the start.
             Decision::Subscribe => {}
@@ -338,22 +342,32 @@
         if hop >= self.max_hops || until <= now {
             self.own.push_back((txn, hop, End::LateUnsent));
         } else {
-            let (caches, queue) = (Rc::clone(&self.caches), self.queue.0.clone());
-            task = Some(self.tasks.spawn(async move {
-                let ended = caches.hop(job).await;
-                // It fails only when the desk has ended, and with it the process.
-                _ = queue.try_send(Event::HopEnded { txn, hop, ended });
-            }));
+            task = Some(match self.carriers.iter().find(|c| c.carries(&job.member)) {
+                Some(carrier) => self.report(txn, hop, carrier.hop(job)),
+                None => {
+                    let caches = Rc::clone(&self.caches);
+                    self.report(txn, hop, async move { caches.hop(job).await })
+                }
+            });
         }
         self.out.insert((txn, hop), Out { member, task, sent: now, until });
     }
 
+    fn report(&self, txn: TxnId, hop: u32, running: impl Future<Output = Ended> + 'static) -> Task<()> {
+        let queue = self.queue.0.clone();
+        self.tasks.spawn(async move {
+            let ended = running.await;
+            // It fails only when the desk has ended, and with it the process.
+            _ = queue.try_send(Event::HopEnded { txn, hop, ended });
+        })
+    }
+
     /// The restart can't wait longer: what is still open gets an answer that promises nothing.
     fn abort_all(&mut self, now: Time) {
         for txn in self.open.keys().copied().collect::<Vec<_>>() {
             if let Some(open) = self.give_up(now, txn, "txns aborted at the stop") {
                 self.gateway.hangup(txn);
-                open.client.refuse(open.id, Word::Lost, &[]);
+                open.client.abort(open.id);
             }
         }
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod http;
 pub mod logger;
 pub mod rpc;
+pub mod seam;
 
 use async_executor::LocalExecutor;
 
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -13,7 +13,8 @@
 use kelpcart_gateway::clock::Clock;
 use kelpcart_gateway::config::{self, Config};
 use kelpcart_gateway::counters::Counters;
-use kelpcart_gateway::desk::{Desk, Event};
+use kelpcart_gateway::desk::Desk;
+use kelpcart_gateway::seam::{Event, Keys};
 use kelpcart_gateway::{Tasks, logger};
 use std::env;
 use std::net::TcpListener;
@@ -85,6 +86,7 @@
         desk: desk.clone(),
         most: clients,
         connected: Rc::default(),
+        keys: Keys::default(),
     };
     tasks.spawn(front.accept(listener)).detach();
     let work = Desk::new(config, clock, tasks, caches, counters, (desk.clone(), events)).run();
--- a/gateway/src/rpc.rs
+++ b/gateway/src/rpc.rs
@@ -1,6 +1,7 @@
 //! Reads and writes MessagePack-RPC, without I/O. Must never panic on what a client sends, nor hold more than one
 //! frame of the bounded length; what the frames mean to the gateway is decided elsewhere.
 
+use crate::seam::Ask;
 use crate::{digits, number};
 
 /// A body of 48,000 bytes with its fields fits; more is no request.
@@ -26,23 +27,6 @@
     Interrupt { ids: Vec<u64> },
 }
 
-/// A request's fields, as sent.
-#[derive(Debug, Default, PartialEq)]
-pub struct Ask {
-    pub req: String,
-    /// The same as a number.
-    pub trace: u64,
-    pub subject: String,
-    pub object: u64,
-    pub part: u64,
-    pub group: u8,
-    pub timeout_ms: u32,
-    /// The size in KB.
-    pub need: Option<f64>,
-    pub seen: Option<String>,
-    pub body: Vec<u8>,
-}
-
 enum Value<'a> {
     Nil,
     Int(u64),
--- /dev/null
+++ b/gateway/src/seam.rs
@@ -0,0 +1,121 @@
+//! Where fronts and carriers meet the desk: what a txn asks, whom it is answered to, and how a member is reached.
+//! Fronts decode into `Event`s and carry out what a `Caller` is told; carriers run hops. Must never know a protocol,
+//! nor decide: the desk and all fronts and carriers depend on this, and none of them on another.
+
+use crate::buffers::Body;
+use crate::config::News;
+use crate::end::End;
+use kelpcart::interface::{Fill, MemberId, Note, TxnId};
+use kelpcart::{Span, Time};
+use std::cell::Cell;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+
+/// What a txn asks for, as its front read it.
+#[derive(Debug, Default, PartialEq)]
+pub struct Ask {
+    /// The client's own id, as it was sent and as a number.
+    pub req: String,
+    pub trace: u64,
+    /// The object, as it was sent and as a number.
+    pub subject: String,
+    pub object: u64,
+    pub part: u64,
+    pub group: u8,
+    pub timeout_ms: u32,
+    /// The size in KB.
+    pub need: Option<f64>,
+    /// The tag of a copy that the client holds.
+    pub seen: Option<String>,
+    pub body: Vec<u8>,
+    /// The oldest copy that the asker takes, where it says so.
+    pub oldest: Option<Span>,
+    /// The sites that it has crossed, oldest first.
+    pub path: Vec<String>,
+}
+
+/// How a front is told what became of a txn; each is called once at most for an id.
+pub trait Caller {
+    /// Unique among all callers of the process.
+    fn key(&self) -> u64;
+    /// Without a body the asker's own copy is the one. After `until` nobody waits for it.
+    fn serve(&self, id: u64, body: Option<Body>, until: Time, origin: Told);
+    /// Another try is harmless, and welcome after the span where one is given.
+    fn reject(&self, id: u64, come_back: Option<Span>);
+    /// What has run is not known.
+    fn abort(&self, id: u64);
+    /// The request itself can't be used; it went nowhere.
+    fn invalid(&self, id: u64);
+    fn ready(&self, id: u64, ready: bool);
+}
+
+/// What the last hop told of an answer, for a front that passes it on to another gateway.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Told {
+    pub note: Option<Note>,
+}
+
+/// Gives each caller its own key, whatever its front.
+#[derive(Clone, Default)]
+pub struct Keys(Rc<Cell<u64>>);
+
+impl Keys {
+    pub fn next(&self) -> u64 {
+        self.0.set(self.0.get() + 1);
+        self.0.get()
+    }
+}
+
+pub enum Event {
+    Asked { client: Rc<dyn Caller>, id: u64, method: String, ask: Box<Ask>, at: Time },
+    Check { client: Rc<dyn Caller>, id: u64 },
+    Interrupted { client: u64, id: u64 },
+    Left { client: u64 },
+    HopEnded { txn: TxnId, hop: u32, ended: Ended },
+    News(News),
+    Tell,
+    Stop,
+}
+
+/// One hop, as the module ordered it.
+pub struct Job {
+    pub member: MemberId,
+    pub until: Time,
+    pub rule: Rc<str>,
+    pub write: bool,
+    pub ask: Rc<Ask>,
+    pub fill: Option<Fill>,
+}
+
+pub struct Ended {
+    pub end: End,
+    pub note: Option<Note>,
+    pub waited: Option<Span>,
+    pub stats: Option<Vec<u8>>,
+    pub body: Option<Body>,
+    /// When it ended at the socket; `None` where no task reports it.
+    pub at: Option<Time>,
+    /// How long the hop waited for what the gateway itself lacked.
+    pub own: Span,
+}
+
+impl From<End> for Ended {
+    fn from(end: End) -> Ended {
+        Ended { end, note: None, waited: None, stats: None, body: None, at: None, own: Span::ZERO }
+    }
+}
+
+pub type Running = Pin<Box<dyn Future<Output = Ended>>>;
+
+/// A way to some members other than a connection of HTTP to each.
+pub trait Carrier {
+    /// Members that are reached by it.
+    fn carries(&self, member: &MemberId) -> bool;
+    /// Runs one hop to its end, which comes by the job's time at the latest; dropped, the hop is given up.
+    fn hop(&self, job: Job) -> Running;
+    /// The process is told to stop.
+    fn stop(&self);
+    /// How much is kept, by name.
+    fn sizes(&self) -> Vec<(&'static str, usize)>;
+}
