Far gateways as members of the module; the ledger on a disk; QUIC as the carrier

Need: hops over a link must pass the same gates, weights and rules as others, and a ledger must outlive its process. A store (redb) with a writer thread of its own and group commits. QUIC (quinn) run on the caller's thread, certificates at both ends, no early data.

--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -130,6 +130,7 @@
         write: optional(body, "Mutates", flag)?.unwrap_or(false),
         size: optional(body, "BytesK", number)?.filter(|&kb| kb > 0.0),
         left: span(body, "LeftUs")?,
+        oldest: None,
     })
 }
 
@@ -184,5 +185,6 @@
         state: state(entry, "Availability")?,
         size: optional(entry, "Share", number)?.unwrap_or(0.0),
         started: optional(entry, "StartedAtUs", int)?.filter(|&at| at > 0).map(Time::from_micros),
+        far: false,
     })
 }
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -131,6 +131,7 @@
         state: state(entry, "status")?,
         size: optional(entry, "weight", number)?.unwrap_or(0.0),
         started: started.map(|ms| Time::from_micros(ms.saturating_mul(1_000))),
+        far: false,
     };
     let address = entry.get("address").and_then(Value::as_str).and_then(|a| a.parse().ok());
     Ok(Listed { member, address })
--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -226,12 +226,12 @@
         // Nobody waits longer than the settings say: what claims to would only stay in the tables.
         let limit = at + Span::from_millis(ask.timeout_ms.into()).min(self.most_wait);
         let (object, group, part, size) = (ask.object, ask.group.into(), ask.part, ask.need);
-        let left = limit - now;
+        let (left, oldest) = (limit - now, ask.oldest);
         self.held += ask.body.len();
         self.by_message.insert((client.key(), id), txn);
         self.by_req.insert((ask.trace, txn));
         self.open.insert(txn, Open { client, id, rule, ask: Rc::from(ask), limit, hops: 0 });
-        self.gateway.txn(now, Txn { id: txn, rule, object, group, part, write, size, left });
+        self.gateway.txn(now, Txn { id: txn, rule, object, group, part, write, size, left, oldest });
     }
 
     /// Takes a txn off the table: from here on it can't be answered again.
--- a/sites/src/far.rs
+++ b/sites/src/far.rs
@@ -8,7 +8,7 @@
 use crate::wire;
 use kelpcart::{Span, Time};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// A connection, by the host's count.
 pub type SessionId = u64;
@@ -55,7 +55,7 @@
     Tell {
         session: SessionId,
         number: u64,
-        answer: Rc<Answer>,
+        answer: Arc<Answer>,
     },
     Turn {
         session: SessionId,
@@ -312,7 +312,7 @@
     /// A call that was not given to the host ends as not run.
     fn refuse(&mut self, now: Time, call: Call) {
         let ending = Ending::Rejected { come_back: None };
-        self.ended(now, call, &Rc::new(Answer { ending, body: Vec::new() }));
+        self.ended(now, call, &Arc::new(Answer { ending, body: Vec::new() }));
     }
 
     /// The disk does not take it: what waits for it has not run, and will not.
@@ -322,14 +322,14 @@
             self.ended(
                 now,
                 call,
-                &Rc::new(Answer { ending: Ending::Rejected { come_back: None }, body: vec![] }),
+                &Arc::new(Answer { ending: Ending::Rejected { come_back: None }, body: vec![] }),
             );
         }
     }
 
     /// How a txn ended. `answer` goes into the ledger where it must not run twice; who is told by the host itself,
     /// with the body as it has it, is given back.
-    pub fn ended(&mut self, now: Time, call: Call, answer: &Rc<Answer>) -> Option<(SessionId, u64)> {
+    pub fn ended(&mut self, now: Time, call: Call, answer: &Arc<Answer>) -> Option<(SessionId, u64)> {
         let running = self.calls.remove(&call)?;
         if let Some(key) = running.once {
             self.once.remove(&key);
@@ -338,7 +338,7 @@
         let session = running.session?;
         self.sessions.get_mut(&session)?.open.remove(&running.number);
         if !running.runs {
-            let (number, answer) = (running.number, Rc::clone(answer));
+            let (number, answer) = (running.number, Arc::clone(answer));
             self.todo.push_back(Do::Tell { session, number, answer });
             return None;
         }
--- a/sites/src/ledger.rs
+++ b/sites/src/ledger.rs
@@ -5,7 +5,7 @@
 
 use kelpcart::{Span, Time};
 use std::collections::BTreeMap;
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// A sender's run (new with each of its starts) and its number for the hop, growing from 1.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -41,7 +41,7 @@
     /// It is in the ledger now, and may run once.
     New,
     Running,
-    Ended(Rc<Answer>),
+    Ended(Arc<Answer>),
     /// It did not run and will not.
     Full,
     Fenced,
@@ -53,14 +53,14 @@
 pub enum Found {
     NeverTaken,
     Running,
-    Ended(Rc<Answer>),
+    Ended(Arc<Answer>),
     Unknown,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum State {
     Running,
-    Ended(Rc<Answer>),
+    Ended(Arc<Answer>),
     /// Its answer had to go, or ended with the process.
     Lost,
     Fenced,
@@ -92,7 +92,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
     Taken(Key),
-    Ended(Key, Rc<Answer>),
+    Ended(Key, Arc<Answer>),
     /// What the sender has below and is not kept is not known any more.
     Floor(Key),
     Dropped(Key),
@@ -125,7 +125,7 @@
         for (key, answer) in taken {
             let Some(sender) = self.senders.get_mut(&key.sender) else { continue };
             let state = match answer {
-                Some(answer) => State::Ended(Rc::new(answer.clone())),
+                Some(answer) => State::Ended(Arc::new(answer.clone())),
                 None => State::Lost,
             };
             self.bytes += answer.as_ref().map_or(0, |a| a.body.len());
@@ -184,7 +184,7 @@
         if let Some(entry) = sender.entries.get(&key.number) {
             return match &entry.state {
                 State::Running => Intake::Running,
-                State::Ended(answer) => Intake::Ended(Rc::clone(answer)),
+                State::Ended(answer) => Intake::Ended(Arc::clone(answer)),
                 State::Lost => Intake::Forgotten,
                 State::Fenced => Intake::Fenced,
             };
@@ -215,7 +215,7 @@
     }
 
     /// It has ended; what is known of it stays until the sender says that it needs no more.
-    pub fn end(&mut self, now: Time, key: Key, answer: &Rc<Answer>) {
+    pub fn end(&mut self, now: Time, key: Key, answer: &Arc<Answer>) {
         let Some(sender) = self.senders.get_mut(&key.sender) else { return };
         let Some(entry) = sender.entries.get_mut(&key.number) else { return };
         if entry.state != State::Running {
@@ -225,9 +225,9 @@
             entry.state = State::Lost;
             return;
         }
-        (entry.state, entry.at) = (State::Ended(Rc::clone(answer)), now);
+        (entry.state, entry.at) = (State::Ended(Arc::clone(answer)), now);
         self.bytes += answer.body.len();
-        self.note(|| Change::Ended(key, Rc::clone(answer)));
+        self.note(|| Change::Ended(key, Arc::clone(answer)));
         while self.bytes > self.bounds.bytes {
             self.lose_oldest(Some(key));
         }
@@ -251,7 +251,7 @@
         if let Some(entry) = sender.entries.get(&key.number) {
             return match &entry.state {
                 State::Running => Found::Running,
-                State::Ended(answer) => Found::Ended(Rc::clone(answer)),
+                State::Ended(answer) => Found::Ended(Arc::clone(answer)),
                 State::Lost => Found::Unknown,
                 State::Fenced => Found::NeverTaken,
             };
--- a/sites/src/lib.rs
+++ b/sites/src/lib.rs
@@ -1,12 +1,14 @@
 //! Between sites: how a gateway passes txns to gateways of another site across a slow, lossy link, and takes in
 //! theirs. `near`, `far`, `ledger`, `rtt`, `pace` and `queue` are the core, without I/O or clock; `wire` is what
-//! crosses, `settings` what operators write.
+//! crosses, `settings` what operators write, `store` the ledger on a disk, `quic` the carrier.
 
 pub mod far;
 pub mod ledger;
 pub mod near;
 pub mod pace;
 pub mod queue;
+pub mod quic;
 pub mod rtt;
 pub mod settings;
+pub mod store;
 pub mod wire;
--- a/sites/src/near.rs
+++ b/sites/src/near.rs
@@ -367,6 +367,22 @@
         }
     }
 
+    /// Its request went out whole, and the stream that it was on broke off while the connection stands.
+    pub fn astray(&mut self, now: Time, number: u64) {
+        let Some(hop) = self.hops.get_mut(&number).filter(|h| h.state == State::Sent) else { return };
+        let (link, ledger) = (hop.link, hop.ledger);
+        if !hop.once {
+            self.arrived(now, number, None);
+            return self.end(number, End::Lost);
+        }
+        hop.state = State::Doubt;
+        self.arrived(now, number, None);
+        self.links[link].out.remove(&number);
+        if self.links[link].connected() {
+            self.resolve(link, ledger);
+        }
+    }
+
     /// The far end has taken it.
     pub fn taken(&mut self, now: Time, number: u64) -> Option<Span> {
         let hop = self.hops.get(&number)?;
--- /dev/null
+++ b/sites/src/quic.rs
@@ -0,0 +1,227 @@
+//! The carrier: QUIC (RFC 9000) with TLS 1.3 at both ends (RFC 9001), each proving its site by its certificate. Runs on
+//! the thread of who drives it and starts none. Must never send early data (0-RTT, RFC 9001 section 9.2: it can be
+//! replayed), take a certificate of another site for a peer's, or hold more of a message than its bound.
+
+use crate::settings::{Congestion, KeyFiles};
+use crate::wire::{self, Damaged, Said};
+use async_executor::Executor;
+use quinn::congestion::{BbrConfig, CubicConfig};
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use quinn::rustls::pki_types::pem::PemObject;
+use quinn::rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use quinn::rustls::server::WebPkiClientVerifier;
+use quinn::rustls::{self, RootCertStore};
+use quinn::{AsyncTimer, AsyncUdpSocket, Runtime, SmolRuntime, TransportConfig, VarInt};
+use std::future::Future;
+use std::net::{SocketAddr, UdpSocket};
+use std::path::PathBuf;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+pub use quinn::{Connection, Incoming, RecvStream, SendStream};
+
+/// Both ends have to name it (RFC 7301).
+const PROTOCOL: &[u8] = b"kelpcart-sites";
+/// The core gives silent links up long before.
+const SILENT: Duration = Duration::from_secs(20);
+/// Streams at once, and bytes on their way to one that reads slowly.
+const STREAMS: u32 = 4_096;
+const STREAM_WINDOW: u32 = 512 * 1024;
+const WINDOW: u32 = 8 * 1024 * 1024;
+
+#[derive(Debug, thiserror::Error)]
+pub enum KeyError {
+    #[error("{path}: {why}")]
+    File { path: PathBuf, why: String },
+    #[error("the certificate, its key and the roots do not go together: {0}")]
+    Together(String),
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum Broken {
+    #[error("{0}")]
+    Damaged(#[from] Damaged),
+    #[error("the stream ended")]
+    Ended,
+}
+
+/// What both ends need to prove who they are.
+#[derive(Clone)]
+pub struct Keys {
+    client: quinn::ClientConfig,
+    server: quinn::ServerConfig,
+}
+
+impl Keys {
+    pub fn read(files: &KeyFiles, congestion: Congestion) -> Result<Keys, KeyError> {
+        let file = |path: &PathBuf, e: rustls::pki_types::pem::Error| KeyError::File {
+            path: path.clone(),
+            why: e.to_string(),
+        };
+        let certificates = |path: &PathBuf| -> Result<Vec<CertificateDer<'static>>, KeyError> {
+            let all = CertificateDer::pem_file_iter(path).map_err(|e| file(path, e))?;
+            let all = all.collect::<Result<Vec<_>, _>>().map_err(|e| file(path, e))?;
+            if all.is_empty() {
+                return Err(KeyError::File { path: path.clone(), why: "holds no certificate".to_owned() });
+            }
+            Ok(all)
+        };
+        let chain = certificates(&files.certificate)?;
+        let key = PrivateKeyDer::from_pem_file(&files.key).map_err(|e| file(&files.key, e))?;
+        let mut roots = RootCertStore::empty();
+        for root in certificates(&files.roots)? {
+            let bad = |e: rustls::Error| KeyError::File { path: files.roots.clone(), why: e.to_string() };
+            roots.add(root).map_err(bad)?;
+        }
+        let together = |e: &dyn std::fmt::Display| KeyError::Together(e.to_string());
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let roots = Arc::new(roots);
+        let verifier = WebPkiClientVerifier::builder_with_provider(Arc::clone(&roots), Arc::clone(&provider));
+        let verifier = verifier.build().map_err(|e| together(&e))?;
+        let mut server = rustls::ServerConfig::builder_with_provider(Arc::clone(&provider))
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(|e| together(&e))?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(chain.clone(), key.clone_key())
+            .map_err(|e| together(&e))?;
+        server.alpn_protocols = vec![PROTOCOL.to_vec()];
+        // No tickets: a session that is resumed would not have its certificate checked anew.
+        server.send_tls13_tickets = 0;
+        let mut client = rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(|e| together(&e))?
+            .with_root_certificates(roots)
+            .with_client_auth_cert(chain, key)
+            .map_err(|e| together(&e))?;
+        client.alpn_protocols = vec![PROTOCOL.to_vec()];
+        client.enable_early_data = false;
+        let transport = Arc::new(transport(congestion));
+        let client = QuicClientConfig::try_from(client).map_err(|e| together(&e))?;
+        let mut client = quinn::ClientConfig::new(Arc::new(client));
+        client.transport_config(Arc::clone(&transport));
+        let server = QuicServerConfig::try_from(server).map_err(|e| together(&e))?;
+        let mut server = quinn::ServerConfig::with_crypto(Arc::new(server));
+        server.transport_config(transport);
+        Ok(Keys { client, server })
+    }
+}
+
+fn transport(congestion: Congestion) -> TransportConfig {
+    let mut all = TransportConfig::default();
+    all.max_concurrent_bidi_streams(VarInt::from_u32(STREAMS));
+    all.max_concurrent_uni_streams(VarInt::from_u32(0));
+    all.stream_receive_window(VarInt::from_u32(STREAM_WINDOW));
+    all.receive_window(VarInt::from_u32(WINDOW));
+    all.send_window(WINDOW.into());
+    all.datagram_receive_buffer_size(None);
+    all.max_idle_timeout(quinn::IdleTimeout::try_from(SILENT).ok());
+    match congestion {
+        Congestion::Bbr => all.congestion_controller_factory(Arc::new(BbrConfig::default())),
+        Congestion::Cubic => all.congestion_controller_factory(Arc::new(CubicConfig::default())),
+    };
+    all
+}
+
+/// Runs what quinn spawns on an executor of ours: no thread is started.
+struct Local(Arc<Executor<'static>>);
+
+impl std::fmt::Debug for Local {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Local")
+    }
+}
+
+impl Runtime for Local {
+    fn new_timer(&self, at: Instant) -> Pin<Box<dyn AsyncTimer>> {
+        SmolRuntime.new_timer(at)
+    }
+
+    fn spawn(&self, work: Pin<Box<dyn Future<Output = ()> + Send>>) {
+        self.0.spawn(work).detach();
+    }
+
+    fn wrap_udp_socket(&self, socket: UdpSocket) -> std::io::Result<Arc<dyn AsyncUdpSocket>> {
+        SmolRuntime.wrap_udp_socket(socket)
+    }
+}
+
+#[derive(Clone)]
+pub struct Endpoint {
+    inner: quinn::Endpoint,
+    work: Arc<Executor<'static>>,
+}
+
+impl Endpoint {
+    /// Listens on the address, or, without one, only connects.
+    pub fn start(listen: Option<SocketAddr>, keys: &Keys) -> std::io::Result<Endpoint> {
+        let work = Arc::new(Executor::new());
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let socket = UdpSocket::bind(listen.unwrap_or(any))?;
+        let server = listen.map(|_| keys.server.clone());
+        let runtime = Arc::new(Local(Arc::clone(&work)));
+        let inner = quinn::Endpoint::new(quinn::EndpointConfig::default(), server, socket, runtime)?;
+        Ok(Endpoint { inner, work })
+    }
+
+    /// Never ends; the carrier moves only while this does.
+    pub async fn drive(&self) {
+        self.work.run(std::future::pending::<()>()).await;
+    }
+
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.inner.local_addr()
+    }
+
+    /// Connections made from now on go by these; those that stand go on.
+    pub fn rekey(&self, keys: &Keys, listens: bool) {
+        self.inner.set_server_config(listens.then(|| keys.server.clone()));
+    }
+
+    /// A connection to a gateway whose certificate holds the site's name.
+    pub async fn dial(&self, keys: &Keys, address: SocketAddr, site: &str) -> Result<Connection, String> {
+        let connecting = self.inner.connect_with(keys.client.clone(), address, site);
+        connecting.map_err(|e| e.to_string())?.await.map_err(|e| e.to_string())
+    }
+
+    pub async fn accept(&self) -> Option<Incoming> {
+        self.inner.accept().await
+    }
+
+    pub fn close(&self) {
+        self.inner.close(VarInt::from_u32(0), b"ends");
+    }
+}
+
+pub fn close(connection: &Connection, why: &str) {
+    connection.close(VarInt::from_u32(0), why.as_bytes());
+}
+
+/// The peer's certificate holds the site's name among its subject names (RFC 9525).
+pub fn proves(connection: &Connection, site: &str) -> bool {
+    let identity = connection.peer_identity();
+    let chain = identity.and_then(|i| i.downcast::<Vec<CertificateDer<'static>>>().ok());
+    let Some(first) = chain.and_then(|chain| chain.into_iter().next()) else { return false };
+    let Ok(certificate) = webpki::EndEntityCert::try_from(&first) else { return false };
+    let Ok(name) = ServerName::try_from(site) else { return false };
+    certificate.verify_is_valid_for_subject_name(&name).is_ok()
+}
+
+/// The next message of a stream.
+pub async fn read(stream: &mut RecvStream) -> Result<Said, Broken> {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).await.map_err(|_| Broken::Ended)?;
+    let mut bytes = vec![0; wire::length(length)?];
+    stream.read_exact(&mut bytes).await.map_err(|_| Broken::Ended)?;
+    Ok(wire::message(&bytes)?)
+}
+
+pub async fn write(stream: &mut SendStream, bytes: &[u8]) -> Result<(), Broken> {
+    stream.write_all(bytes).await.map_err(|_| Broken::Ended)
+}
+
+/// Gives a stream up: what is not read yet never will be.
+pub fn reset(stream: &mut SendStream) {
+    // It fails only when the stream has ended already.
+    _ = stream.reset(VarInt::from_u32(1));
+}
--- /dev/null
+++ b/sites/src/store.rs
@@ -0,0 +1,195 @@
+//! The ledger on a disk: brings changes there in their order, many at once, and reads them back at a start. One thread
+//! of its own does the waiting, so that the gateway's one never does. Must never call a change written before the disk
+//! has it, nor write a later one once an earlier one failed.
+
+use crate::ledger::{Answer, Change, Ending, Key};
+use async_channel::{Receiver, Sender};
+use kelpcart::Span;
+use prost::Message as _;
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use std::path::Path;
+use std::thread;
+
+/// The ledger's own number, which tells it from all others.
+const ABOUT: TableDefinition<&str, u64> = TableDefinition::new("about");
+const FLOORS: TableDefinition<u64, u64> = TableDefinition::new("floors");
+/// By sender and number; empty while it runs.
+const TAKEN: TableDefinition<(u64, u64), &[u8]> = TableDefinition::new("taken");
+/// Batches that wait for the disk; more than may run at once never do.
+const MOST_WAITING: usize = 8_192;
+
+#[derive(Debug, thiserror::Error)]
+pub enum Unusable {
+    #[error("the ledger's file can't be used: {0}")]
+    Disk(#[from] redb::Error),
+    #[error("the ledger's file holds an entry that can't be read")]
+    Entry,
+}
+
+/// What was there at the start.
+#[derive(Debug)]
+pub struct Recovered {
+    pub ledger: u64,
+    pub floors: Vec<Key>,
+    pub taken: Vec<(Key, Option<Answer>)>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Kept {
+    #[prost(uint32, tag = "1")]
+    word: u32,
+    #[prost(uint64, optional, tag = "2")]
+    come_back_us: Option<u64>,
+    #[prost(bytes = "vec", tag = "3")]
+    body: Vec<u8>,
+}
+
+impl Kept {
+    fn of(answer: &Answer) -> Kept {
+        let (word, come_back) = match answer.ending {
+            Ending::Served => (1, None),
+            Ending::Current => (2, None),
+            Ending::Rejected { come_back } => (3, come_back),
+            Ending::Aborted => (4, None),
+            Ending::Invalid => (5, None),
+        };
+        Kept { word, come_back_us: come_back.map(Span::as_micros), body: answer.body.clone() }
+    }
+
+    fn answer(self) -> Option<Answer> {
+        let ending = match self.word {
+            1 => Ending::Served,
+            2 => Ending::Current,
+            3 => Ending::Rejected { come_back: self.come_back_us.map(Span::from_micros) },
+            4 => Ending::Aborted,
+            5 => Ending::Invalid,
+            _ => return None,
+        };
+        Some(Answer { ending, body: self.body })
+    }
+}
+
+#[derive(Debug)]
+pub struct Store {
+    db: Database,
+}
+
+/// Any error of the store's library as its one type.
+fn disk<E: Into<redb::Error>>(e: E) -> Unusable {
+    Unusable::Disk(e.into())
+}
+
+impl Store {
+    /// Opens the file, or makes one with `fresh` as the ledger's number.
+    pub fn open(path: &Path, fresh: u64) -> Result<(Store, Recovered), Unusable> {
+        let db = Database::create(path).map_err(disk)?;
+        let write = db.begin_write().map_err(disk)?;
+        let mut found = Recovered { ledger: fresh, floors: Vec::new(), taken: Vec::new() };
+        {
+            let mut about = write.open_table(ABOUT).map_err(disk)?;
+            let known = about.get("ledger").map_err(disk)?.map(|n| n.value());
+            match known {
+                Some(known) => found.ledger = known,
+                None => _ = about.insert("ledger", fresh).map_err(disk)?,
+            }
+            for row in write.open_table(FLOORS).map_err(disk)?.iter().map_err(disk)? {
+                let (sender, number) = row.map_err(disk)?;
+                found.floors.push(Key { sender: sender.value(), number: number.value() });
+            }
+            for row in write.open_table(TAKEN).map_err(disk)?.iter().map_err(disk)? {
+                let (key, value) = row.map_err(disk)?;
+                let ((sender, number), bytes) = (key.value(), value.value());
+                let kept = |bytes: &[u8]| Kept::decode(bytes).ok()?.answer();
+                let answer = match bytes {
+                    [] => None,
+                    bytes => Some(kept(bytes).ok_or(Unusable::Entry)?),
+                };
+                found.taken.push((Key { sender, number }, answer));
+            }
+        }
+        write.commit().map_err(disk)?;
+        Ok((Store { db }, found))
+    }
+
+    /// All of it or nothing, on the disk when this returns.
+    pub fn apply<'a>(&mut self, changes: impl Iterator<Item = &'a Change>) -> Result<(), Unusable> {
+        let write = self.db.begin_write().map_err(disk)?;
+        {
+            let mut floors = write.open_table(FLOORS).map_err(disk)?;
+            let mut taken = write.open_table(TAKEN).map_err(disk)?;
+            for change in changes {
+                match change {
+                    Change::Taken(key) => {
+                        taken.insert((key.sender, key.number), &[][..]).map_err(disk)?;
+                    }
+                    Change::Ended(key, answer) => {
+                        let bytes = Kept::of(answer).encode_to_vec();
+                        taken.insert((key.sender, key.number), &bytes[..]).map_err(disk)?;
+                    }
+                    Change::Floor(key) => {
+                        floors.insert(key.sender, key.number).map_err(disk)?;
+                    }
+                    Change::Dropped(key) => {
+                        taken.remove((key.sender, key.number)).map_err(disk)?;
+                    }
+                    Change::Gone(sender) => {
+                        floors.remove(sender).map_err(disk)?;
+                        let of_sender = (*sender, 0)..=(*sender, u64::MAX);
+                        taken.retain_in(of_sender, |_, _| false).map_err(disk)?;
+                    }
+                }
+            }
+        }
+        write.commit().map_err(disk)
+    }
+
+    /// How many are kept, for tests and operators.
+    pub fn len(&self) -> Result<usize, Unusable> {
+        let read = self.db.begin_read().map_err(disk)?;
+        let n = read.open_table(TAKEN).map_err(disk)?.iter().map_err(disk)?.count();
+        Ok(n)
+    }
+
+    pub fn is_empty(&self) -> Result<bool, Unusable> {
+        self.len().map(|n| n == 0)
+    }
+}
+
+/// The thread that writes. What came together while it waited for the disk goes there together.
+pub struct Writer {
+    batches: Sender<(u64, Vec<Change>)>,
+    /// Marks, and whether all up to them are on the disk.
+    pub done: Receiver<(u64, bool)>,
+}
+
+impl Writer {
+    pub fn start(mut store: Store) -> std::io::Result<Writer> {
+        let (batches, waiting) = async_channel::bounded::<(u64, Vec<Change>)>(MOST_WAITING);
+        let (tell, done) = async_channel::unbounded();
+        let work = move || {
+            let mut failed = false;
+            while let Ok(first) = waiting.recv_blocking() {
+                let mut all = vec![first];
+                while let Ok(more) = waiting.try_recv() {
+                    all.push(more);
+                }
+                let mark = all.last().map_or(0, |last| last.0);
+                if !failed && let Err(why) = store.apply(all.iter().flat_map(|batch| &batch.1)) {
+                    log::error!("{why}; nothing more is taken that must not run twice");
+                    // What follows could rest on what is missing now.
+                    failed = true;
+                }
+                if tell.send_blocking((mark, !failed)).is_err() {
+                    return;
+                }
+            }
+        };
+        thread::Builder::new().name("ledger".to_owned()).spawn(work)?;
+        Ok(Writer { batches, done })
+    }
+
+    /// `false`: there is no room to wait, and it will not be written.
+    pub fn write(&self, mark: u64, changes: Vec<Change>) -> bool {
+        self.batches.try_send((mark, changes)).is_ok()
+    }
+}
--- a/sites/tests/cases.rs
+++ b/sites/tests/cases.rs
@@ -7,7 +7,7 @@
 use kelpcart_sites::settings::Sites;
 use kelpcart_sites::wire::{Fate, Hello, VERSION};
 use serde_json::json;
-use std::rc::Rc;
+use std::sync::Arc;
 
 fn at(ms: u64) -> Time {
     Time::from_micros(1_000_000 + ms * 1_000)
@@ -356,8 +356,8 @@
     }
 }
 
-fn answer(body: &[u8]) -> Rc<Answer> {
-    Rc::new(Answer { ending: Ending::Served, body: body.to_vec() })
+fn answer(body: &[u8]) -> Arc<Answer> {
+    Arc::new(Answer { ending: Ending::Served, body: body.to_vec() })
 }
 
 fn runs(all: &[Do]) -> usize {
--- a/sites/tests/model.rs
+++ b/sites/tests/model.rs
@@ -14,7 +14,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::rc::Rc;
+use std::sync::Arc;
 
 const NEARS: usize = 2;
 const FARS: usize = 2;
@@ -327,7 +327,7 @@
         if let Some(known) = self.known.get_mut(&(run, number)) {
             known.answers.insert(body.clone());
         }
-        let answer = Rc::new(Answer { ending, body: body.clone() });
+        let answer = Arc::new(Answer { ending, body: body.clone() });
         if let Some((session, number)) = self.fars[far].core.ended(self.now, call, &answer) {
             self.back(session, Msg::Answer { number, body, served });
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -105,6 +105,8 @@
     pub size: f64,
     /// `None`: long ago.
     pub started: Option<Time>,
+    /// A gateway of another site, reached over a link by this gateway alone: no cache can fill from it.
+    pub far: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -119,6 +121,8 @@
     pub size: Option<f64>,
     /// How long until the client gives this try up.
     pub left: Span,
+    /// The oldest copy that the asker takes, where it says so.
+    pub oldest: Option<Span>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -325,6 +325,22 @@
                 c.heard(now);
             }
         }
+        // What a far gateway carries is scored as fills are, by the link's own first sign.
+        let c = &mut self.book.caches[hop.member];
+        if c.m.far && c.role == Role::Parent {
+            let failed = matches!(
+                o.end,
+                HopEnd::Unreachable | HopEnd::Broken | HopEnd::Errored | HopEnd::TurnedAway | HopEnd::Spoilt
+            );
+            let late = o.end == HopEnd::TimedOut;
+            c.par.fills += one(failed || late || o.end == HopEnd::Completed);
+            c.par.failed += one(failed);
+            c.par.late += one(late);
+            if let Some(first) = o.first_byte {
+                c.par.recent.record(first);
+                c.par.settled.record(first);
+            }
+        }
         let Some(open) = self.book.open.get_mut(&o.txn) else { return };
         if o.note == Some(Note::Held)
             && open.txn.size.is_none()
@@ -613,8 +629,10 @@
         home.filter(|&i| spare || self.passes(now, i, load, cost))
     }
 
+    /// The first usable one in hash order, those last that this txn has met already.
     fn origin(&self, now: Time, open: &Open) -> Option<usize> {
-        self.order(Role::Origin, &open.txn, true).into_iter().find(|&i| self.usable(now, i))
+        let order = self.order(Role::Origin, &open.txn, true).into_iter().filter(|&i| self.usable(now, i));
+        order.min_by_key(|i| open.avoid.contains(i))
     }
 
     /// The first cache in hash order within the bound; else the first that its gate lets through.
@@ -665,7 +683,7 @@
             Some(object) => object == txn.object,
             None => p.group == txn.group,
         };
-        let purge = self.book.purges.iter().filter(hits).map(|p| now - p.at).min();
+        let purge = self.book.purges.iter().filter(hits).map(|p| now - p.at).chain(txn.oldest).min();
         let fresh = rule.fresh > Span::ZERO;
         let most = if stale && fresh { rule.fresh + rule.grace } else { rule.fresh };
         let least = |s: Span| s.max(Span::from_micros(1));
@@ -738,11 +756,16 @@
             let origin = self.origin(now, open).filter(|&i| self.in_group(open, now, i));
             return origin.map(|i| (i, None, None));
         }
-        let member = self.edge(now, open, mean, open.load());
         let source = if write { self.origin(now, open) } else { self.source(now, open) };
+        let far = |i: usize| self.book.caches[i].m.far;
+        let member = self.edge(now, open, mean, open.load()).filter(|_| !source.is_some_and(far));
         let Some(member) = member else {
-            // No cache of the own zone can take it: straight to the fill source, where that is allowed.
-            let source = source.filter(|&i| self.set.direct && self.in_group(open, now, i))?;
+            // No cache of the own zone can take it, or none could fill from there: straight to the fill source,
+            // where that is allowed.
+            let source = source.filter(|&i| (self.set.direct || far(i)) && self.in_group(open, now, i))?;
+            if write {
+                return Some((source, None, None));
+            }
             let behind = self.origin(now, open).unwrap_or(source);
             return Some((source, None, Some(self.fill(now, open, rule, behind, 0))));
         };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -59,7 +59,7 @@
 
 pub fn member(id: &str, kind: usize) -> Member {
     let state = MemberState::Up;
-    Member { id: Arc::from(id), zone: 0, kind, cell: 0, state, size: 8.0, started: None }
+    Member { id: Arc::from(id), zone: 0, kind, cell: 0, state, size: 8.0, started: None, far: false }
 }
 
 pub fn fleet() -> Vec<Member> {
@@ -70,7 +70,7 @@
 
 pub fn txn(id: TxnId, rule: usize, object: u64) -> Txn {
     let (group, part, write, size, left) = (object % 8, 0, false, Some(100.0), ms(2_000));
-    Txn { id, rule, object, group, part, write, size, left }
+    Txn { id, rule, object, group, part, write, size, left, oldest: None }
 }
 
 pub struct World {
