--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -28,6 +28,14 @@
 /// A client that leaves this shortly before its time is over has waited for it.
 const AT_LIMIT: Span = Span::from_millis(20);
 
+/// What the desk knows of a remap rule.
+#[derive(Clone)]
+struct Rule {
+    name: Rc<str>,
+    write: bool,
+    once: bool,
+}
+
 struct Open {
     client: Rc<dyn Caller>,
     id: u64,
@@ -62,7 +70,7 @@
     by_req: BTreeSet<(u64, TxnId)>,
     out: BTreeMap<(TxnId, u32), Out>,
     next: TxnId,
-    rules: Vec<(Rc<str>, bool)>,
+    rules: Vec<Rule>,
     max_hops: u32,
     most_open: usize,
     /// Bytes of the bodies of open writes, and their bound.
@@ -82,7 +90,12 @@
         queue: (Sender<Event>, Receiver<Event>),
     ) -> Desk {
         let set = config.settings;
-        let rules = config.names.rules.iter().zip(&set.rules).map(|(n, r)| (Rc::from(n.as_str()), r.write));
+        let rule = |(name, r): (&String, &RemapRule)| Rule {
+            name: Rc::from(name.as_str()),
+            write: r.write,
+            once: r.effect != Effect::Repeatable,
+        };
+        let rules = config.names.rules.iter().zip(&set.rules).map(rule);
         let mut desk = Desk {
             rules: rules.collect(),
             max_hops: set.max_hops,
@@ -204,11 +217,11 @@
     }
 
     fn asked(&mut self, client: Rc<dyn Caller>, id: u64, method: &str, ask: Box<Ask>, at: Time) {
-        let Some(rule) = self.rules.iter().position(|(name, _)| **name == *method) else {
+        let Some(rule) = self.rules.iter().position(|r| *r.name == *method) else {
             self.counters.add("unknown methods");
             return client.invalid(id);
         };
-        let write = self.rules[rule].1;
+        let write = self.rules[rule].write;
         // Guards caches from two txns under one id, and from bodies that nobody reads.
         let same = self.by_req.range((ask.trace, 0)..=(ask.trace, TxnId::MAX));
         let other = same.map(|(_, txn)| &self.open[txn].ask).any(|open| open.object != ask.object);
@@ -332,12 +345,12 @@
         let hop = open.hops;
         open.hops += 1;
         let until = limit.min(open.limit);
-        let (rule, write) = self.rules[open.rule].clone();
+        let Rule { name: rule, write, once } = self.rules[open.rule].clone();
         log::trace!(
             "txn {txn} hop {hop} to {member} by {rule}, filled from {:?}",
             fill.as_ref().map(|f| &*f.source)
         );
-        let job = Job { member: member.clone(), until, rule, write, ask: Rc::clone(&open.ask), fill };
+        let job = Job { member: member.clone(), until, rule, write, once, ask: Rc::clone(&open.ask), fill };
         let mut task = None;
         if hop >= self.max_hops || until <= now {
             self.own.push_back((txn, hop, End::LateUnsent));
--- a/gateway/src/end.rs
+++ b/gateway/src/end.rs
@@ -40,6 +40,22 @@
     LateForRoom,
     /// Taken back by the module.
     Withdrawn,
+    /// A link to another site is down or silent, or the gateway there leaves: nothing was sent.
+    FarDown,
+    /// The link has no room, or it can't cross in its time: nothing was sent, or nothing of it has run.
+    FarFull,
+    /// It has crossed that site before, or too many.
+    FarLoop,
+    /// It was sent, and the gateway there says that it never ran and never will.
+    FarNever,
+    /// It was sent, and what became of it will not be known.
+    FarLost,
+    /// Rejected there: another try is harmless.
+    FarRejected,
+    /// Aborted there.
+    FarAborted,
+    /// The gateway there can't use it; it went nowhere.
+    FarInvalid,
     /// A client or the bulletin closed, or broke off.
     PeerLeft,
     /// Nothing came from it for longer than it may be silent.
@@ -51,7 +67,7 @@
 }
 
 impl End {
-    pub const ALL: [End; 21] = [
+    pub const ALL: [End; 29] = [
         End::Whole,
         End::Current,
         End::Lacking,
@@ -69,6 +85,14 @@
         End::Late,
         End::LateForRoom,
         End::Withdrawn,
+        End::FarDown,
+        End::FarFull,
+        End::FarLoop,
+        End::FarNever,
+        End::FarLost,
+        End::FarRejected,
+        End::FarAborted,
+        End::FarInvalid,
         End::PeerLeft,
         End::PeerSilent,
         End::PeerStalled,
@@ -80,13 +104,16 @@
         Some(match self {
             End::Whole | End::Current => HopEnd::Completed,
             End::Lacking => HopEnd::Lacking,
-            End::Full => HopEnd::TurnedAway,
-            End::Errored => HopEnd::Errored,
+            End::Full | End::FarFull | End::FarLoop | End::FarRejected | End::FarInvalid => {
+                HopEnd::TurnedAway
+            }
+            End::Errored | End::FarAborted => HopEnd::Errored,
             // An answer that can't be read is one all the same: its sender is alive and took the txn.
             End::Damaged => HopEnd::Spoilt,
             End::Refused | End::NoConnection | End::CutUnsent => HopEnd::Unreachable,
+            End::FarDown | End::FarNever => HopEnd::Unreachable,
             End::Over | End::NoSocket | End::LateUnsent | End::KeptClosed => HopEnd::NeverSent,
-            End::Cut => HopEnd::Broken,
+            End::Cut | End::FarLost => HopEnd::Broken,
             End::Late => HopEnd::TimedOut,
             // Given up here for a reason of the gateway's own: nothing is told of the member.
             End::Withdrawn | End::LateForRoom => HopEnd::Withdrawn,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod logger;
 pub mod rpc;
 pub mod seam;
+pub mod sites;
 
 use async_executor::LocalExecutor;
 
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -15,6 +15,7 @@
 use kelpcart_gateway::counters::Counters;
 use kelpcart_gateway::desk::Desk;
 use kelpcart_gateway::seam::{Event, Keys};
+use kelpcart_gateway::sites::{Between, Means};
 use kelpcart_gateway::{Tasks, logger};
 use std::env;
 use std::net::TcpListener;
@@ -46,8 +47,8 @@
     let listener = Async::<TcpListener>::bind(config.listen);
     let listener = listener.map_err(|e| format!("{}: {e}", config.listen))?;
     let tasks: Tasks = Box::leak(Box::new(LocalExecutor::new()));
-    async_io::block_on(tasks.run(run(tasks, &path, config, listener, signals)));
-    Ok(())
+    let sites = env::var("KELPCART_SITES").ok();
+    async_io::block_on(tasks.run(run(tasks, &path, sites, config, listener, signals)))
 }
 
 fn read<T>(path: &str, what: fn(&str) -> Result<T, String>) -> Result<T, String> {
@@ -55,7 +56,14 @@
     text.and_then(|text| what(&text)).map_err(|e| format!("{path}: {e}"))
 }
 
-async fn run(tasks: Tasks, path: &str, config: Config, listener: Async<TcpListener>, mut signals: Signals) {
+async fn run(
+    tasks: Tasks,
+    path: &str,
+    sites: Option<String>,
+    config: Config,
+    listener: Async<TcpListener>,
+    mut signals: Signals,
+) -> Result<(), String> {
     let (clock, counters) = (Clock::start(), Rc::new(Counters::default()));
     let (desk, events) = async_channel::unbounded();
     // Clients hold a third of the descriptors at most; some of theirs may still be closing.
@@ -76,6 +84,21 @@
         desk: desk.clone(),
     };
     tasks.spawn(bulletin.follow()).detach();
+    let keys = Keys::default();
+    let means = Means {
+        tasks,
+        clock,
+        pool: Rc::clone(&pool),
+        counters: Rc::clone(&counters),
+        desk: desk.clone(),
+        keys: keys.clone(),
+    };
+    let start = |path: &String| {
+        let text = std::fs::read_to_string(path).map_err(|e| e.to_string());
+        let between = text.and_then(|text| Between::start(means, &text, &config));
+        between.map_err(|e| format!("{path}: {e}"))
+    };
+    let between = sites.as_ref().map(start).transpose()?;
     let listens = listener.get_ref().local_addr().unwrap_or(config.listen);
     log::info!("{} listens on {listens}", config.name);
     let front = Front {
@@ -86,23 +109,31 @@
         desk: desk.clone(),
         most: clients,
         connected: Rc::default(),
-        keys: Keys::default(),
+        keys,
     };
     tasks.spawn(front.accept(listener)).detach();
-    let work = Desk::new(config, clock, tasks, caches, counters, (desk.clone(), events)).run();
+    let mut work = Desk::new(config, clock, tasks, caches, counters, (desk.clone(), events));
+    let rekeys = between.as_ref().map(|(between, _)| Rc::clone(between));
+    if let Some((between, members)) = between {
+        work.add(between, members);
+    }
     let told = async {
         while let Some(signal) = signals.next().await {
             match signal {
                 Ok(Signal::Usr1) => _ = desk.send(Event::Tell).await,
-                Ok(Signal::Hup) => match read(path, config::bulletin) {
-                    Ok(address) => _ = moved.try_send(address),
-                    Err(why) => log::warn!("{why}; the bulletin stays where it was"),
-                },
+                Ok(Signal::Hup) => {
+                    match read(path, config::bulletin) {
+                        Ok(address) => _ = moved.try_send(address),
+                        Err(why) => log::warn!("{why}; the bulletin stays where it was"),
+                    }
+                    rekeys.iter().for_each(|between| between.rekey());
+                }
                 Ok(_) => _ = desk.send(Event::Stop).await,
                 Err(e) => log::warn!("signals: {e}"),
             }
         }
         future::pending().await
     };
-    future::or(work, told).await;
+    future::or(work.run(), told).await;
+    Ok(())
 }
--- a/gateway/src/seam.rs
+++ b/gateway/src/seam.rs
@@ -84,6 +84,8 @@
     pub until: Time,
     pub rule: Rc<str>,
     pub write: bool,
+    /// It must not run twice.
+    pub once: bool,
     pub ask: Rc<Ask>,
     pub fill: Option<Fill>,
 }
--- /dev/null
+++ b/gateway/src/sites.rs
@@ -0,0 +1,174 @@
+//! Joins links between sites to the gateway: starts both ends as the file says, and is the desk's one carrier for
+//! members that stand for gateways of other sites. Owns no decision: what goes over which link and what becomes of it
+//! is decided by the module and by the core in `kelpcart-sites`. Nothing of it runs unless the file is named.
+
+mod far;
+mod near;
+
+use crate::Tasks;
+use crate::buffers::{Body, Pool};
+use crate::clock::Clock;
+use crate::config::{Config, Listed};
+use crate::counters::{Counters, Held};
+use crate::seam::{Carrier, Event, Job, Keys, Running};
+use async_channel::{Receiver, Sender};
+use far::Door;
+use kelpcart::Time;
+use kelpcart::interface::{Member, MemberId, MemberState};
+use kelpcart_sites::quic::{self, Endpoint, SendStream};
+use kelpcart_sites::settings::{Sites, Stands};
+use near::Ways;
+use rand::Rng;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// What the fronts and carriers of the process share.
+#[derive(Clone)]
+pub struct Means {
+    pub tasks: Tasks,
+    pub clock: Clock,
+    pub pool: Rc<Pool>,
+    pub counters: Rc<Counters>,
+    pub desk: Sender<Event>,
+    pub keys: Keys,
+}
+
+/// What is written to a stream in one piece.
+struct Frame {
+    bytes: Vec<u8>,
+    body: Option<Body>,
+    /// Nobody waits for it after that.
+    until: Option<Time>,
+    _held: Option<Held>,
+}
+
+impl From<Vec<u8>> for Frame {
+    fn from(bytes: Vec<u8>) -> Frame {
+        Frame { bytes, body: None, until: None, _held: None }
+    }
+}
+
+/// Writes what comes until the senders are gone. `false`: the stream is no good any more.
+async fn write_frames(clock: Clock, stream: &mut SendStream, frames: &Receiver<Frame>) -> bool {
+    while let Ok(frame) = frames.recv().await {
+        let write = async {
+            quic::write(stream, &frame.bytes).await.ok()?;
+            for slice in frame.body.iter().flat_map(Body::slices) {
+                quic::write(stream, slice).await.ok()?;
+            }
+            Some(())
+        };
+        let written = match frame.until {
+            Some(until) => clock.by(until, write).await.flatten(),
+            None => write.await,
+        };
+        if written.is_none() {
+            return false;
+        }
+    }
+    true
+}
+
+pub struct Between {
+    means: Means,
+    file: Rc<Sites>,
+    endpoint: Endpoint,
+    keys: Rc<RefCell<quic::Keys>>,
+    ways: Rc<Ways>,
+    door: Option<Rc<Door>>,
+}
+
+impl Between {
+    /// Starts what the file names; gives the members that links reach.
+    pub fn start(means: Means, text: &str, config: &Config) -> Result<(Rc<Between>, Vec<Listed>), String> {
+        let file = Rc::new(Sites::read(text).map_err(|e| e.to_string())?);
+        let (members, links) = members(&file, config)?;
+        let keys = quic::Keys::read(&file.keys, file.congestion).map_err(|e| e.to_string())?;
+        let endpoint = Endpoint::start(file.listen, &keys).map_err(|e| format!("listen: {e}"))?;
+        let keys = Rc::new(RefCell::new(keys));
+        let ways = Ways::start(&means, &file, links, &endpoint, &keys);
+        let door = file.listen.map(|_| Door::start(&means, &file, &endpoint)).transpose()?;
+        let driven = endpoint.clone();
+        means.tasks.spawn(async move { driven.drive().await }).detach();
+        if let Some(at) = file.listen {
+            let at = endpoint.address().unwrap_or(at);
+            log::info!("{} takes in txns of {:?} at {at}", file.gateway, file.accept);
+        }
+        Ok((Rc::new(Between { means, file, endpoint, keys, ways, door }), members))
+    }
+
+    /// Reads certificates and keys again. Connections that stand go on; with files that can't be used, all stays.
+    pub fn rekey(&self) {
+        match quic::Keys::read(&self.file.keys, self.file.congestion) {
+            Ok(keys) => {
+                self.endpoint.rekey(&keys, self.file.listen.is_some());
+                *self.keys.borrow_mut() = keys;
+                self.means.counters.add("link keys read again");
+                log::info!("links made from now on go by the keys as they are now");
+            }
+            Err(why) => {
+                self.means.counters.add("link keys that can't be used");
+                log::warn!("{why}; links go on by the keys from before");
+            }
+        }
+    }
+}
+
+/// Each peer is a member for each thing that it stands for.
+fn members(file: &Sites, config: &Config) -> Result<(Vec<Listed>, BTreeMap<MemberId, usize>), String> {
+    let (mut all, mut links) = (Vec::new(), BTreeMap::new());
+    for (link, peer) in file.peers.iter().enumerate() {
+        for &stands in &peer.stands_for {
+            let (id, kind, what) = match stands {
+                Stands::Parent => (peer.name.clone(), config.settings.parent_kind, "parent"),
+                Stands::Origin => (format!("{}/origin", peer.name), config.settings.origin_kind, "origin"),
+            };
+            let kind = kind.ok_or_else(|| format!("peers[{link}].as: the settings know no {what}"))?;
+            let id: MemberId = Arc::from(id);
+            links.insert(Arc::clone(&id), link);
+            let member = Member {
+                id,
+                // A place that no local member has.
+                zone: config.names.zones.len(),
+                kind,
+                cell: 0,
+                state: MemberState::Up,
+                size: peer.size,
+                started: None,
+                far: true,
+            };
+            all.push(Listed { member, address: None });
+        }
+    }
+    Ok((all, links))
+}
+
+/// A number that no other start has.
+fn fresh_number() -> u64 {
+    rand::rng().random_range(1..=u64::MAX)
+}
+
+impl Carrier for Between {
+    fn carries(&self, member: &MemberId) -> bool {
+        self.ways.carries(member)
+    }
+
+    fn hop(&self, job: Job) -> Running {
+        let ways = Rc::clone(&self.ways);
+        Box::pin(async move { ways.hop(job).await })
+    }
+
+    fn stop(&self) {
+        if let Some(door) = &self.door {
+            door.stop();
+        }
+    }
+
+    fn sizes(&self) -> Vec<(&'static str, usize)> {
+        let mut all = self.ways.sizes();
+        all.extend(self.door.iter().flat_map(|door| door.sizes()));
+        all
+    }
+}
--- a/gateway/tests/parsers.rs
+++ b/gateway/tests/parsers.rs
@@ -262,6 +262,12 @@
         End::LateUnsent,
         End::CutUnsent,
         End::KeptClosed,
+        End::FarDown,
+        End::FarFull,
+        End::FarLoop,
+        End::FarNever,
+        End::FarRejected,
+        End::FarInvalid,
     ];
     for end in End::ALL {
         let not_run = end.to_module().is_some_and(HopEnd::proves_not_run);
--- /dev/null
+++ b/rig/src/fleet.rs
@@ -0,0 +1,201 @@
+//! Real gateways as processes: their configurations, their start, their end, and what the machine says of them.
+
+use crate::caches::Place;
+use serde_json::{Value, json};
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longer than a start may take.
+const STARTS: Duration = Duration::from_secs(10);
+/// Lines of a log that are kept for its end.
+const MOST_LINES: usize = 20_000;
+
+#[derive(Debug, thiserror::Error)]
+pub enum Failed {
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    #[error("the gateway {0} did not start: {1}")]
+    Start(String, String),
+}
+
+/// What differs between the gateways of a run.
+pub struct Node<'a> {
+    pub name: &'a str,
+    pub zone: &'a str,
+    pub bulletin: SocketAddr,
+    pub places: &'a [Place],
+    pub memory_mb: u64,
+    pub seed: u64,
+}
+
+pub fn endpoint(place: &Place, zone: &str, status: &str) -> Value {
+    json!({"name": place.name, "address": place.address.to_string(), "zone": zone, "type": place.kind, "group": 0,
+        "status": status, "weight": 64.0, "since_ms": 0})
+}
+
+/// The rules of the example deployment: media and rates may run again, book must not.
+pub fn config(node: &Node) -> Value {
+    let class = |name: &str, effect: &str, sla: u64, stretch: f64, limit: u64| {
+        json!({"Name": name, "Repeat": effect, "DedupScope": "all", "MemorySpanUs": 0, "SloUs": sla * 1_000,
+            "AimStretch": stretch, "DeadlineUs": limit * 1_000})
+    };
+    let list: Vec<Value> = node.places.iter().map(|p| endpoint(p, node.zone, "up")).collect();
+    json!({
+        "name": node.name, "listen": "127.0.0.1:0", "seed": format!("{:x}", node.seed),
+        "bulletin": node.bulletin.to_string(),
+        "limits": {"cores": 1.0, "memory_mb": node.memory_mb, "sockets": 1_024},
+        "known": {"no": 1, "items": [{"no": 1, "roster": {"index": 0, "snapshot": true, "endpoints": list}}]},
+        "settings": {
+            "Instances": 1, "Locality": 0, "Weights": "nominal", "Discovery": "push", "TickUs": 1000,
+            "Zones": [node.zone], "Shapes": ["box", "parent", "origin"],
+            "Classes": [
+                class("media", "pure", 500, 1.6, 6_000),
+                class("rates", "pure", 400, 2.0, 2_500),
+                class("book", "side_effect", 800, 0.0, 3_000),
+            ],
+            "FamilyInfo": {"CrewByZone": [1], "ParentKind": 1, "OriginKind": 2, "BypassAllowed": true,
+                "CanJoin": false, "Neighbours": "off", "LifetimeByClassUs": [0, 0, 0],
+                "UsableAfterUs": [0, 0, 0], "PassOn": [false, false, true], "ParentColdFrom": 0.1,
+                "UpperColdUs": 20_000_000, "ParentFallMultiple": 2.0, "GoneEverywhereUs": 6_000_000,
+                "ClientKbPerS": 5_000.0},
+            "PolicyLimits": {"Cancel": true, "RetryAfter": true, "MaxRetryAfterUs": 2_000_000, "MaxAttempts": 6,
+                "MaxOpen": 20_000, "ConnectTimeoutUs": 400_000, "ConnIdleUs": 15_000_000},
+            "Contract": {"AskWithinUs": 10_000_000, "ColdFrom": 0.2, "ColdUs": 15_000_000, "FallMultiple": 2.0,
+                "TipAfterUs": 3_000_000},
+        },
+    })
+}
+
+/// A gateway that is ended with the value.
+pub struct Gateway {
+    pub name: String,
+    pub address: SocketAddr,
+    child: Child,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+/// What the machine says of a process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Used {
+    pub cpu_s: f64,
+    pub peak_mb: f64,
+}
+
+impl Gateway {
+    pub fn start(
+        program: &Path,
+        folder: &Path,
+        config: &Value,
+        sites: Option<&Value>,
+    ) -> Result<Gateway, Failed> {
+        let name = config["name"].as_str().unwrap_or("gateway").to_owned();
+        let file = |end: &str, value: &Value| -> io::Result<PathBuf> {
+            let path = folder.join(format!("{name}.{end}.json"));
+            std::fs::write(&path, value.to_string())?;
+            Ok(path)
+        };
+        let mut command = Command::new(program);
+        command.env_remove("NODE_LISTEN").env_remove("KELPCART_SITES").stderr(Stdio::piped());
+        command.env("NODE_CONFIG", file("config", config)?);
+        if let Some(sites) = sites {
+            command.env("KELPCART_SITES", file("sites", sites)?);
+        }
+        let mut child = command.spawn()?;
+        let Some(stderr) = child.stderr.take() else {
+            return Err(Failed::Start(name, "it has no log".to_owned()));
+        };
+        let log: Arc<Mutex<Vec<String>>> = Arc::default();
+        let lines = Arc::clone(&log);
+        thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                let mut all = lines.lock().unwrap();
+                if all.len() >= MOST_LINES {
+                    all.remove(0);
+                }
+                all.push(line);
+            }
+        });
+        let began = Instant::now();
+        loop {
+            let listens = |l: &String| l.split_once(" listens on ")?.1.parse().ok();
+            let found = log.lock().unwrap().iter().find_map(listens);
+            if let Some(address) = found {
+                return Ok(Gateway { name, address, child, log });
+            }
+            if child.try_wait()?.is_some() || began.elapsed() > STARTS {
+                _ = child.kill();
+                _ = child.wait();
+                let last = log.lock().unwrap().last().cloned().unwrap_or_default();
+                return Err(Failed::Start(name, last));
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status().map(|_| ())
+    }
+
+    /// Ends it at once, as a crash would.
+    pub fn kill(&mut self) {
+        // It fails only where it has ended already.
+        _ = self.child.kill();
+        _ = self.child.wait();
+    }
+
+    /// It has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().unwrap().clone()
+    }
+
+    /// The counters' line as it is now; empty if none comes.
+    pub fn counters(&self) -> String {
+        let counts = |log: &[String]| log.iter().filter(|l| l.contains("now: clients")).count();
+        let before = counts(&self.log.lock().unwrap());
+        if self.signal("USR1").is_err() {
+            return String::new();
+        }
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_secs(2) {
+            let log = self.log.lock().unwrap();
+            if counts(&log) > before {
+                return log.iter().rfind(|l| l.contains("now: clients")).cloned().unwrap_or_default();
+            }
+            drop(log);
+            thread::sleep(Duration::from_millis(5));
+        }
+        String::new()
+    }
+
+    pub fn used(&self) -> Used {
+        let read = |what: &str| std::fs::read_to_string(format!("/proc/{}/{what}", self.child.id()));
+        let stat = read("stat").unwrap_or_default();
+        // Behind the name: the 14th and 15th fields are ticks of 10 ms.
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+        let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+        let status = read("status").unwrap_or_default();
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB"));
+        let peak_kb = peak.and_then(|kb| kb.trim().parse::<f64>().ok()).unwrap_or(0.0);
+        Used { cpu_s: (ticks(11) + ticks(12)) / 100.0, peak_mb: peak_kb / 1024.0 }
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// An address of UDP at which nobody listens now.
+pub fn free_udp() -> io::Result<SocketAddr> {
+    std::net::UdpSocket::bind("127.0.0.1:0")?.local_addr()
+}
--- /dev/null
+++ b/rig/src/keys.rs
@@ -0,0 +1,37 @@
+//! Certificates for trying things out: an authority of its own and a certificate for each site. Not for service.
+
+use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
+use std::path::{Path, PathBuf};
+
+#[derive(Debug, thiserror::Error)]
+pub enum Failed {
+    #[error("{0}")]
+    Made(#[from] rcgen::Error),
+    #[error("{path}: {why}")]
+    Written { path: PathBuf, why: std::io::Error },
+}
+
+pub struct Authority {
+    issuer: CertifiedIssuer<'static, KeyPair>,
+}
+
+impl Authority {
+    pub fn new() -> Result<Authority, Failed> {
+        let mut params = CertificateParams::new(Vec::new())?;
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        Ok(Authority { issuer: CertifiedIssuer::self_signed(params, KeyPair::generate()?)? })
+    }
+
+    /// Writes SITE.pem, SITE.key and roots.pem into the folder.
+    pub fn write(&self, folder: &Path, site: &str) -> Result<(), Failed> {
+        let key = KeyPair::generate()?;
+        let certificate = CertificateParams::new(vec![site.to_owned()])?.signed_by(&key, &self.issuer)?;
+        let put = |name: String, text: String| {
+            let path = folder.join(name);
+            std::fs::write(&path, text).map_err(|why| Failed::Written { path, why })
+        };
+        put(format!("{site}.pem"), certificate.pem())?;
+        put(format!("{site}.key"), key.serialize_pem())?;
+        put("roots.pem".to_owned(), self.issuer.pem())
+    }
+}
--- /dev/null
+++ b/rig/src/main.rs
@@ -0,0 +1,237 @@
+//! `kelpcart-rig`: plays days on real gateways between stand-ins and exits non-zero when a rule is broken.
+
+use clap::{Parser, Subcommand, ValueEnum};
+use kelpcart_rig::keys::Authority;
+use kelpcart_rig::lane::Weather;
+use kelpcart_rig::plan::Plan;
+use kelpcart_rig::sites::{self, Ledger, Options};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(about = "Plays days on real gateways between stand-ins on loopback; all servers are simulated.")]
+struct Line {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Two sites with a slow, lossy link between them.
+    Sites(Box<Day>),
+    /// Certificates for trying things out: an authority and one for each site named.
+    Keys {
+        /// The folder they are written to.
+        folder: PathBuf,
+        #[arg(required = true)]
+        sites: Vec<String>,
+    },
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Kept {
+    /// What is in doubt is never asked about.
+    None,
+    Memory,
+    Disk,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum By {
+    Streams,
+    OneStream,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Control {
+    Bbr,
+    Cubic,
+}
+
+#[derive(clap::Args)]
+struct Day {
+    #[arg(long, default_value_t = 20.0)]
+    seconds: f64,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Each way.
+    #[arg(long, default_value_t = 80.0)]
+    delay_ms: f64,
+    #[arg(long, default_value_t = 20.0)]
+    jitter_ms: f64,
+    /// The part of datagrams that is lost each way; so are the next two.
+    #[arg(long, default_value_t = 0.02)]
+    loss: f64,
+    #[arg(long, default_value_t = 0.0)]
+    duplicate: f64,
+    #[arg(long, default_value_t = 0.0)]
+    reorder: f64,
+    /// KB a second each way; 0: no bound.
+    #[arg(long, default_value_t = 0.0)]
+    rate_kb: f64,
+    #[arg(long, default_value_t = 256.0)]
+    queue_kb: f64,
+    /// What happens and when, as JSON; in place of the next four.
+    #[arg(long)]
+    plan: Option<PathBuf>,
+    /// A cut about each so many seconds; 0: none.
+    #[arg(long, default_value_t = 0.0)]
+    cut_every: f64,
+    #[arg(long, default_value_t = 2.5)]
+    cut_for: f64,
+    /// The far site is dark from this second on.
+    #[arg(long)]
+    dark_at: Option<f64>,
+    #[arg(long, default_value_t = 60.0)]
+    dark_for: f64,
+    /// Far gateways, and links to each.
+    #[arg(long, default_value_t = 1)]
+    fars: usize,
+    #[arg(long, default_value_t = 1)]
+    links: usize,
+    /// Txns a second, and the parts of media and book.
+    #[arg(long, default_value_t = 60.0)]
+    rate: f64,
+    #[arg(long, default_value_t = 0.5)]
+    media: f64,
+    #[arg(long, default_value_t = 0.1)]
+    book: f64,
+    #[arg(long, default_value_t = 5_000)]
+    objects: u64,
+    #[arg(long, value_enum, default_value = "memory")]
+    ledger: Kept,
+    #[arg(long, value_enum, default_value = "streams")]
+    carrier: By,
+    #[arg(long, value_enum, default_value = "bbr")]
+    congestion: Control,
+    /// A purge each so many seconds; 0: none.
+    #[arg(long, default_value_t = 3.0)]
+    purge_every: f64,
+    /// The far site hears of it so many seconds later.
+    #[arg(long, default_value_t = 2.0)]
+    purge_late: f64,
+    /// Memory of a gateway.
+    #[arg(long, default_value_t = 96)]
+    memory_mb: u64,
+    /// Where files of the run go; else a folder that is removed at its end.
+    #[arg(long)]
+    folder: Option<PathBuf>,
+    /// The gateway; else the one beside this program.
+    #[arg(long)]
+    program: Option<PathBuf>,
+    /// The figures as JSON, too.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// The gateways' counters at the end, too.
+    #[arg(long)]
+    counters: bool,
+}
+
+fn main() -> ExitCode {
+    let result = match Line::parse().what {
+        What::Sites(day) => play(&day),
+        What::Keys { folder, sites } => keys(&folder, &sites),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(why) => {
+            eprintln!("kelpcart-rig: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+type Outcome = Result<bool, Box<dyn std::error::Error>>;
+
+fn keys(folder: &std::path::Path, sites: &[String]) -> Outcome {
+    std::fs::create_dir_all(folder)?;
+    let authority = Authority::new()?;
+    for site in sites {
+        authority.write(folder, site)?;
+    }
+    Ok(true)
+}
+
+fn play(day: &Day) -> Outcome {
+    for (name, part) in [("loss", day.loss), ("duplicate", day.duplicate), ("reorder", day.reorder)] {
+        if !(0.0..=1.0).contains(&part) {
+            return Err(format!("--{name} is not between 0 and 1").into());
+        }
+    }
+    if day.seconds.is_nan() || day.seconds < 1.0 || day.rate <= 0.0 || day.fars == 0 || day.links == 0 {
+        return Err("--seconds, --rate, --fars and --links are at least 1".into());
+    }
+    let plan = match &day.plan {
+        Some(path) => {
+            Plan::read(&std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?)?
+        }
+        None => {
+            let dark = day.dark_at.map(|at| (at, day.dark_for));
+            Plan::cuts(day.seed, day.seconds, day.cut_every, day.cut_for, dark)
+        }
+    };
+    let own = std::env::temp_dir().join(format!("kelpcart-rig-{}", std::process::id()));
+    let options = Options {
+        seconds: day.seconds,
+        seed: day.seed,
+        weather: Weather {
+            delay_ms: day.delay_ms,
+            jitter_ms: day.jitter_ms,
+            loss: day.loss,
+            duplicate: day.duplicate,
+            reorder: day.reorder,
+            rate_kb: day.rate_kb,
+            queue_kb: day.queue_kb,
+            dark: [false; 2],
+        },
+        plan,
+        fars: day.fars,
+        links: day.links,
+        rate: day.rate,
+        media: day.media,
+        book: day.book,
+        objects: day.objects.max(2),
+        ledger: match day.ledger {
+            Kept::None => Ledger::None,
+            Kept::Memory => Ledger::Memory,
+            Kept::Disk => Ledger::Disk,
+        },
+        carrier: if matches!(day.carrier, By::Streams) { "streams" } else { "one-stream" },
+        congestion: if matches!(day.congestion, Control::Bbr) { "bbr" } else { "cubic" },
+        purge_every: day.purge_every,
+        purge_late: day.purge_late,
+        program: day.program.clone().unwrap_or_else(sites::program),
+        folder: day.folder.clone().unwrap_or_else(|| own.clone()),
+        memory_mb: day.memory_mb,
+    };
+    let outcome = sites::run(&options);
+    if day.folder.is_none() {
+        // It is gone already where the run never came so far.
+        _ = std::fs::remove_dir_all(&own);
+    }
+    let outcome = outcome?;
+    print!("{}", outcome.report.table());
+    println!("{} purges, {} fills by the central store", outcome.purges, outcome.origin_fills);
+    println!("near gateway: {:.2} s of CPU, {:.1} MB at most", outcome.near.cpu_s, outcome.near.peak_mb);
+    for (i, far) in outcome.far.iter().enumerate() {
+        println!("far gateway {i}: {:.2} s of CPU, {:.1} MB at most", far.cpu_s, far.peak_mb);
+    }
+    if let Some(at) = day.dark_at {
+        let (from, to) = (at as usize, (at + day.dark_for) as usize);
+        let before = outcome.report.share(5, from);
+        let back = outcome.report.back_after(to, before, 0.95);
+        let back = back.map_or("not in this run".to_owned(), |s| format!("{s} s after"));
+        println!("before the dark time {before:.3}; 0.95 of that again: {back}");
+    }
+    if day.counters {
+        outcome.counters.iter().for_each(|(name, line)| println!("{name}: {line}"));
+    }
+    if outcome.crashed {
+        println!("a gateway ended by itself  BROKEN");
+    }
+    if let Some(path) = &day.json {
+        std::fs::write(path, serde_json::to_string_pretty(&sites::json(&options, &outcome))?)?;
+    }
+    Ok(!outcome.report.broken.any() && !outcome.crashed)
+}
--- /dev/null
+++ b/rig/src/plan.rs
@@ -0,0 +1,148 @@
+//! What happens to a run and when: read from a file or made from a seed, in order. No I/O and no clock.
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum What {
+    /// Nothing passes a link, both ways or one.
+    Dark,
+    DarkThere,
+    DarkBack,
+    /// The link carries so many KB a second.
+    Narrow(f64),
+    /// It loses this part.
+    Lossy(f64),
+    /// The far gateway is killed, and started again at the end.
+    KillFar,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Event {
+    /// Seconds from the start, and how long it lasts.
+    pub at: f64,
+    pub lasts: f64,
+    /// By number; absent: all.
+    #[serde(default)]
+    pub link: Option<usize>,
+    pub what: What,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum Unusable {
+    #[error("the plan: {0}")]
+    Form(#[from] serde_json::Error),
+    #[error("event {0}: {1}")]
+    Event(usize, &'static str),
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    pub events: Vec<Event>,
+}
+
+/// A moment at which something begins or ends.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Moment {
+    pub at: f64,
+    pub begins: bool,
+    pub event: Event,
+}
+
+impl Plan {
+    pub fn read(text: &str) -> Result<Plan, Unusable> {
+        let events: Vec<Event> = serde_json::from_str(text)?;
+        for (i, event) in events.iter().enumerate() {
+            let times =
+                event.at.is_finite() && event.lasts.is_finite() && event.at >= 0.0 && event.lasts > 0.0;
+            if !times {
+                return Err(Unusable::Event(i, "at and lasts have to be seconds above 0"));
+            }
+            match event.what {
+                What::Lossy(part) if !(0.0..=1.0).contains(&part) => {
+                    return Err(Unusable::Event(i, "a part lies between 0 and 1"));
+                }
+                What::Narrow(rate) if rate.is_nan() || rate <= 0.0 => {
+                    return Err(Unusable::Event(i, "a rate is above 0"));
+                }
+                _ => {}
+            }
+        }
+        Ok(Plan { events })
+    }
+
+    /// A cut about each so many seconds, and one long dark time; cuts keep clear of that.
+    pub fn cuts(seed: u64, seconds: f64, every: f64, lasts: f64, dark: Option<(f64, f64)>) -> Plan {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut events = Vec::new();
+        if let Some((at, lasts)) = dark {
+            events.push(Event { at, lasts, link: None, what: What::Dark });
+        }
+        let mut at = every;
+        while every > 0.0 && at + lasts < seconds {
+            let moved = at + rng.random_range(-0.25..0.25) * every;
+            let clear = dark.is_none_or(|(from, long)| moved + lasts < from || moved > from + long + every);
+            if clear {
+                // One direction fails alone now and then.
+                let what = match rng.random_range(0..4) {
+                    0 => What::DarkThere,
+                    1 => What::DarkBack,
+                    _ => What::Dark,
+                };
+                events.push(Event { at: moved, lasts, link: None, what });
+            }
+            at += every;
+        }
+        Plan { events }
+    }
+
+    /// Beginnings and ends in order.
+    pub fn moments(&self) -> Vec<Moment> {
+        let both = |event: &Event| {
+            let moment = |at, begins| Moment { at, begins, event: event.clone() };
+            [moment(event.at, true), moment(event.at + event.lasts, false)]
+        };
+        let mut all: Vec<Moment> = self.events.iter().flat_map(both).collect();
+        all.sort_by(|a, b| a.at.total_cmp(&b.at));
+        all
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use quickcheck::quickcheck;
+
+    #[test]
+    fn a_file_is_read_and_its_faults_are_told() {
+        let plan = Plan::read(
+            r#"[{"at": 1, "lasts": 2, "what": "dark"}, {"at": 2, "lasts": 1, "what": {"lossy": 0.5}}]"#,
+        );
+        let moments = plan.unwrap().moments();
+        assert_eq!(
+            moments.iter().map(|m| (m.at, m.begins)).collect::<Vec<_>>(),
+            [(1.0, true), (2.0, true), (3.0, false), (3.0, false)]
+        );
+        for (text, told) in [
+            (r#"[{"at": 1, "lasts": 0, "what": "dark"}]"#, "event 0: at and lasts"),
+            (r#"[{"at": 1, "lasts": 1, "what": {"lossy": 2}}]"#, "event 0: a part"),
+            (r#"[{"at": 1, "lasts": 1, "what": {"narrow": 0}}]"#, "event 0: a rate"),
+            (r#"[{"at": 1, "lasts": 1, "what": "fog"}]"#, "the plan: unknown variant"),
+        ] {
+            let why = Plan::read(text).unwrap_err().to_string();
+            assert!(why.starts_with(told), "{why}");
+        }
+    }
+
+    quickcheck! {
+        fn cuts_lie_inside_the_run_and_clear_of_the_dark_time(seed: u64) -> bool {
+            let plan = Plan::cuts(seed, 600.0, 20.0, 2.5, Some((300.0, 60.0)));
+            let cuts: Vec<&Event> = plan.events.iter().filter(|e| e.lasts < 60.0).collect();
+            let clear = |e: &Event| e.at > 0.0 && e.at + e.lasts < 605.0 && !(297.5..=360.0).contains(&e.at);
+            cuts.len() > 20 && cuts.into_iter().all(clear) && plan == Plan::cuts(seed, 600.0, 20.0, 2.5, Some((300.0, 60.0)))
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/report.rs
@@ -0,0 +1,275 @@
+//! What became of each txn, by rule, and whether a rule was broken. No I/O and no clock: times come from the caller.
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+
+/// A remap rule as the clients see it.
+#[derive(Clone, Copy, Debug)]
+pub struct Rule {
+    pub name: &'static str,
+    pub importance: f64,
+    /// Seconds; the first grows by the second for each second of the txn's own sending time.
+    pub sla: f64,
+    pub stretch: f64,
+    pub limit: f64,
+    pub write: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Served,
+    Rejected,
+    Aborted,
+    /// Nothing came by its time limit and what is allowed on top.
+    Unanswered,
+}
+
+struct Count {
+    asked: u64,
+    in_time: u64,
+    late: u64,
+    rejected: u64,
+    aborted: u64,
+    unanswered: u64,
+    took: Histogram<u64>,
+    told_off: Histogram<u64>,
+}
+
+/// Microseconds; the longest is well above any time limit.
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 120_000_000, 3).expect("bounds that the library takes")
+}
+
+#[derive(Clone, Copy, Debug, Default, Serialize, PartialEq)]
+pub struct Second {
+    pub asked: f64,
+    pub served: f64,
+}
+
+/// Each has to stay 0.
+#[derive(Clone, Debug, Default, Serialize, PartialEq)]
+pub struct Broken {
+    pub ran_twice: u64,
+    pub ran_though_rejected: u64,
+    pub served_though_never_run: u64,
+    pub unanswered: u64,
+    pub answered_late: u64,
+    pub answered_twice: u64,
+    pub stale: u64,
+    pub damaged: u64,
+}
+
+impl Broken {
+    pub fn any(&self) -> bool {
+        *self != Broken::default()
+    }
+
+    fn all(&self) -> [(&'static str, u64); 8] {
+        [
+            ("book run twice", self.ran_twice),
+            ("book run though rejected", self.ran_though_rejected),
+            ("book served though never run", self.served_though_never_run),
+            ("unanswered at the time limit", self.unanswered),
+            ("answered after it", self.answered_late),
+            ("answered twice", self.answered_twice),
+            ("older than a purge", self.stale),
+            ("bytes of no copy", self.damaged),
+        ]
+    }
+}
+
+pub struct Report {
+    rules: Vec<Rule>,
+    counts: Vec<Count>,
+    seconds: Vec<Second>,
+    /// Ends of writes, by the client's id.
+    writes: BTreeMap<u64, End>,
+    pub broken: Broken,
+    pub bytes: u64,
+}
+
+impl Report {
+    pub fn new(rules: &[Rule]) -> Report {
+        let count = |_: &Rule| Count {
+            asked: 0,
+            in_time: 0,
+            late: 0,
+            rejected: 0,
+            aborted: 0,
+            unanswered: 0,
+            took: histogram(),
+            told_off: histogram(),
+        };
+        Report {
+            rules: rules.to_vec(),
+            counts: rules.iter().map(count).collect(),
+            seconds: Vec::new(),
+            writes: BTreeMap::new(),
+            broken: Broken::default(),
+            bytes: 0,
+        }
+    }
+
+    /// A txn asked at a second of the run, its end, and how long that took from its last byte. `sla` in seconds.
+    pub fn ended(&mut self, rule: usize, trace: u64, at: f64, sla: f64, end: End, took: f64) {
+        let (r, count) = (self.rules[rule], &mut self.counts[rule]);
+        count.asked += 1;
+        let micros = ((took * 1e6) as u64).clamp(1, 120_000_000);
+        let in_time = end == End::Served && took <= sla;
+        match end {
+            End::Served if in_time => count.in_time += 1,
+            End::Served => count.late += 1,
+            End::Rejected => count.rejected += 1,
+            End::Aborted => count.aborted += 1,
+            End::Unanswered => {
+                count.unanswered += 1;
+                self.broken.unanswered += 1;
+            }
+        }
+        // Both lie within the bounds.
+        match end {
+            End::Served => count.took.saturating_record(micros),
+            End::Rejected | End::Aborted => count.told_off.saturating_record(micros),
+            End::Unanswered => {}
+        }
+        if r.write {
+            self.writes.insert(trace, end);
+        }
+        let second = at.max(0.0) as usize;
+        if self.seconds.len() <= second {
+            self.seconds.resize(second + 1, Second::default());
+        }
+        self.seconds[second].asked += r.importance;
+        self.seconds[second].served += if in_time { r.importance } else { 0.0 };
+    }
+
+    /// How often each write ran, as the central store counted it.
+    pub fn ran(&mut self, counted: &BTreeMap<u64, u32>) {
+        self.broken.ran_twice = counted.values().filter(|n| **n > 1).count() as u64;
+        let ran = |trace: &u64| counted.contains_key(trace);
+        for (trace, end) in &self.writes {
+            self.broken.ran_though_rejected += u64::from(*end == End::Rejected && ran(trace));
+            self.broken.served_though_never_run += u64::from(*end == End::Served && !ran(trace));
+        }
+    }
+
+    /// The share of importance served in time, of what was asked from one second to another.
+    pub fn share(&self, from: usize, to: usize) -> f64 {
+        let part = &self.seconds[from.min(self.seconds.len())..to.min(self.seconds.len())];
+        let sum = |of: fn(&Second) -> f64| part.iter().map(of).sum::<f64>();
+        sum(|s| s.served) / sum(|s| s.asked).max(1e-9)
+    }
+
+    /// Seconds after `from` until the share over three of them is `part` of `before`; `None` if it never is.
+    pub fn back_after(&self, from: usize, before: f64, part: f64) -> Option<usize> {
+        (from..self.seconds.len().saturating_sub(3))
+            .find(|&s| self.share(s, s + 3) >= before * part)
+            .map(|s| s - from)
+    }
+
+    pub fn seconds(&self) -> &[Second] {
+        &self.seconds
+    }
+
+    fn row(&self, i: usize) -> Value {
+        let (r, c) = (&self.rules[i], &self.counts[i]);
+        let ms = |h: &Histogram<u64>, q: f64| {
+            if h.is_empty() { None } else { Some(h.value_at_quantile(q) as f64 / 1e3) }
+        };
+        json!({
+            "rule": r.name, "asked": c.asked, "in_time": c.in_time, "late": c.late, "rejected": c.rejected,
+            "aborted": c.aborted, "unanswered": c.unanswered,
+            "p50_ms": ms(&c.took, 0.5), "p90_ms": ms(&c.took, 0.9), "p99_ms": ms(&c.took, 0.99),
+            "told_off_p50_ms": ms(&c.told_off, 0.5), "told_off_p99_ms": ms(&c.told_off, 0.99),
+        })
+    }
+
+    pub fn json(&self) -> Value {
+        let rules: Vec<Value> = (0..self.rules.len()).map(|i| self.row(i)).collect();
+        json!({
+            "rules": rules, "broken": self.broken, "served_in_time": self.share(0, self.seconds.len()),
+            "goodput_kb_per_s": self.bytes as f64 / 1024.0 / (self.seconds.len().max(1) as f64),
+            "seconds": self.seconds,
+        })
+    }
+
+    pub fn table(&self) -> String {
+        let mut out = String::from(
+            "rule      asked in time   late rejected aborted unanswered |  p50 ms  p90 ms  p99 ms | told off p50, p99 ms\n",
+        );
+        for i in 0..self.rules.len() {
+            let row = self.row(i);
+            let n = |name: &str| row[name].as_u64().unwrap_or(0);
+            let ms = |name: &str| row[name].as_f64().map_or("-".to_owned(), |ms| format!("{ms:.0}"));
+            out.push_str(&format!(
+                "{:8} {:>6} {:>7} {:>6} {:>8} {:>7} {:>10} | {:>7} {:>7} {:>7} | {:>7} {:>7}\n",
+                self.rules[i].name,
+                n("asked"),
+                n("in_time"),
+                n("late"),
+                n("rejected"),
+                n("aborted"),
+                n("unanswered"),
+                ms("p50_ms"),
+                ms("p90_ms"),
+                ms("p99_ms"),
+                ms("told_off_p50_ms"),
+                ms("told_off_p99_ms"),
+            ));
+        }
+        let (share, rate) = (self.share(0, self.seconds.len()), self.bytes as f64 / 1024.0);
+        let rate = rate / self.seconds.len().max(1) as f64;
+        out.push_str(&format!("importance served in time {share:.3}, {rate:.0} KB/s\n"));
+        for (what, n) in self.broken.all() {
+            out.push_str(&format!("{:30} {n}{}\n", what, if n > 0 { "  BROKEN" } else { "" }));
+        }
+        out
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const RULES: [Rule; 2] = [
+        Rule { name: "media", importance: 2.0, sla: 0.5, stretch: 1.0, limit: 6.0, write: false },
+        Rule { name: "book", importance: 3.0, sla: 0.8, stretch: 0.0, limit: 3.0, write: true },
+    ];
+
+    #[test]
+    fn each_rule_that_is_broken_is_seen() {
+        let mut report = Report::new(&RULES);
+        for (trace, end) in [(1, End::Served), (2, End::Rejected), (3, End::Aborted), (4, End::Served)] {
+            report.ended(1, trace, 0.5, 0.8, end, 0.1);
+        }
+        report.ran(&BTreeMap::from([(1, 1), (3, 1), (4, 1)]));
+        assert!(!report.broken.any());
+        report.ran(&BTreeMap::from([(1, 2), (2, 1)]));
+        let b = &report.broken;
+        assert_eq!((b.ran_twice, b.ran_though_rejected, b.served_though_never_run), (1, 1, 1));
+        report.ended(0, 5, 0.5, 0.5, End::Unanswered, 6.1);
+        assert_eq!(report.broken.unanswered, 1);
+        assert_eq!(report.table().matches("BROKEN").count(), 4);
+    }
+
+    #[test]
+    fn shares_go_by_importance_and_by_the_second_of_asking() {
+        let mut report = Report::new(&RULES);
+        for second in 0..10 {
+            let at = f64::from(second);
+            let gone = (3..6).contains(&second);
+            report.ended(0, 0, at, 0.5, if gone { End::Rejected } else { End::Served }, 0.4);
+            report.ended(1, second as u64, at, 0.8, End::Served, if second == 9 { 0.9 } else { 0.2 });
+        }
+        assert!((report.share(0, 3) - 1.0).abs() < 1e-9 && (report.share(3, 6) - 0.6).abs() < 1e-9);
+        assert!((report.share(9, 10) - 0.4).abs() < 1e-9);
+        assert_eq!(report.back_after(3, 1.0, 0.95), Some(3));
+        let rows = report.json();
+        assert_eq!(
+            (rows["rules"][0]["rejected"].as_u64(), rows["rules"][1]["late"].as_u64()),
+            (Some(3), Some(1))
+        );
+    }
+}
--- a/sites/src/far.rs
+++ b/sites/src/far.rs
@@ -70,6 +70,10 @@
     HangUp {
         call: Call,
     },
+    /// It will not run: its request is of no use.
+    Forget {
+        call: Call,
+    },
     Leaving {
         session: SessionId,
     },
@@ -311,6 +315,7 @@
 
     /// A call that was not given to the host ends as not run.
     fn refuse(&mut self, now: Time, call: Call) {
+        self.todo.push_back(Do::Forget { call });
         let ending = Ending::Rejected { come_back: None };
         self.ended(now, call, &Arc::new(Answer { ending, body: Vec::new() }));
     }
--- a/sites/src/near.rs
+++ b/sites/src/near.rs
@@ -10,7 +10,7 @@
 use crate::queue::{Queue, Waiting};
 use crate::rtt::RoundTrip;
 use crate::settings::{Limits, Sites};
-use crate::wire::Fate;
+use crate::wire::{Fate, MOST_ANSWER};
 use kelpcart::{Span, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -33,6 +33,8 @@
 const MOST_PINGS: usize = 16;
 /// The part by which the mean of what answers take follows.
 const FOLLOWS: f64 = 0.125;
+/// An answer is held to be of so many bytes before the first has come.
+const FIRST_ANSWER: f64 = 16.0 * 1024.0;
 const SETTLES: Span = Span::from_millis(500);
 /// Numbers in one question.
 const MOST_ASKED: usize = 256;
@@ -112,8 +114,10 @@
     pub importance: u8,
     /// It must not run twice.
     pub once: bool,
-    /// What it puts on the link, answer included.
-    pub bytes: f64,
+    /// The size that the txn tells, in KB.
+    pub need: Option<f64>,
+    /// Bytes of its request's body.
+    pub body: usize,
     pub until: Time,
     /// The sites it has crossed before this one.
     pub path: &'a [String],
@@ -135,6 +139,7 @@
 struct Hop {
     link: usize,
     once: bool,
+    need: Option<f64>,
     bytes: f64,
     until: Time,
     /// When it ends if nothing else ends it: at its time, or as soon as it can't cross and be answered in it.
@@ -213,6 +218,9 @@
     once: BTreeSet<u64>,
     next: u64,
     pings: u64,
+    /// Bytes of an answer for each KB that its txn told, and of any answer.
+    per_kb: f64,
+    mean: f64,
     next_settle: Time,
     acts: VecDeque<Act>,
 }
@@ -250,6 +258,8 @@
             once: BTreeSet::new(),
             next: 1,
             pings: 0,
+            per_kb: 1_024.0,
+            mean: FIRST_ANSWER,
             next_settle: now + SETTLES,
             acts: VecDeque::new(),
         }
@@ -264,13 +274,15 @@
     pub fn hop(&mut self, now: Time, link: usize, want: &Want) -> u64 {
         let number = self.next;
         self.next += 1;
+        let bytes = self.expects(want);
         let l = &mut self.links[link];
         let before = Span::from_millis(self.limits.answer_before_ms);
         let until = want.until.back(before);
         let hop = Hop {
             link,
             once: want.once,
-            bytes: want.bytes,
+            need: want.need,
+            bytes,
             until,
             due: until,
             state: State::Queued,
@@ -292,7 +304,7 @@
             // answered in its time is told at once, and what waits is let go as soon as that shows.
             let ahead = l.queue.ahead(want.importance) + l.pace.out();
             let needs = l.answers().max(l.rtt.smooth());
-            let waits = l.pace.crossing(ahead, want.bytes).max(l.waits());
+            let waits = l.pace.crossing(ahead, bytes).max(l.waits());
             if now + needs + waits >= until {
                 self.end(number, End::Full);
             } else {
@@ -300,7 +312,7 @@
                 let due = until.back(needs).max(now);
                 self.by_time.insert((due, number));
                 _ = self.hops.get_mut(&number).map(|hop| hop.due = due);
-                let one = Waiting { number, importance: want.importance, bytes: want.bytes };
+                let one = Waiting { number, importance: want.importance, bytes };
                 let gone = l.queue.push(one);
                 gone.into_iter().for_each(|number| self.end(number, End::Full));
                 self.pump(now, link);
@@ -309,6 +321,12 @@
         number
     }
 
+    /// What it puts on the link, answer included: by its told size and what such sizes came to of late, else the mean.
+    fn expects(&self, want: &Want) -> f64 {
+        let answer = want.need.map_or(self.mean, |kb| kb * self.per_kb);
+        answer.min(MOST_ANSWER as f64) + want.body as f64 + REQUEST
+    }
+
     /// Takes a hop out of all tables and tells its end: from here on it can't end again.
     fn end(&mut self, number: u64, end: End) {
         if self.forget(number).is_some() {
@@ -398,6 +416,12 @@
     /// Its answer has come whole, `bytes` of it. The host has it.
     pub fn answered(&mut self, now: Time, link: usize, number: u64, bytes: f64) {
         self.heard(now, link);
+        if let Some(hop) = self.hops.get(&number) {
+            self.mean += (bytes - self.mean) * FOLLOWS;
+            if let Some(kb) = hop.need.filter(|kb| *kb > 0.0 && bytes > 0.0) {
+                self.per_kb += (bytes / kb - self.per_kb) * FOLLOWS;
+            }
+        }
         self.arrived(now, number, Some(bytes));
         self.end(number, End::Answered);
         self.pump(now, link);
@@ -542,7 +566,7 @@
         for number in sent {
             let Some(hop) = self.hops.get_mut(&number) else { continue };
             hop.mark = None;
-            if hop.once {
+            if hop.once && self.limits.ask {
                 hop.state = State::Doubt;
             } else {
                 // The module sends a repeatable one elsewhere at once, which beats asking.
--- a/sites/src/settings.rs
+++ b/sites/src/settings.rs
@@ -79,6 +79,8 @@
     pub taken: usize,
     /// Sessions of other gateways.
     pub sessions: usize,
+    /// Far gateways are asked about hops in doubt; without it each of those is lost.
+    pub ask: bool,
     /// Sites that a txn may cross, its first included.
     pub sites: usize,
     /// An idle link is asked for a sign of life this often.
@@ -100,6 +102,7 @@
             queue_kb: 4_096,
             taken: 1_024,
             sessions: 64,
+            ask: true,
             sites: 3,
             idle_ping_ms: 1_000,
             answer_before_ms: 30,
--- a/sites/tests/cases.rs
+++ b/sites/tests/cases.rs
@@ -55,7 +55,7 @@
 }
 
 fn want(once: bool, until: u64) -> Want<'static> {
-    Want { importance: 5, once, bytes: 1_000.0, until: at(until), path: &[] }
+    Want { importance: 5, once, need: Some(1.0), body: 0, until: at(until), path: &[] }
 }
 
 fn ends(all: &[Act]) -> Vec<(u64, End)> {
@@ -241,7 +241,7 @@
 fn a_book_goes_before_fifty_megabytes_that_wait() {
     let mut near = near();
     for _ in 0..200 {
-        near.hop(at(100), 0, &Want { bytes: 250_000.0, importance: 2, ..want(false, 60_000) });
+        near.hop(at(100), 0, &Want { need: Some(250_000.0 / 1_024.0), importance: 2, ..want(false, 60_000) });
     }
     let before = sent(&acts(&mut near, 100));
     assert!((1..10).contains(&before.len()), "{}", before.len());
@@ -257,16 +257,17 @@
     // 1 MB/s: 100 KB each 100 ms.
     let mut now = 200;
     for _ in 0..30 {
-        let number = near.hop(at(now), 0, &Want { bytes: 100_000.0, ..want(false, now + 5_000) });
+        let number =
+            near.hop(at(now), 0, &Want { need: Some(100_000.0 / 1_024.0), ..want(false, now + 5_000) });
         assert_eq!(sent(&acts(&mut near, now)), [number]);
         now += 100;
         near.answered(at(now), 0, number, 100_000.0);
         assert_eq!(ends(&acts(&mut near, now)), [(number, End::Answered)]);
     }
-    let big = near.hop(at(now), 0, &Want { bytes: 5_000_000.0, ..want(false, now + 2_000) });
+    let big = near.hop(at(now), 0, &Want { need: Some(5_000_000.0 / 1_024.0), ..want(false, now + 2_000) });
     let all = acts(&mut near, now);
     assert_eq!((sent(&all), ends(&all)), (vec![], vec![(big, End::Full)]));
-    let fits = near.hop(at(now), 0, &Want { bytes: 100_000.0, ..want(false, now + 2_000) });
+    let fits = near.hop(at(now), 0, &Want { need: Some(100_000.0 / 1_024.0), ..want(false, now + 2_000) });
     assert_eq!(sent(&acts(&mut near, now)), [fits]);
 }
 
--- a/sites/tests/model.rs
+++ b/sites/tests/model.rs
@@ -215,8 +215,8 @@
         let once = self.rng.random_bool(0.7);
         let until = self.now + Span::from_millis(self.rng.random_range(50..1_500));
         let path = if self.rng.random_bool(0.03) { vec!["west".to_owned()] } else { Vec::new() };
-        let (importance, bytes) = (self.rng.random_range(0..9), self.rng.random_range(100.0..50_000.0));
-        let want = Want { importance, once, bytes, until, path: &path };
+        let (importance, need) = (self.rng.random_range(0..9), Some(self.rng.random_range(0.1..50.0)));
+        let want = Want { importance, once, need, body: 10, until, path: &path };
         let number = self.nears[i].core.hop(self.now, link, &want);
         let known = Known { once, until, ..Known::default() };
         self.known.insert((self.nears[i].run, number), known);
@@ -587,6 +587,7 @@
             }
             Do::Turn { session, number, why } => self.back(session, Msg::Turned { number, why }),
             Do::Say { session, number, fate } => self.back(session, Msg::Found { number, fate }),
+            Do::Forget { call } => _ = self.fars[far].requests.remove(&call).unwrap(),
             Do::HangUp { call } => self.end_call(far, call),
             Do::Leaving { session } => self.back(session, Msg::Leaving),
             Do::Write { mark, changes } => self.fars[far].unwritten.push_back((mark, changes)),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -736,7 +736,9 @@
             self.book.caches[origin].carry(now, load);
         }
         let due = now + sla * OVERDUE;
-        let (sent, cancelled, sized) = (now, false, open.txn.size.is_some());
+        // Over a link the round trip is the most of it: that is no pace of sending.
+        let far = self.book.caches[member].m.far;
+        let (sent, cancelled, sized) = (now, false, open.txn.size.is_some() && !far);
         let hop =
             Hop { sized, member, source, sent, due, sla, sending, load, fill_load, to_origin, cancelled };
         self.book.hops.insert(key, hop);
