Links go by delay: own congestion control, a window by pace, waits bounded by the SLA time

Need: at 80 ms each way and 2% loss QUIC's usual controls left most media late, and txns waited at the near end until their limit was near. Change: delay.rs, a control by the standing queue that takes light loss for the link's nature; the window grows by what is delivered in the quickest answer's time; what can't be in time is told off at once; KB and pace among the counters. A rate kept after the link was free again, and one that counted what was on its way twice, made rejections feed themselves; both are gone.

--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -34,6 +34,8 @@
     name: Rc<str>,
     write: bool,
     once: bool,
+    /// The SLA time, and by what multiple of the txn's own sending time it grows.
+    sla: (Span, f64),
 }
 
 struct Open {
@@ -41,6 +43,8 @@
     id: u64,
     rule: usize,
     ask: Rc<Ask>,
+    /// When its SLA time is over.
+    wanted: Time,
     limit: Time,
     hops: u32,
 }
@@ -71,6 +75,8 @@
     out: BTreeMap<(TxnId, u32), Out>,
     next: TxnId,
     rules: Vec<Rule>,
+    /// KB a second of one transfer to a client; zero where it is not told.
+    pace: f64,
     max_hops: u32,
     most_open: usize,
     /// Bytes of the bodies of open writes, and their bound.
@@ -94,10 +100,12 @@
             name: Rc::from(name.as_str()),
             write: r.write,
             once: r.effect != Effect::Repeatable,
+            sla: (r.sla, r.sla_stretch),
         };
         let rules = config.names.rules.iter().zip(&set.rules).map(rule);
         let mut desk = Desk {
             rules: rules.collect(),
+            pace: set.client_pace,
             max_hops: set.max_hops,
             most_open: config.most_open,
             held: 0,
@@ -240,10 +248,13 @@
         let limit = at + Span::from_millis(ask.timeout_ms.into()).min(self.most_wait);
         let (object, group, part, size) = (ask.object, ask.group.into(), ask.part, ask.need);
         let (left, oldest) = (limit - now, ask.oldest);
+        let sending = ask.need.filter(|_| self.pace > 0.0).map_or(0.0, |kb| kb / self.pace);
+        let (sla, stretch) = self.rules[rule].sla;
+        let wanted = at + sla + Span::from_secs_f64(sending * stretch);
         self.held += ask.body.len();
         self.by_message.insert((client.key(), id), txn);
         self.by_req.insert((ask.trace, txn));
-        self.open.insert(txn, Open { client, id, rule, ask: Rc::from(ask), limit, hops: 0 });
+        self.open.insert(txn, Open { client, id, rule, ask: Rc::from(ask), wanted, limit, hops: 0 });
         self.gateway.txn(now, Txn { id: txn, rule, object, group, part, write, size, left, oldest });
     }
 
@@ -345,12 +356,14 @@
         let hop = open.hops;
         open.hops += 1;
         let until = limit.min(open.limit);
-        let Rule { name: rule, write, once } = self.rules[open.rule].clone();
+        let Rule { name: rule, write, once, .. } = self.rules[open.rule].clone();
         log::trace!(
             "txn {txn} hop {hop} to {member} by {rule}, filled from {:?}",
             fill.as_ref().map(|f| &*f.source)
         );
-        let job = Job { member: member.clone(), until, rule, write, once, ask: Rc::clone(&open.ask), fill };
+        let wanted = open.wanted;
+        let job =
+            Job { member: member.clone(), until, wanted, rule, write, once, ask: Rc::clone(&open.ask), fill };
         let mut task = None;
         if hop >= self.max_hops || until <= now {
             self.own.push_back((txn, hop, End::LateUnsent));
--- a/gateway/src/seam.rs
+++ b/gateway/src/seam.rs
@@ -82,6 +82,8 @@
 pub struct Job {
     pub member: MemberId,
     pub until: Time,
+    /// When the txn's SLA time is over.
+    pub wanted: Time,
     pub rule: Rc<str>,
     pub write: bool,
     /// It must not run twice.
--- a/gateway/src/sites/far.rs
+++ b/gateway/src/sites/far.rs
@@ -27,6 +27,9 @@
 /// A refused gateway gets this long to read why.
 const REFUSED: Span = Span::from_millis(200);
 
+/// Above all importances.
+const CONTROL: i32 = 100;
+
 struct Session {
     connection: Connection,
     control: Sender<Frame>,
@@ -300,6 +303,8 @@
                 return;
             }
         };
+        // Signs of life and answers to questions go before all else.
+        _ = send.set_priority(CONTROL);
         let (control, frames) = async_channel::unbounded();
         let of = Rc::new(Session { connection: connection.clone(), control, greeted: Cell::new(false) });
         self.sessions.borrow_mut().insert(session, Rc::clone(&of));
--- a/gateway/src/sites/near.rs
+++ b/gateway/src/sites/near.rs
@@ -134,6 +134,7 @@
             need: job.ask.need.filter(|_| !job.write),
             body: if job.write { job.ask.body.len() } else { 0 },
             until: job.until,
+            wanted: job.wanted,
             path: &job.ask.path,
         };
         let number = self.core.borrow_mut().hop(self.means.clock.now(), link, &want);
@@ -374,6 +375,8 @@
         let keys = self.keys.borrow().clone();
         let connection = self.endpoint.dial(&keys, peer.address, &peer.site).await?;
         let (mut send, mut recv) = connection.open_bi().await.map_err(|e| e.to_string())?;
+        // It fails only on a stream that has ended.
+        _ = send.set_priority(100);
         let hello = Said::Hello(wire::Hello {
             version: wire::VERSION,
             site: self.file.site.clone(),
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::caches::Place;
 use serde_json::{Value, json};
-use std::io::{self, BufRead, BufReader};
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -111,8 +111,12 @@
         };
         let log: Arc<Mutex<Vec<String>>> = Arc::default();
         let lines = Arc::clone(&log);
+        let path = folder.join(format!("{name}.log"));
+        let mut file = std::fs::OpenOptions::new().create(true).append(true).open(path)?;
         thread::spawn(move || {
             for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                // Without it the last lines are still at hand.
+                _ = writeln!(file, "{line}");
                 let mut all = lines.lock().unwrap();
                 if all.len() >= MOST_LINES {
                     all.remove(0);
--- /dev/null
+++ b/sites/src/delay.rs
@@ -0,0 +1,238 @@
+//! How much a connection may have in flight, by delay: grows while the round trip stays near its least, shrinks as a
+//! queue builds up before the narrowest place, and takes loss for the link's nature until it is heavy. For links that an
+//! installation has to itself; beside flows that go by loss it yields. No I/O and no clock.
+//!
+//! Sources: LEDBAT (RFC 6817: a target for the queueing delay, the base delay as a windowed least), Copa (Arun and
+//! Balakrishnan, NSDI 2018: the standing round trip as the least of the last one, which jitter does not move), and
+//! RFC 9002 section 7 (persistent congestion, the least window).
+
+use kelpcart::{Span, Time};
+use std::collections::VecDeque;
+
+/// The least round trip counts for this long.
+const BASE: Span = Span::from_millis(10_000);
+/// The queue that is let stand: the greater of these, the second of the base.
+const TARGET: Span = Span::from_millis(15);
+const TARGET_PART: f64 = 0.125;
+/// A round trip's growth at the start and later, in full while there is no queue.
+const START: f64 = 2.0;
+const GAIN: f64 = 0.25;
+/// A round's window is never cut by more.
+const LEAST_KEPT: f64 = 0.7;
+/// From this part on, loss is taken for a queue that runs over; of at least so many packets.
+const HEAVY_LOSS: f64 = 0.2;
+const HEAVY_PACKETS: f64 = 8.0;
+/// Packets in flight, at first and at the least; bytes at the most.
+const FIRST_PACKETS: f64 = 32.0;
+const LEAST_PACKETS: f64 = 4.0;
+const MOST: f64 = 16.0 * 1024.0 * 1024.0;
+
+/// The least of the samples in a span.
+#[derive(Clone, Debug, Default)]
+struct Least {
+    /// Oldest first, each less than all behind it.
+    all: VecDeque<(Time, Span)>,
+}
+
+impl Least {
+    fn add(&mut self, now: Time, sample: Span, within: Span) {
+        while self.all.back().is_some_and(|b| b.1 >= sample) {
+            self.all.pop_back();
+        }
+        self.all.push_back((now, sample));
+        while self.all.len() > 1 && now - self.all[0].0 > within {
+            self.all.pop_front();
+        }
+    }
+
+    fn get(&self) -> Option<Span> {
+        self.all.front().map(|f| f.1)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Delay {
+    window: f64,
+    packet: f64,
+    base: Least,
+    /// Of this round.
+    least: Option<Span>,
+    acked: f64,
+    filled: f64,
+    lost: f64,
+    /// The round ends with the first packet that was sent after this.
+    round: Time,
+    starting: bool,
+}
+
+impl Delay {
+    pub fn new(now: Time, packet: u16) -> Delay {
+        let packet = f64::from(packet);
+        Delay {
+            window: packet * FIRST_PACKETS,
+            packet,
+            base: Least::default(),
+            least: None,
+            acked: 0.0,
+            filled: 0.0,
+            lost: 0.0,
+            round: now,
+            starting: true,
+        }
+    }
+
+    /// Bytes that may be in flight.
+    pub fn window(&self) -> f64 {
+        self.window
+    }
+
+    pub fn packet(&mut self, bytes: u16) {
+        self.packet = f64::from(bytes);
+        self.window = self.window.max(self.packet * LEAST_PACKETS);
+    }
+
+    /// A packet has arrived. `limited`: there was nothing more to send when it was.
+    pub fn acked(&mut self, now: Time, sent: Time, bytes: f64, limited: bool) {
+        let sample = now - sent;
+        self.base.add(now, sample, BASE);
+        self.least = Some(self.least.map_or(sample, |least| least.min(sample)));
+        self.acked += bytes;
+        self.filled += if limited { 0.0 } else { bytes };
+        if sent >= self.round {
+            self.end_round(now);
+        }
+    }
+
+    pub fn lost(&mut self, bytes: f64, persistent: bool) {
+        self.lost += bytes;
+        if persistent {
+            // Nothing at all got through: what is known of the link may be wrong.
+            self.window = self.packet * LEAST_PACKETS;
+            (self.starting, self.base) = (true, Least::default());
+        }
+    }
+
+    fn end_round(&mut self, now: Time) {
+        let (base, standing) = (self.base.get().unwrap_or_default(), self.least.take().unwrap_or_default());
+        let queue = Span::from_micros(standing.as_micros().saturating_sub(base.as_micros()));
+        let target = TARGET.max(base * TARGET_PART);
+        let loss = self.lost / (self.acked + self.lost).max(1.0);
+        let heavy = loss > HEAVY_LOSS && self.lost > HEAVY_PACKETS * self.packet;
+        if queue > target || heavy {
+            self.starting = false;
+            let over = (queue / target - 1.0).max(0.0) * (target / (base + queue));
+            let kept = if heavy { 1.0 - loss / 2.0 } else { 1.0 - over };
+            self.window *= kept.max(LEAST_KEPT);
+        } else if self.filled * 2.0 >= self.acked {
+            let room = 1.0 - queue / target;
+            let grown = if self.starting { START } else { 1.0 + GAIN * room };
+            self.window = self.window * grown + if self.starting { 0.0 } else { self.packet * room };
+        }
+        self.window = self.window.clamp(self.packet * LEAST_PACKETS, MOST);
+        (self.acked, self.filled, self.lost, self.round) = (0.0, 0.0, 0.0, now);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::{Rng, SeedableRng};
+    use rand_pcg::Pcg64Mcg;
+
+    const PACKET: f64 = 1_200.0;
+
+    struct Link {
+        /// Bytes a second, seconds of round trip and jitter, part lost, bytes that wait.
+        rate: f64,
+        trip: f64,
+        jitter: f64,
+        loss: f64,
+        queue: f64,
+    }
+
+    fn at(secs: f64) -> Time {
+        Time::from_micros((secs * 1e6) as u64 + 1)
+    }
+
+    /// A sender with always more to send; gives the part of the rate that arrived and the mean queue in seconds, both
+    /// of the second half.
+    fn run(delay: &mut Delay, link: &Link, from: f64, secs: f64) -> (f64, f64) {
+        let mut rng = Pcg64Mcg::seed_from_u64(7);
+        let (mut now, mut free, mut in_flight, mut last) = (from, from, 0.0, 0.0_f64);
+        let mut out = VecDeque::new();
+        let (mut arrived, mut waited, mut n) = (0.0, 0.0, 0.0);
+        while now < from + secs {
+            while in_flight + PACKET <= delay.window() {
+                in_flight += PACKET;
+                let waits = (free - now).max(0.0);
+                let fits = waits * link.rate <= link.queue;
+                if fits {
+                    free = free.max(now) + PACKET / link.rate;
+                }
+                let passes = fits && !rng.random_bool(link.loss);
+                let due = free.max(now) + link.trip + rng.random_range(0.0..link.jitter + 1e-9);
+                last = last.max(due);
+                out.push_back((last, now, passes));
+                if now > from + secs / 2.0 {
+                    (waited, n) = (waited + waits, n + 1.0);
+                }
+            }
+            let Some((due, sent, passes)) = out.pop_front() else { break };
+            now = now.max(due);
+            in_flight -= PACKET;
+            if passes {
+                delay.acked(at(now), at(sent), PACKET, false);
+                arrived += if now > from + secs / 2.0 { PACKET } else { 0.0 };
+            } else {
+                delay.lost(PACKET, false);
+            }
+        }
+        (arrived / link.rate / (secs / 2.0), waited / f64::max(n, 1.0))
+    }
+
+    #[test]
+    fn loss_and_jitter_cost_little_of_a_link_and_the_queue_stays_short() {
+        for (loss, least) in [(0.0, 0.9), (0.02, 0.88), (0.1, 0.8)] {
+            let link = Link { rate: 2e6, trip: 0.16, jitter: 0.02, loss, queue: 1e6 };
+            let mut delay = Delay::new(at(0.0), PACKET as u16);
+            let (part, queue) = run(&mut delay, &link, 0.0, 40.0);
+            assert!(part >= least && part <= 1.01, "{loss}: {part}");
+            assert!(queue < 0.08, "{loss}: {queue}");
+        }
+    }
+
+    #[test]
+    fn it_follows_a_link_that_narrows_and_widens() {
+        let mut delay = Delay::new(at(0.0), PACKET as u16);
+        let wide = Link { rate: 4e6, trip: 0.1, jitter: 0.01, loss: 0.01, queue: 1e6 };
+        let narrow = Link { rate: 0.4e6, ..wide };
+        run(&mut delay, &wide, 0.0, 20.0);
+        let (part, queue) = run(&mut delay, &narrow, 20.0, 20.0);
+        assert!(part > 0.85 && queue < 0.1, "{part} {queue}");
+        let (part, _) = run(&mut delay, &wide, 40.0, 30.0);
+        assert!(part > 0.8, "{part}");
+    }
+
+    #[test]
+    fn a_queue_too_short_to_be_seen_is_told_by_its_heavy_loss() {
+        let link = Link { rate: 1e6, trip: 0.1, jitter: 0.0, loss: 0.0, queue: 6_000.0 };
+        let mut delay = Delay::new(at(0.0), PACKET as u16);
+        let (part, _) = run(&mut delay, &link, 0.0, 40.0);
+        assert!(part > 0.7, "{part}");
+        // A quarter in flight beyond what the link holds at the most.
+        assert!(delay.window() < 1.6 * 1e6 * 0.106, "{}", delay.window());
+    }
+
+    #[test]
+    fn one_that_asks_for_little_keeps_its_window_and_a_dead_link_starts_anew() {
+        let mut delay = Delay::new(at(0.0), 1_200);
+        let before = delay.window();
+        for i in 0..100 {
+            let now = f64::from(i);
+            delay.acked(at(now + 0.1), at(now), 1_200.0, true);
+        }
+        assert!((delay.window() - before).abs() < 1.0);
+        delay.lost(1_200.0, true);
+        assert!((delay.window() - 4_800.0).abs() < 1.0);
+    }
+}
--- a/sites/src/near.rs
+++ b/sites/src/near.rs
@@ -119,6 +119,8 @@
     /// Bytes of its request's body.
     pub body: usize,
     pub until: Time,
+    /// When its SLA time is over.
+    pub wanted: Time,
     /// The sites it has crossed before this one.
     pub path: &'a [String],
 }
@@ -219,7 +221,7 @@
     next: u64,
     pings: u64,
     /// Bytes of an answer for each KB that its txn told, and of any answer.
-    per_kb: f64,
+    per_kb: Option<f64>,
     mean: f64,
     next_settle: Time,
     acts: VecDeque<Act>,
@@ -258,7 +260,7 @@
             once: BTreeSet::new(),
             next: 1,
             pings: 0,
-            per_kb: 1_024.0,
+            per_kb: None,
             mean: FIRST_ANSWER,
             next_settle: now + SETTLES,
             acts: VecDeque::new(),
@@ -302,13 +304,16 @@
         } else {
             // Guards the far end and the client's time against txns that would only fill the link: what can't be
             // answered in its time is told at once, and what waits is let go as soon as that shows.
-            let ahead = l.queue.ahead(want.importance) + l.pace.out();
-            let needs = l.answers().max(l.rtt.smooth());
-            let waits = l.pace.crossing(ahead, bytes).max(l.waits());
+            let ahead = l.queue.ahead(want.importance);
+            let needs = l.pace.quickest().max(l.rtt.smooth());
+            let waits = l.pace.waits(ahead, bytes).max(l.waits());
+            // Where it could be in time, it does not wait longer than that; where it never could, its time limit
+            // counts.
+            let until = if now + needs < want.wanted { until.min(want.wanted) } else { until };
             if now + needs + waits >= until {
                 self.end(number, End::Full);
             } else {
-                self.by_time.remove(&(until, number));
+                _ = self.hops.get(&number).map(|hop| self.by_time.remove(&(hop.due, number)));
                 let due = until.back(needs).max(now);
                 self.by_time.insert((due, number));
                 _ = self.hops.get_mut(&number).map(|hop| hop.due = due);
@@ -323,7 +328,7 @@
 
     /// What it puts on the link, answer included: by its told size and what such sizes came to of late, else the mean.
     fn expects(&self, want: &Want) -> f64 {
-        let answer = want.need.map_or(self.mean, |kb| kb * self.per_kb);
+        let answer = want.need.map_or(self.mean, |kb| kb * self.per_kb.unwrap_or(1_024.0));
         answer.min(MOST_ANSWER as f64) + want.body as f64 + REQUEST
     }
 
@@ -348,9 +353,14 @@
     fn pump(&mut self, now: Time, link: usize) {
         loop {
             let l = &mut self.links[link];
-            let Some(first) = l.queue.first() else { return };
-            let room = l.out.len() < l.allowed() && l.pace.has_room(first.bytes, l.rtt.least());
-            if l.phase != Phase::Up || !room {
+            let Some(first) = l.queue.first() else { return l.pace.block(now, false) };
+            let has_credit = l.out.len() < l.allowed();
+            let room = l.pace.has_room(first.bytes);
+            // One that goes meanwhile does not end it: more waits behind.
+            if !has_credit || !room {
+                l.pace.block(now, has_credit);
+            }
+            if l.phase != Phase::Up || !has_credit || !room {
                 return;
             }
             let Some(hop) = self.hops.get_mut(&first.number) else {
@@ -372,7 +382,7 @@
             hop.due = hop.until;
             self.by_time.insert((hop.due, first.number));
             hop.ledger = l.ledger.unwrap_or(0);
-            hop.mark = Some((l.pace.sent(now, hop.bytes, l.rtt.least()), now));
+            hop.mark = Some((l.pace.sent(now, hop.bytes), now));
             self.acts.push_back(Act::Send { link, number: first.number, left: far });
         }
     }
@@ -419,7 +429,8 @@
         if let Some(hop) = self.hops.get(&number) {
             self.mean += (bytes - self.mean) * FOLLOWS;
             if let Some(kb) = hop.need.filter(|kb| *kb > 0.0 && bytes > 0.0) {
-                self.per_kb += (bytes / kb - self.per_kb) * FOLLOWS;
+                let per_kb = self.per_kb.get_or_insert(bytes / kb);
+                *per_kb += (bytes / kb - *per_kb) * FOLLOWS;
             }
         }
         self.arrived(now, number, Some(bytes));
@@ -714,15 +725,21 @@
         }
     }
 
-    pub fn sizes(&self) -> [(&'static str, usize); 4] {
+    pub fn sizes(&self) -> [(&'static str, usize); 8] {
         let up = self.links.iter().filter(|l| l.phase == Phase::Up).count();
         let queued = self.links.iter().map(|l| l.queue.len()).sum();
         let doubt = self.hops.values().filter(|h| matches!(h.state, State::Doubt | State::Asked)).count();
+        let kb = |of: fn(&Link) -> f64| (self.links.iter().map(of).sum::<f64>() / 1024.0) as usize;
+        let round_trip = self.links.iter().map(|l| l.rtt.smooth()).max().unwrap_or_default();
         [
             ("links up", up),
             ("hops on links", self.hops.len()),
             ("hops queued", queued),
             ("hops in doubt", doubt),
+            ("KB on links", kb(|l| l.pace.out())),
+            ("KB that links may hold", kb(|l| l.pace.window())),
+            ("KB a second over links", kb(|l| l.pace.rate().unwrap_or(0.0))),
+            ("ms of the longest round trip", (round_trip.as_micros() / 1_000) as usize),
         ]
     }
 }
--- a/sites/src/quic.rs
+++ b/sites/src/quic.rs
@@ -2,16 +2,20 @@
 //! the thread of who drives it and starts none. Must never send early data (0-RTT, RFC 9001 section 9.2: it can be
 //! replayed), take a certificate of another site for a peer's, or hold more of a message than its bound.
 
+use crate::delay::Delay;
 use crate::settings::{Congestion, KeyFiles};
 use crate::wire::{self, Damaged, Said};
 use async_executor::Executor;
-use quinn::congestion::{BbrConfig, CubicConfig};
+use kelpcart::Time;
+use quinn::congestion::{BbrConfig, Controller, ControllerFactory, CubicConfig};
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use quinn::rustls::pki_types::pem::PemObject;
 use quinn::rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
 use quinn::rustls::server::WebPkiClientVerifier;
 use quinn::rustls::{self, RootCertStore};
 use quinn::{AsyncTimer, AsyncUdpSocket, Runtime, SmolRuntime, TransportConfig, VarInt};
+use quinn_proto::RttEstimator;
+use std::any::Any;
 use std::future::Future;
 use std::net::{SocketAddr, UdpSocket};
 use std::path::PathBuf;
@@ -117,12 +121,67 @@
     all.datagram_receive_buffer_size(None);
     all.max_idle_timeout(quinn::IdleTimeout::try_from(SILENT).ok());
     match congestion {
+        Congestion::Delay => all.congestion_controller_factory(Arc::new(ByDelay)),
         Congestion::Bbr => all.congestion_controller_factory(Arc::new(BbrConfig::default())),
         Congestion::Cubic => all.congestion_controller_factory(Arc::new(CubicConfig::default())),
     };
     all
 }
 
+/// `Delay` as quinn asks for it: its moments are counted from the connection's start.
+#[derive(Clone)]
+struct Controlled {
+    start: Instant,
+    delay: Delay,
+    first: u64,
+}
+
+struct ByDelay;
+
+impl ControllerFactory for ByDelay {
+    fn build(self: Arc<Self>, now: Instant, mtu: u16) -> Box<dyn Controller> {
+        let delay = Delay::new(Time::default(), mtu);
+        Box::new(Controlled { start: now, first: delay.window() as u64, delay })
+    }
+}
+
+impl Controlled {
+    fn time(&self, at: Instant) -> Time {
+        Time::from_micros(at.saturating_duration_since(self.start).as_micros() as u64)
+    }
+}
+
+impl Controller for Controlled {
+    fn on_ack(&mut self, now: Instant, sent: Instant, bytes: u64, limited: bool, _: &RttEstimator) {
+        let (now, sent) = (self.time(now), self.time(sent));
+        self.delay.acked(now, sent, bytes as f64, limited);
+    }
+
+    fn on_congestion_event(&mut self, _: Instant, _: Instant, persistent: bool, lost: u64) {
+        self.delay.lost(lost as f64, persistent);
+    }
+
+    fn on_mtu_update(&mut self, mtu: u16) {
+        self.delay.packet(mtu);
+    }
+
+    fn window(&self) -> u64 {
+        self.delay.window() as u64
+    }
+
+    fn clone_box(&self) -> Box<dyn Controller> {
+        Box::new(self.clone())
+    }
+
+    fn initial_window(&self) -> u64 {
+        self.first
+    }
+
+    fn into_any(self: Box<Self>) -> Box<dyn Any> {
+        self
+    }
+}
+
 /// Runs what quinn spawns on an executor of ours: no thread is started.
 struct Local(Arc<Executor<'static>>);
 
--- a/sites/src/settings.rs
+++ b/sites/src/settings.rs
@@ -147,8 +147,10 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, JsonSchema, PartialEq, Eq)]
 #[serde(rename_all = "lowercase")]
 pub enum Congestion {
-    /// Goes by the measured pace: loss alone does not slow it.
+    /// Goes by the queue that builds up: loss alone does not slow it. For links of one's own.
     #[default]
+    Delay,
+    /// Goes by the measured pace.
     Bbr,
     /// Goes by loss (RFC 9438).
     Cubic,
