What matters less and is on its way does not hold up what matters more at the near end

Need: books were told off behind media that a far sender would have let them overtake; link waits narrowed gates. Change: waits count only what matters as much; a link without room is no sign against the far site's gate.

--- a/gateway/src/end.rs
+++ b/gateway/src/end.rs
@@ -42,8 +42,10 @@
     Withdrawn,
     /// A link to another site is down or silent, or the gateway there leaves: nothing was sent.
     FarDown,
-    /// The link has no room, or it can't cross in its time: nothing was sent, or nothing of it has run.
+    /// The link has no room, or it can't cross in its time: nothing was sent.
     FarFull,
+    /// The gateway there has no room, or leaves: nothing of it has run.
+    FarTurned,
     /// It has crossed that site before, or too many.
     FarLoop,
     /// It was sent, and the gateway there says that it never ran and never will.
@@ -67,7 +69,7 @@
 }
 
 impl End {
-    pub const ALL: [End; 29] = [
+    pub const ALL: [End; 30] = [
         End::Whole,
         End::Current,
         End::Lacking,
@@ -87,6 +89,7 @@
         End::Withdrawn,
         End::FarDown,
         End::FarFull,
+        End::FarTurned,
         End::FarLoop,
         End::FarNever,
         End::FarLost,
@@ -104,7 +107,7 @@
         Some(match self {
             End::Whole | End::Current => HopEnd::Completed,
             End::Lacking => HopEnd::Lacking,
-            End::Full | End::FarFull | End::FarLoop | End::FarRejected | End::FarInvalid => {
+            End::Full | End::FarTurned | End::FarLoop | End::FarRejected | End::FarInvalid => {
                 HopEnd::TurnedAway
             }
             End::Errored | End::FarAborted => HopEnd::Errored,
@@ -112,7 +115,7 @@
             End::Damaged => HopEnd::Spoilt,
             End::Refused | End::NoConnection | End::CutUnsent => HopEnd::Unreachable,
             End::FarDown | End::FarNever => HopEnd::Unreachable,
-            End::Over | End::NoSocket | End::LateUnsent | End::KeptClosed => HopEnd::NeverSent,
+            End::FarFull | End::Over | End::NoSocket | End::LateUnsent | End::KeptClosed => HopEnd::NeverSent,
             End::Cut | End::FarLost => HopEnd::Broken,
             End::Late => HopEnd::TimedOut,
             // Given up here for a reason of the gateway's own: nothing is told of the member.
--- a/gateway/src/sites/near.rs
+++ b/gateway/src/sites/near.rs
@@ -195,6 +195,7 @@
             End::Down => Ends::FarDown.into(),
             End::Full => Ends::FarFull.into(),
             End::Loop => Ends::FarLoop.into(),
+            End::Turned => Ends::FarTurned.into(),
             End::NeverTaken => Ends::FarNever.into(),
             End::Lost => Ends::FarLost.into(),
             End::TimedOut => Ends::Late.into(),
@@ -309,7 +310,7 @@
         let turned = |core: &mut Near, now: Time, end| core.turned(now, link, answer.number, end);
         let end = match word {
             Word::Turned => {
-                self.tell(|core, now| turned(core, now, End::Full));
+                self.tell(|core, now| turned(core, now, End::Turned));
                 return true;
             }
             Word::Forgotten => {
--- a/gateway/tests/parsers.rs
+++ b/gateway/tests/parsers.rs
@@ -264,6 +264,7 @@
         End::KeptClosed,
         End::FarDown,
         End::FarFull,
+        End::FarTurned,
         End::FarLoop,
         End::FarNever,
         End::FarRejected,
--- a/sites/src/near.rs
+++ b/sites/src/near.rs
@@ -51,6 +51,8 @@
     Full,
     /// Nothing was sent: it has crossed the peer's site before, or too many.
     Loop,
+    /// It was sent, and the far end had no room for it, or leaves: it did not run and will not.
+    Turned,
     /// It was sent, and the far end says that it never ran and never will.
     NeverTaken,
     /// It was sent, may have run, and nothing more will be known.
@@ -140,6 +142,7 @@
 #[derive(Debug)]
 struct Hop {
     link: usize,
+    importance: u8,
     once: bool,
     need: Option<f64>,
     bytes: f64,
@@ -282,6 +285,7 @@
         let until = want.until.back(before);
         let hop = Hop {
             link,
+            importance: want.importance,
             once: want.once,
             need: want.need,
             bytes,
@@ -304,7 +308,10 @@
         } else {
             // Guards the far end and the client's time against txns that would only fill the link: what can't be
             // answered in its time is told at once, and what waits is let go as soon as that shows.
-            let ahead = l.queue.ahead(want.importance);
+            // What matters less and is on its way already gives way at the far end's sender.
+            let before =
+                l.out.iter().filter_map(|n| self.hops.get(n)).filter(|h| h.importance >= want.importance);
+            let ahead = l.queue.ahead(want.importance) + before.map(|h| h.bytes).sum::<f64>();
             let needs = l.pace.quickest().max(l.rtt.smooth());
             let waits = l.pace.waits(ahead, bytes).max(l.waits());
             // Where it could be in time, it does not wait longer than that; where it never could, its time limit
--- a/sites/src/pace.rs
+++ b/sites/src/pace.rs
@@ -144,11 +144,11 @@
         self.quickest.get().map_or(Span::ZERO, |secs| Span::from_secs_f64(-secs))
     }
 
-    /// How long `bytes` wait behind `ahead` bytes and what is on its way, beyond what any answer takes; nothing while
-    /// nothing waits: then the figure may be of another time.
+    /// How long `bytes` wait behind `ahead` bytes, those on their way included, beyond what any answer takes; nothing
+    /// while nothing waits: then the figure may be of another time.
     pub fn waits(&self, ahead: f64, bytes: f64) -> Span {
         let Some(rate) = self.full.get().filter(|_| self.blocked.is_some()) else { return Span::ZERO };
-        let all = (ahead + self.out + bytes) / rate.max(1.0);
+        let all = (ahead + bytes) / rate.max(1.0);
         Span::from_secs_f64(all - self.quickest().as_secs_f64())
     }
 
--- a/sites/src/quic.rs
+++ b/sites/src/quic.rs
@@ -13,7 +13,7 @@
 use quinn::rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
 use quinn::rustls::server::WebPkiClientVerifier;
 use quinn::rustls::{self, RootCertStore};
-use quinn::{AsyncTimer, AsyncUdpSocket, Runtime, SmolRuntime, TransportConfig, VarInt};
+use quinn::{AckFrequencyConfig, AsyncTimer, AsyncUdpSocket, Runtime, SmolRuntime, TransportConfig, VarInt};
 use quinn_proto::RttEstimator;
 use std::any::Any;
 use std::future::Future;
@@ -29,6 +29,9 @@
 const PROTOCOL: &[u8] = b"kelpcart-sites";
 /// The core gives silent links up long before.
 const SILENT: Duration = Duration::from_secs(20);
+/// Receivers hold acknowledgements back no longer (draft-ietf-quic-ack-frequency): each such wait is part of every
+/// time-out after a loss.
+const ACKED: Duration = Duration::from_millis(5);
 /// Streams at once, and bytes on their way to one that reads slowly.
 const STREAMS: u32 = 4_096;
 const STREAM_WINDOW: u32 = 512 * 1024;
@@ -118,6 +121,9 @@
     all.stream_receive_window(VarInt::from_u32(STREAM_WINDOW));
     all.receive_window(VarInt::from_u32(WINDOW));
     all.send_window(WINDOW.into());
+    let mut acks = AckFrequencyConfig::default();
+    acks.max_ack_delay(Some(ACKED));
+    all.ack_frequency_config(Some(acks));
     all.datagram_receive_buffer_size(None);
     all.max_idle_timeout(quinn::IdleTimeout::try_from(SILENT).ok());
     match congestion {
--- a/sites/tests/model.rs
+++ b/sites/tests/model.rs
@@ -289,8 +289,7 @@
                 let end = match why {
                     Turned::Forgotten => End::Lost,
                     Turned::Loop => End::Loop,
-                    Turned::Leaving => End::Down,
-                    Turned::Full | Turned::Fenced => End::Full,
+                    Turned::Leaving | Turned::Full | Turned::Fenced => End::Turned,
                 };
                 near.core.turned(now, far, number, end);
             }
@@ -529,13 +528,15 @@
                 let known = self.known.get_mut(&(run, number)).unwrap();
                 assert!(known.ended.is_none() && !known.given_up, "{number} ended twice: {known:?}, {end:?}");
                 known.ended = Some(end);
-                let not_run = matches!(end, End::Down | End::Full | End::Loop | End::NeverTaken);
+                let not_run =
+                    matches!(end, End::Down | End::Full | End::Loop | End::Turned | End::NeverTaken);
                 assert!(!known.once || !not_run || known.runs == 0, "{number} has run: {known:?}");
                 let what = match end {
                     End::Answered => "answered",
                     End::Down => "down",
                     End::Full => "full",
                     End::Loop => "loop",
+                    End::Turned => "turned",
                     End::NeverTaken => "never taken",
                     End::Lost => "lost",
                     End::TimedOut => "timed out",
@@ -566,7 +567,7 @@
                 if known.once {
                     known.runs += 1;
                     assert_eq!(known.runs, 1, "{number} of {run} runs twice");
-                    let not_run = [End::Down, End::Full, End::Loop, End::NeverTaken];
+                    let not_run = [End::Down, End::Full, End::Loop, End::Turned, End::NeverTaken];
                     let told = known.ended.is_some_and(|end| not_run.contains(&end));
                     assert!(!told, "{number} of {run} was called not run and runs");
                     assert!(
@@ -651,8 +652,18 @@
     }
     println!("{seen:?}");
     // A schedule that never comes to these would prove nothing.
-    for what in ["answered", "down", "full", "loop", "never taken", "lost", "timed out", "cut", "far killed"]
-    {
+    for what in [
+        "answered",
+        "down",
+        "full",
+        "loop",
+        "turned",
+        "never taken",
+        "lost",
+        "timed out",
+        "cut",
+        "far killed",
+    ] {
         assert!(seen.get(what).is_some_and(|n| *n > 5), "{what} was not played: {seen:?}");
     }
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -330,7 +330,12 @@
         if c.m.far && c.role == Role::Parent {
             let failed = matches!(
                 o.end,
-                HopEnd::Unreachable | HopEnd::Broken | HopEnd::Errored | HopEnd::TurnedAway | HopEnd::Spoilt
+                HopEnd::Unreachable
+                    | HopEnd::Broken
+                    | HopEnd::Errored
+                    | HopEnd::TurnedAway
+                    | HopEnd::NeverSent
+                    | HopEnd::Spoilt
             );
             let late = o.end == HopEnd::TimedOut;
             c.par.fills += one(failed || late || o.end == HopEnd::Completed);
@@ -405,6 +410,8 @@
         match o.end {
             HopEnd::Completed if o.took <= hop.sla && held < c.gate * mean / 2.0 => {}
             HopEnd::Completed if o.took <= hop.sla => c.gate += GATE_GAIN / pace,
+            // Over a link what comes late tells of lost packets; its own window holds back what it can't carry.
+            HopEnd::Completed if c.m.far => {}
             HopEnd::Completed | HopEnd::TurnedAway | HopEnd::Errored => {
                 c.gate = (c.gate * GATE_CUT.powf(pace)).max(least);
             }
