The link's control tells jitter from a queue, and counts bytes as they come

Need: early ends of the start and rates counted by whole answers left a link half used; the rig's caches kept purged copies for ever, which the settings rule out. Change: two rounds over the target end the start, growth by the square of the room, bytes counted as they are read, a suspected link gives back what may run again at once; the rig's caches drop purged copies after 5.5 s.

--- a/gateway/src/sites/near.rs
+++ b/gateway/src/sites/near.rs
@@ -2,7 +2,6 @@
 //! end a hop by itself: each ends by the core's word, once.
 
 use super::{Frame, Means, fresh_number, write_frames};
-use crate::buffers::Body;
 use crate::end::End as Ends;
 use crate::seam::{Ended, Job};
 use async_channel::Sender;
@@ -337,9 +336,15 @@
                 self.tell(|core, now| turned(core, now, End::Lost));
                 return skip(recv, length).await;
             };
-            self.core.borrow_mut().heard(self.means.clock.now(), link);
-            if !read_body(recv, body).await {
-                return false;
+            while !body.is_full() {
+                match recv.read(body.space()).await {
+                    Ok(Some(n)) if n > 0 => {
+                        body.advance(n);
+                        let now = self.means.clock.now();
+                        self.core.borrow_mut().comes(now, link, answer.number, n as f64);
+                    }
+                    _ => return false,
+                }
             }
         }
         if let Some(wait) = self.waits.borrow_mut().get_mut(&answer.number) {
@@ -430,16 +435,6 @@
     }
 }
 
-async fn read_body(recv: &mut RecvStream, body: &mut Body) -> bool {
-    while !body.is_full() {
-        match recv.read(body.space()).await {
-            Ok(Some(n)) if n > 0 => body.advance(n),
-            _ => return false,
-        }
-    }
-    true
-}
-
 /// Bytes for which nobody waits.
 async fn skip(recv: &mut RecvStream, mut length: usize) -> bool {
     let mut bytes = [0; 4 * 1024];
--- a/rig/src/caches.rs
+++ b/rig/src/caches.rs
@@ -1,6 +1,6 @@
 //! A site's caches, its parent and its central store as stand-ins (HTTP/1.1, the platform's fields). They hold copies
-//! by the time at which the store gave them out, heed the oldest copy that will do, and drop nothing by themselves: what
-//! keeps an old copy from being served is the gateway's word alone. The store counts how often each write ran.
+//! by the time at which the store gave them out, heed the oldest copy that will do, and drop what was purged only
+//! seconds later: till then the gateway's word alone keeps an old copy from being served. The store counts how often each write ran.
 
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
@@ -13,6 +13,8 @@
 /// The largest body there is.
 pub const MOST_BODY: usize = 240_000;
 const MARK: usize = 16;
+/// A purge has come to all caches by then: half a second before the settings say that it has.
+const DROPPED_MS: u64 = 5_500;
 
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
@@ -51,6 +53,8 @@
     len: fn(u64) -> usize,
     /// By cache: when its copies were given out.
     copies: Mutex<BTreeMap<String, BTreeMap<u64, u64>>>,
+    /// Of objects: copies from before are dropped some time after.
+    pub purges: Mutex<BTreeMap<u64, u64>>,
     /// How often each write ran, by the client's id for it.
     pub ran: Mutex<BTreeMap<u64, u32>>,
     pub requests: AtomicU64,
@@ -72,6 +76,7 @@
             times,
             len,
             copies: Mutex::default(),
+            purges: Mutex::default(),
             ran: Mutex::default(),
             requests: AtomicU64::new(0),
             from_origin: AtomicU64::new(0),
@@ -161,7 +166,9 @@
         only: bool,
     ) -> Option<(Vec<u8>, &'static str, u64)> {
         let len = (self.len)(object).min(MOST_BODY);
-        let young = |born: u64| unix_ms().saturating_sub(born) <= oldest;
+        let purged = self.purges.lock().unwrap().get(&object).copied();
+        let dropped = |born: u64| purged.is_some_and(|at| born < at && unix_ms() >= at + DROPPED_MS);
+        let young = |born: u64| unix_ms().saturating_sub(born) <= oldest && !dropped(born);
         let held = |name: &str| {
             let copies = self.copies.lock().unwrap();
             copies.get(name)?.get(&object).copied().filter(|born| young(*born))
--- a/rig/src/sites.rs
+++ b/rig/src/sites.rs
@@ -396,6 +396,7 @@
             let object = pick(o, &mut rng, true).1;
             let at = unix_ms();
             near_bulletin.purge(object, at);
+            hub.site.purges.lock().unwrap().insert(object, at);
             clients.book.lock().unwrap().purges.insert(object, at);
             late_purges.push((now + o.purge_late, object, at));
         }
--- a/sites/src/delay.rs
+++ b/sites/src/delay.rs
@@ -12,11 +12,14 @@
 /// The least round trip counts for this long.
 const BASE: Span = Span::from_millis(10_000);
 /// The queue that is let stand: the greater of these, the second of the base.
-const TARGET: Span = Span::from_millis(15);
+const TARGET: Span = Span::from_millis(25);
 const TARGET_PART: f64 = 0.125;
-/// A round trip's growth at the start and later, in full while there is no queue.
+/// A round trip's growth at the start and later, in full while there is no queue and by the square of what is left of
+/// the target.
 const START: f64 = 2.0;
 const GAIN: f64 = 0.25;
+/// The start ends with so many rounds over the target: one may be chance where few packets are out.
+const START_ENDS: u32 = 2;
 /// A round's window is never cut by more.
 const LEAST_KEPT: f64 = 0.7;
 /// From this part on, loss is taken for a queue that runs over; of at least so many packets.
@@ -63,6 +66,7 @@
     /// The round ends with the first packet that was sent after this.
     round: Time,
     starting: bool,
+    over: u32,
 }
 
 impl Delay {
@@ -78,6 +82,7 @@
             lost: 0.0,
             round: now,
             starting: true,
+            over: 0,
         }
     }
 
@@ -118,15 +123,18 @@
         let target = TARGET.max(base * TARGET_PART);
         let loss = self.lost / (self.acked + self.lost).max(1.0);
         let heavy = loss > HEAVY_LOSS && self.lost > HEAVY_PACKETS * self.packet;
-        if queue > target || heavy {
+        self.over = if queue > target { self.over + 1 } else { 0 };
+        if self.starting && queue <= target * 2.0 && self.over < START_ENDS && !heavy {
+            // Not sure yet.
+            self.window *= if self.over == 0 && self.filled * 2.0 >= self.acked { START } else { 1.0 };
+        } else if queue > target || heavy {
             self.starting = false;
             let over = (queue / target - 1.0).max(0.0) * (target / (base + queue));
             let kept = if heavy { 1.0 - loss / 2.0 } else { 1.0 - over };
             self.window *= kept.max(LEAST_KEPT);
         } else if self.filled * 2.0 >= self.acked {
-            let room = 1.0 - queue / target;
-            let grown = if self.starting { START } else { 1.0 + GAIN * room };
-            self.window = self.window * grown + if self.starting { 0.0 } else { self.packet * room };
+            let room = (1.0 - queue / target).powi(2);
+            self.window = self.window * (1.0 + GAIN * room) + self.packet * room;
         }
         self.window = self.window.clamp(self.packet * LEAST_PACKETS, MOST);
         (self.acked, self.filled, self.lost, self.round) = (0.0, 0.0, 0.0, now);
--- a/sites/src/near.rs
+++ b/sites/src/near.rs
@@ -6,7 +6,7 @@
 //! A link is suspected by its own signs of life (RFC 6298), and comes back as parents do: by trials, then in capped
 //! steps.
 
-use crate::pace::{Mark, Pace};
+use crate::pace::Pace;
 use crate::queue::{Queue, Waiting};
 use crate::rtt::RoundTrip;
 use crate::settings::{Limits, Sites};
@@ -150,7 +150,9 @@
     /// When it ends if nothing else ends it: at its time, or as soon as it can't cross and be answered in it.
     due: Time,
     state: State,
-    mark: Option<(Mark, Time)>,
+    /// When its request went out, while that is on the link; and what has come of its answer.
+    sent: Option<Time>,
+    came: f64,
     /// The ledger it was sent to.
     ledger: u64,
 }
@@ -292,7 +294,8 @@
             until,
             due: until,
             state: State::Queued,
-            mark: None,
+            sent: None,
+            came: 0.0,
             ledger: l.ledger.unwrap_or(0),
         };
         self.hops.insert(number, hop);
@@ -389,7 +392,8 @@
             hop.due = hop.until;
             self.by_time.insert((hop.due, first.number));
             hop.ledger = l.ledger.unwrap_or(0);
-            hop.mark = Some((l.pace.sent(now, hop.bytes), now));
+            hop.sent = Some(now);
+            l.pace.sent(hop.bytes);
             self.acts.push_back(Act::Send { link, number: first.number, left: far });
         }
     }
@@ -421,7 +425,7 @@
     /// The far end has taken it.
     pub fn taken(&mut self, now: Time, number: u64) -> Option<Span> {
         let hop = self.hops.get(&number)?;
-        let (link, sent) = (hop.link, hop.mark?.1);
+        let (link, sent) = (hop.link, hop.sent?);
         let took = now - sent;
         self.heard(now, link);
         if self.hops.get(&number)?.state == State::Sent {
@@ -453,15 +457,26 @@
         self.pump(now, link);
     }
 
-    fn arrived(&mut self, now: Time, number: u64, real: Option<f64>) {
+    /// Its place on the link is free. `bytes`: of its answer, where that came whole.
+    fn arrived(&mut self, now: Time, number: u64, bytes: Option<f64>) {
         let Some(hop) = self.hops.get_mut(&number) else { return };
-        let Some((mark, sent)) = hop.mark.take() else { return };
+        let Some(sent) = hop.sent.take() else { return };
         let l = &mut self.links[hop.link];
-        l.pace.ended(now, mark, hop.bytes, real.map(|b| b + REQUEST));
-        if real.is_some() {
+        if let Some(bytes) = bytes {
+            l.pace.arrives(now, (bytes - hop.came).max(0.0) + REQUEST);
             let took = (now - sent).as_secs_f64();
             l.took = Some(l.took.map_or(took, |mean| mean + (took - mean) * FOLLOWS));
         }
+        l.pace.ended(now, sent, hop.bytes, bytes.is_some());
+    }
+
+    /// Some bytes of an answer, before it is whole.
+    pub fn comes(&mut self, now: Time, link: usize, number: u64, bytes: f64) {
+        self.heard(now, link);
+        if let Some(hop) = self.hops.get_mut(&number).filter(|h| h.link == link && h.sent.is_some()) {
+            hop.came += bytes;
+            self.links[link].pace.arrives(now, bytes);
+        }
     }
 
     /// Bytes of an answer that is still coming, or anything else from the far end.
@@ -583,7 +598,7 @@
         debug_assert!(out.iter().all(|n| sent.contains(n)));
         for number in sent {
             let Some(hop) = self.hops.get_mut(&number) else { continue };
-            hop.mark = None;
+            hop.sent = None;
             if hop.once && self.limits.ask {
                 hop.state = State::Doubt;
             } else {
@@ -660,6 +675,7 @@
             l.clean = false;
             let queued = l.queue.drain();
             queued.into_iter().for_each(|number| self.end(number, End::Down));
+            self.give_back(now, link);
         }
         let l = &mut self.links[link];
         if now >= l.next_ping {
@@ -684,6 +700,18 @@
         }
     }
 
+    /// What may run again is the module's at once: its client waits, and another way may be open. The rest stays: the
+    /// link may still bring its answer, and nothing else will.
+    fn give_back(&mut self, now: Time, link: usize) {
+        let again = |h: &Hop| h.link == link && !h.once;
+        let all: Vec<u64> = self.hops.iter().filter(|(_, h)| again(h)).map(|(n, _)| *n).collect();
+        for number in all {
+            self.arrived(now, number, None);
+            self.acts.push_back(Act::GiveUp { link, number });
+            self.end(number, End::Lost);
+        }
+    }
+
     /// Tells far ends which numbers they need not keep any more.
     fn settle(&mut self, now: Time) {
         if now < self.next_settle {
