What matters more goes past the window that lesser bytes have filled

Need: behind a full link a book waited for room that only media took. Change: the window counts what matters as much.

--- a/sites/src/near.rs
+++ b/sites/src/near.rs
@@ -203,6 +203,12 @@
     }
 }
 
+/// Bytes on their way that matter as much: what matters less gives way at the far end's sender.
+fn on_the_way(link: &Link, hops: &BTreeMap<u64, Hop>, importance: u8) -> f64 {
+    let out = link.out.iter().filter_map(|n| hops.get(n));
+    out.filter(|h| h.importance >= importance).map(|h| h.bytes).sum()
+}
+
 /// What is known of a link, for counters and tests.
 #[derive(Clone, Copy, Debug)]
 pub struct View {
@@ -311,10 +317,7 @@
         } else {
             // Guards the far end and the client's time against txns that would only fill the link: what can't be
             // answered in its time is told at once, and what waits is let go as soon as that shows.
-            // What matters less and is on its way already gives way at the far end's sender.
-            let before =
-                l.out.iter().filter_map(|n| self.hops.get(n)).filter(|h| h.importance >= want.importance);
-            let ahead = l.queue.ahead(want.importance) + before.map(|h| h.bytes).sum::<f64>();
+            let ahead = l.queue.ahead(want.importance) + on_the_way(l, &self.hops, want.importance);
             let needs = l.pace.quickest().max(l.rtt.smooth());
             let waits = l.pace.waits(ahead, bytes).max(l.waits());
             // Where it could be in time, it does not wait longer than that; where it never could, its time limit
@@ -365,7 +368,7 @@
             let l = &mut self.links[link];
             let Some(first) = l.queue.first() else { return l.pace.block(now, false) };
             let has_credit = l.out.len() < l.allowed();
-            let room = l.pace.has_room(first.bytes);
+            let room = l.pace.has_room(on_the_way(l, &self.hops, first.importance), first.bytes);
             // One that goes meanwhile does not end it: more waits behind.
             if !has_credit || !room {
                 l.pace.block(now, has_credit);
--- a/sites/src/pace.rs
+++ b/sites/src/pace.rs
@@ -91,9 +91,10 @@
         fits.unwrap_or(0.0).clamp(LEAST_WINDOW, MOST_WINDOW)
     }
 
-    /// There is room for so many bytes more, or nothing is on its way: what is larger than the window goes alone.
-    pub fn has_room(&self, bytes: f64) -> bool {
-        self.out <= 0.0 || self.out + bytes <= self.window()
+    /// There is room for so many bytes beside `out` that matter as much, or none do: what is larger than the window
+    /// goes alone.
+    pub fn has_room(&self, out: f64, bytes: f64) -> bool {
+        out <= 0.0 || out + bytes <= self.window()
     }
 
     pub fn sent(&mut self, bytes: f64) {
@@ -168,7 +169,7 @@
     fn run(pace: &mut Pace, mut now: Time, rate: f64, each: f64, steps: usize) -> (Time, f64) {
         let (mut free, mut out, mut worst) = (now, VecDeque::new(), 0.0_f64);
         for step in 0..steps {
-            while pace.has_room(each) {
+            while pace.has_room(pace.out(), each) {
                 pace.sent(each);
                 free = free.max(now) + Span::from_secs_f64(each / rate);
                 out.push_back((free + RTT, now));
