--- a/rig/src/caches.rs
+++ b/rig/src/caches.rs
@@ -6,7 +6,7 @@
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -57,6 +57,9 @@
     pub purges: Mutex<BTreeMap<u64, u64>>,
     /// How often each write ran, by the client's id for it.
     pub ran: Mutex<BTreeMap<u64, u32>>,
+    /// Whether writes wait before they are answered, and how many have come; changes are told.
+    held: Mutex<(bool, u64)>,
+    changed: Condvar,
     pub requests: AtomicU64,
     pub from_origin: AtomicU64,
     ends: AtomicBool,
@@ -78,6 +81,8 @@
             copies: Mutex::default(),
             purges: Mutex::default(),
             ran: Mutex::default(),
+            held: Mutex::default(),
+            changed: Condvar::new(),
             requests: AtomicU64::new(0),
             from_origin: AtomicU64::new(0),
             ends: AtomicBool::new(false),
@@ -102,6 +107,28 @@
         Ok(place)
     }
 
+    /// From now on writes run, and are not answered until `hold` is called with `false`.
+    pub fn hold(&self, is: bool) {
+        self.held.lock().unwrap().0 = is;
+        self.changed.notify_all();
+    }
+
+    fn wait_if_held(&self) {
+        let mut held = self.held.lock().unwrap();
+        held.1 += 1;
+        self.changed.notify_all();
+        while held.0 && !self.ends.load(Ordering::Relaxed) {
+            held = self.changed.wait_timeout(held, Duration::from_millis(100)).unwrap().0;
+        }
+    }
+
+    /// Waits until so many writes have run; `false` if they don't within the time.
+    pub fn wait_for_writes(&self, n: u64, most: Duration) -> bool {
+        let held = self.held.lock().unwrap();
+        let (held, _) = self.changed.wait_timeout_while(held, most, |h| h.1 < n).unwrap();
+        held.1 >= n
+    }
+
     pub fn end(&self) {
         self.ends.store(true, Ordering::Relaxed);
     }
@@ -136,6 +163,7 @@
             {
                 thread::sleep(self.times.origin);
                 *self.ran.lock().unwrap().entry(trace).or_default() += 1;
+                self.wait_if_held();
                 Some((body(object, unix_ms(), MARK), "hit", 0))
             } else {
                 self.read(place, object, oldest.unwrap_or(u64::MAX), source, only)
