Tests of far members, messages a peer may not send, and who may connect

Need: the module's part of links and the bytes of a peer stood untested. Change: five cases of the module, split and damaged messages, connections by foreign certificates and other sites.

--- /dev/null
+++ b/sites/tests/peers.rs
@@ -0,0 +1,101 @@
+//! Real connections of the carrier on loopback: who may connect, and that early data and foreign certificates are not
+//! taken.
+
+use async_io::block_on;
+use futures_lite::future;
+use kelpcart_rig::keys::Authority;
+use kelpcart_sites::quic::{self, Broken, Endpoint, Keys};
+use kelpcart_sites::settings::{Congestion, KeyFiles};
+use kelpcart_sites::wire::{self, Said};
+use std::path::PathBuf;
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let path = format!("{}/peers-{name}-{}", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(PathBuf::from(path))
+    }
+
+    fn keys(&self, authority: &Authority, site: &str) -> Keys {
+        authority.write(&self.0, site).unwrap();
+        let file = |name: String| self.0.join(name);
+        let files = KeyFiles {
+            certificate: file(format!("{site}.pem")),
+            key: file(format!("{site}.key")),
+            roots: file("roots.pem".to_owned()),
+        };
+        Keys::read(&files, Congestion::Delay).unwrap()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Runs `work` while both endpoints move.
+fn with<T>(a: &Endpoint, b: &Endpoint, work: impl Future<Output = T>) -> T {
+    let drive = async {
+        future::zip(a.drive(), b.drive()).await;
+        unreachable!("they never end")
+    };
+    block_on(future::or(work, drive))
+}
+
+#[test]
+fn both_ends_prove_their_sites_and_a_message_crosses_whole() {
+    let (folder, authority) = (Folder::new("prove"), Authority::new().unwrap());
+    let (near, far) = (folder.keys(&authority, "near"), folder.keys(&authority, "far"));
+    let a = Endpoint::start(None, &near).unwrap();
+    let b = Endpoint::start(Some("127.0.0.1:0".parse().unwrap()), &far).unwrap();
+    let at = b.address().unwrap();
+    with(&a, &b, async {
+        let dial = async { a.dial(&near, at, "far").await.unwrap() };
+        let accept = async { b.accept().await.unwrap().await.unwrap() };
+        let (there, here) = future::zip(dial, accept).await;
+        assert!(quic::proves(&there, "far") && !quic::proves(&there, "near"));
+        assert!(quic::proves(&here, "near") && !quic::proves(&here, "far"));
+        let (mut send, _) = there.open_bi().await.unwrap();
+        quic::write(&mut send, &wire::encode(Said::Ping(5))).await.unwrap();
+        // Longer than a message may be: told by its first bytes.
+        quic::write(&mut send, &[0xff; 8]).await.unwrap();
+        let (_, mut recv) = here.accept_bi().await.unwrap();
+        assert_eq!(quic::read(&mut recv).await.unwrap(), Said::Ping(5));
+        assert!(matches!(quic::read(&mut recv).await, Err(Broken::Damaged(_))));
+    });
+}
+
+#[test]
+fn the_wrong_site_or_authority_does_not_get_in() {
+    let (folder, authority) = (Folder::new("wrong"), Authority::new().unwrap());
+    let (near, far) = (folder.keys(&authority, "near"), folder.keys(&authority, "far"));
+    let stranger = Folder::new("stranger").keys(&Authority::new().unwrap(), "near");
+    let a = Endpoint::start(None, &near).unwrap();
+    let b = Endpoint::start(Some("127.0.0.1:0".parse().unwrap()), &far).unwrap();
+    let at = b.address().unwrap();
+    let accept = async {
+        loop {
+            // Some of these fail: that is what is tried.
+            _ = b.accept().await.unwrap().await;
+        }
+    };
+    with(&a, &b, async {
+        let work = async {
+            // Another site answers than was asked for; and an authority that neither end knows.
+            assert!(a.dial(&near, at, "south").await.is_err());
+            let connection = a.dial(&stranger, at, "far").await;
+            let shut = match connection {
+                Err(_) => true,
+                Ok(connection) => {
+                    connection.closed().await;
+                    true
+                }
+            };
+            assert!(shut);
+        };
+        future::or(work, accept).await;
+    });
+}
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -436,3 +436,98 @@
     };
     assert!(taken(20) * 2 < taken(1), "{} {}", taken(20), taken(1));
 }
+
+/// Two far parents and a far origin beside nothing else, as at a branch without caches of its own.
+fn branch() -> World {
+    let far = |id, kind| Member { far: true, zone: 9, ..member(id, kind) };
+    let mut world = World::new(Settings { direct: false, ..settings() });
+    let list = vec![far("f1", PARENT), far("f2", PARENT), far("f1/o", ORIGIN), far("f2/o", ORIGIN)];
+    world.gateway.members(at(0), true, list);
+    world
+}
+
+fn hop_to(all: &[Decision]) -> Option<(String, Option<Fill>)> {
+    all.iter().find_map(|d| match d {
+        Decision::Hop { member, fill, .. } => Some((member.to_string(), fill.clone())),
+        _ => None,
+    })
+}
+
+#[test]
+fn far_gateways_are_reached_straight_and_an_object_keeps_to_its_own() {
+    let mut world = branch();
+    let mut homes = std::collections::BTreeMap::<String, usize>::new();
+    for i in 0..60 {
+        let (first, _) = hop_to(&world.ask(at(i), txn(i, 0, i))).unwrap();
+        world.end(at(i), i, HopEnd::Completed, None);
+        let (again, _) = hop_to(&world.ask(at(i), txn(1_000 + i, 0, i))).unwrap();
+        world.end(at(i), 1_000 + i, HopEnd::Completed, None);
+        assert_eq!(first, again);
+        *homes.entry(first).or_default() += 1;
+    }
+    assert!(homes.len() == 2 && homes.values().all(|n| *n > 10), "{homes:?}");
+}
+
+#[test]
+fn a_far_gateway_is_never_a_fill_source_for_a_cache() {
+    let mut world = World::new(settings());
+    let far = Member { far: true, ..member("f1", PARENT) };
+    let rest = ["p1", "p2"].map(|id| Member { state: MemberState::Gone, ..member(id, PARENT) });
+    world.gateway.members(at(0), false, rest.into_iter().chain([far]).collect());
+    for i in 0..20 {
+        let (to, _) = hop_to(&world.ask(at(i), txn(i, 0, i))).unwrap();
+        assert_eq!(to, "f1");
+        world.end(at(i), i, HopEnd::Completed, None);
+    }
+}
+
+#[test]
+fn a_far_gateway_that_fails_loses_its_weight_in_steps_and_its_objects_go_to_the_other() {
+    let mut world = branch();
+    let mut to_first = Vec::new();
+    for second in 0..20 {
+        let mut n = 0;
+        for i in 0..40 {
+            let (id, now) = (second * 100 + i, at(second * 1_000 + i * 20));
+            let Some((to, _)) = hop_to(&world.ask(now, txn(id, 0, i))) else { continue };
+            // Every third at the first one ends badly: the link is bad, not silent.
+            let bad = to == "f1" && i % 3 == 0 && second >= 2;
+            n += u64::from(to == "f1");
+            world.end(now, id, if bad { HopEnd::TurnedAway } else { HopEnd::Completed }, None);
+            if bad {
+                world.end(now, id, HopEnd::Completed, None);
+            }
+        }
+        to_first.push(n);
+        world.pull(at(second * 1_000 + 999));
+    }
+    assert!(to_first[0] > 10, "{to_first:?}");
+    assert!(*to_first.last().unwrap() < to_first[0], "{to_first:?}");
+}
+
+#[test]
+fn a_book_over_a_link_has_a_second_hop_only_if_the_first_is_proven_not_run() {
+    let write = |id| Txn { write: true, ..txn(id, 2, 77) };
+    let mut world = branch();
+    let (first, _) = hop_to(&world.ask(at(0), write(1))).unwrap();
+    let (second, _) = hop_to(&world.end(at(10), 1, HopEnd::Unreachable, None)).unwrap();
+    assert!(first != second && first.ends_with("/o") && second.ends_with("/o"), "{first} {second}");
+    let after = world.end(at(20), 1, HopEnd::Broken, None);
+    assert_eq!(after, [Decision::Abort { txn: 1 }]);
+    world.ask(at(30), write(2));
+    assert_eq!(world.end(at(40), 2, HopEnd::Broken, None), [Decision::Abort { txn: 2 }]);
+}
+
+#[test]
+fn what_the_asker_takes_at_the_oldest_bounds_every_copy() {
+    let mut world = World::new(settings());
+    let oldest = |world: &mut World, now, id, asked: Option<u64>| {
+        let all = world.ask(at(now), Txn { oldest: asked.map(ms), ..txn(id, 0, 5) });
+        hop_to(&all).unwrap().1.unwrap().oldest
+    };
+    assert_eq!(oldest(&mut world, 0, 1, None), None);
+    assert_eq!(oldest(&mut world, 0, 2, Some(700)), Some(ms(700)));
+    world.gateway.purged(at(100), Some(5), 0, ms(0));
+    assert_eq!(oldest(&mut world, 300, 3, Some(700)), Some(ms(200)));
+    assert_eq!(oldest(&mut world, 1_500, 4, Some(700)), Some(ms(700)));
+}
