--- a/gateway/tests/sites.rs
+++ b/gateway/tests/sites.rs
@@ -379,3 +379,73 @@
     let counters = alone.counters();
     assert!(!counters.contains("links up") && !counters.contains("far sessions"), "{counters}");
 }
+
+#[test]
+fn a_near_gateway_told_to_stop_answers_what_is_in_doubt_before_it_ends() {
+    let world = World::new("doubt");
+    let (_far, relay) = (world.far(json!({})), world.relay());
+    let mut near = world.near(&relay);
+    wait_for(&near, "stands", 1);
+    let mut client = Client::of(&near);
+    client.served("book", 1);
+    world.site.hold(true);
+    let trace = client.ask("book", 77);
+    assert!(world.site.wait_for_writes(2, PATIENCE));
+    relay.set(|w| w.dark = [true; 2]);
+    wait_for(&near, "is given up", 1);
+    near.signal("TERM").unwrap();
+    // It may have run, and more will not be known in time.
+    assert_eq!((client.answer().word, world.ran(trace)), (Word::Failed, 1));
+    let began = Instant::now();
+    while !near.has_ended() {
+        assert!(began.elapsed() < PATIENCE);
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// What a far gateway does with a peer that says these to it first.
+fn say_to_far(world: &World, far: &Gateway, said: &[Vec<u8>], sign: &str) {
+    use kelpcart_sites::quic::{self, Endpoint, Keys};
+    use kelpcart_sites::settings::{Congestion, KeyFiles};
+    let file = |name: &str| world.folder.join(name);
+    let files = KeyFiles { certificate: file("near.pem"), key: file("near.key"), roots: file("roots.pem") };
+    let keys = Keys::read(&files, Congestion::Delay).unwrap();
+    let endpoint = Endpoint::start(None, &keys).unwrap();
+    let work = async {
+        let connection = endpoint.dial(&keys, world.listen, "far").await.unwrap();
+        let (mut send, _recv) = connection.open_bi().await.unwrap();
+        for bytes in said {
+            quic::write(&mut send, bytes).await.unwrap();
+        }
+        connection.closed().await;
+    };
+    async_io::block_on(futures_lite::future::or(work, endpoint.drive()));
+    wait_for(far, sign, 1);
+}
+
+#[test]
+fn a_peer_that_sends_what_it_may_not_loses_its_connection_and_nothing_else() {
+    use kelpcart_sites::wire::{self, Said};
+    let world = World::new("hostile");
+    let (far, relay) = (world.far(json!({})), world.relay());
+    let near = world.near(&relay);
+    wait_for(&near, "stands", 1);
+    let hello = |version, site: &str| {
+        let (site, gateway) = (site.to_owned(), "n9".to_owned());
+        wire::encode(Said::Hello(wire::Hello { version, site, gateway, run: 99, fresh: 1 }))
+    };
+    say_to_far(&world, &far, &[hello(7, "near")], "version 1 is spoken here, not 7");
+    say_to_far(&world, &far, &[hello(1, "far")], "the certificate is not that site's");
+    say_to_far(&world, &far, &[wire::encode(Said::Ping(1))], "its first word is no hello");
+    say_to_far(&world, &far, &[vec![0xff; 64]], "a message of 4294967295 bytes");
+    say_to_far(&world, &far, &[hello(1, "near"), vec![0, 0, 0, 2, 0x28, 0]], "0 may not be sent so");
+    say_to_far(
+        &world,
+        &far,
+        &[hello(1, "near"), wire::encode(Said::Leaving(true))],
+        "it sends what it may not",
+    );
+    let mut client = Client::of(&near);
+    let (trace, _) = client.served("book", 77);
+    assert_eq!(world.ran(trace), 1);
+}
