--- a/sites/src/near.rs
+++ b/sites/src/near.rs
@@ -320,16 +320,20 @@
             let ahead = l.queue.ahead(want.importance) + on_the_way(l, &self.hops, want.importance);
             let needs = l.pace.quickest().max(l.rtt.smooth());
             let waits = l.pace.waits(ahead, bytes).max(l.waits());
-            // Where it could be in time, it does not wait longer than that; where it never could, its time limit
-            // counts.
-            let until = if now + needs < want.wanted { until.min(want.wanted) } else { until };
+            // Where it could be in time, it waits for that only; where it never could, for one SLA time at the most,
+            // lest it be held till its client gives up.
+            let could = now + needs < want.wanted;
+            let until = if could { until.min(want.wanted) } else { until };
             if now + needs + waits >= until {
                 self.end(number, End::Full);
             } else {
-                _ = self.hops.get(&number).map(|hop| self.by_time.remove(&(hop.due, number)));
-                let due = until.back(needs).max(now);
-                self.by_time.insert((due, number));
-                _ = self.hops.get_mut(&number).map(|hop| hop.due = due);
+                let most = if could { until } else { now + (want.wanted - now) };
+                let due = until.back(needs).min(most).max(now);
+                let hop = self.hops.get_mut(&number);
+                if let Some(before) = hop.map(|hop| std::mem::replace(&mut hop.due, due)) {
+                    self.by_time.remove(&(before, number));
+                    self.by_time.insert((due, number));
+                }
                 let one = Waiting { number, importance: want.importance, bytes };
                 let gone = l.queue.push(one);
                 gone.into_iter().for_each(|number| self.end(number, End::Full));
--- a/sites/tests/cases.rs
+++ b/sites/tests/cases.rs
@@ -282,6 +282,19 @@
     assert!(sent(&all).contains(&book) && ends(&all).iter().all(|e| e.0 != book));
 }
 
+#[test]
+fn what_never_could_be_in_time_waits_for_one_sla_time_at_the_most() {
+    let mut near = near();
+    // Round trips of 100 ms, wanted within 50: its client waits for a minute, the queue is full of such.
+    let slow = |now| Want { need: Some(200.0), wanted: at(now + 50), ..want(false, now + 60_000) };
+    let all: Vec<u64> = (0..20).map(|_| near.hop(at(200), 0, &slow(200))).collect();
+    let out = sent(&acts(&mut near, 200));
+    assert!(!out.is_empty() && out.len() < all.len());
+    let told = ends(&acts(&mut near, 251));
+    assert_eq!(told.len() + out.len(), all.len());
+    assert!(told.iter().all(|(_, end)| *end == End::Full));
+}
+
 #[test]
 fn the_far_end_is_told_what_time_is_left_and_no_time_of_day() {
     // An hour apart, nothing differs: only spans cross.
