--- a/sites/tests/cases.rs
+++ b/sites/tests/cases.rs
@@ -286,7 +286,7 @@
 fn what_never_could_be_in_time_waits_for_one_sla_time_at_the_most() {
     let mut near = near();
     // Round trips of 100 ms, wanted within 50: its client waits for a minute, the queue is full of such.
-    let slow = |now| Want { need: Some(200.0), wanted: at(now + 50), ..want(false, now + 60_000) };
+    let slow = |now: u64| Want { need: Some(200.0), wanted: at(now + 50), ..want(false, now + 60_000) };
     let all: Vec<u64> = (0..20).map(|_| near.hop(at(200), 0, &slow(200))).collect();
     let out = sent(&acts(&mut near, 200));
     assert!(!out.is_empty() && out.len() < all.len());
