--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -181,6 +181,7 @@
             }
             Event::HopEnded { txn, hop, ended } => self.ended(txn, hop, ended),
             Event::News(said) => self.news(said),
+            Event::Alive { member } => self.gateway.alive(self.clock.now(), &member),
             Event::Tell => self.tell(),
             Event::Stop => {
                 log::info!("told to stop, {} txns open", self.open.len());
--- a/gateway/src/seam.rs
+++ b/gateway/src/seam.rs
@@ -68,12 +68,34 @@
 }
 
 pub enum Event {
-    Asked { client: Rc<dyn Caller>, id: u64, method: String, ask: Box<Ask>, at: Time },
-    Check { client: Rc<dyn Caller>, id: u64 },
-    Interrupted { client: u64, id: u64 },
-    Left { client: u64 },
-    HopEnded { txn: TxnId, hop: u32, ended: Ended },
+    Asked {
+        client: Rc<dyn Caller>,
+        id: u64,
+        method: String,
+        ask: Box<Ask>,
+        at: Time,
+    },
+    Check {
+        client: Rc<dyn Caller>,
+        id: u64,
+    },
+    Interrupted {
+        client: u64,
+        id: u64,
+    },
+    Left {
+        client: u64,
+    },
+    HopEnded {
+        txn: TxnId,
+        hop: u32,
+        ended: Ended,
+    },
     News(News),
+    /// A sign of life apart from hops.
+    Alive {
+        member: MemberId,
+    },
     Tell,
     Stop,
 }
--- a/gateway/src/sites/near.rs
+++ b/gateway/src/sites/near.rs
@@ -3,10 +3,10 @@
 
 use super::{Frame, Means, fresh_number, write_frames};
 use crate::end::End as Ends;
-use crate::seam::{Ended, Job};
+use crate::seam::{Ended, Event, Job};
 use async_channel::Sender;
 use async_executor::Task;
-use event_listener::Event;
+use event_listener::Event as Poke;
 use futures_lite::future;
 use kelpcart::interface::MemberId;
 use kelpcart::{Span, Time};
@@ -55,7 +55,7 @@
     core: RefCell<Near>,
     links: RefCell<Vec<Link>>,
     waits: RefCell<BTreeMap<u64, Wait>>,
-    poke: Event,
+    poke: Poke,
 }
 
 /// Gives the hop up when nobody waits for it any more.
@@ -91,7 +91,7 @@
             core: RefCell::new(Near::new(file, run, means.clock.now())),
             links: RefCell::new(file.peers.iter().map(|_| Link::default()).collect()),
             waits: RefCell::default(),
-            poke: Event::new(),
+            poke: Poke::new(),
         });
         if !file.peers.is_empty() {
             means.tasks.spawn(Rc::clone(&ways).keep_time()).detach();
@@ -164,6 +164,12 @@
                     self.say(link, Said::Ask(wire::Ask { numbers }));
                 }
                 Act::Ping { link, number } => self.say(link, Said::Ping(number)),
+                Act::Back { link } => {
+                    for (member, _) in self.members.iter().filter(|(_, of)| **of == link) {
+                        // It fails only when the desk has ended, and with it the process.
+                        _ = self.means.desk.try_send(Event::Alive { member: member.clone() });
+                    }
+                }
                 Act::Settle { link, below } => self.say(link, Said::Settle(below)),
                 Act::End { number, end } => self.end(number, end),
             }
--- a/sites/src/near.rs
+++ b/sites/src/near.rs
@@ -88,6 +88,10 @@
         link: usize,
         number: u64,
     },
+    /// The link carries again.
+    Back {
+        link: usize,
+    },
     Settle {
         link: usize,
         below: u64,
@@ -506,6 +510,7 @@
             Phase::Trial(_) if in_time => {
                 l.phase = Phase::Up;
                 (l.tries, l.clean, l.next_step, l.was_up) = (0, true, now + SECOND, true);
+                self.acts.push_back(Act::Back { link });
             }
             Phase::Trial(_) => l.phase = Phase::Suspected(now),
             _ => {}
@@ -535,6 +540,7 @@
         (l.was_up, l.clean, l.next_step) = (true, true, now + SECOND);
         if l.phase == Phase::Up {
             l.tries = 0;
+            self.acts.push_back(Act::Back { link });
         }
         (l.ledger, l.credit, l.leaving) = (Some(ledger), credit.max(1), leaving);
         (l.owed, l.next_ping, l.settled) = (None, now, 1);
--- a/sites/tests/model.rs
+++ b/sites/tests/model.rs
@@ -520,6 +520,7 @@
                 }
                 say(self, link, Msg::Request { number, once, path: vec!["east".to_owned()] });
             }
+            Act::Back { .. } => {}
             Act::GiveUp { link, number } => say(self, link, Msg::GiveUp(number)),
             Act::Ask { link, numbers } => say(self, link, Msg::Ask(numbers)),
             Act::Ping { link, number } => say(self, link, Msg::Ping(number)),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -230,6 +230,13 @@
         whole * GATE_OVER / c.sharers
     }
 
+    /// A sign of life that came apart from hops: of a far gateway whose link stands again.
+    pub fn alive(&mut self, now: Time, id: &MemberId) {
+        if let Some(&i) = self.book.by_id.get(id) {
+            self.book.caches[i].heard(now);
+        }
+    }
+
     /// The list service failed or ended the subscription.
     pub fn list_failed(&mut self, now: Time) {
         self.subscribe_at = self.set.list_asked.then(|| now + self.set.list_within * SCANS);
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -518,6 +518,20 @@
     assert_eq!(world.end(at(40), 2, HopEnd::Broken, None), [Decision::Abort { txn: 2 }]);
 }
 
+#[test]
+fn a_far_gateway_that_was_passed_over_is_used_again_once_its_link_stands() {
+    let mut world = branch();
+    world.gateway.members(at(0), true, vec![Member { far: true, ..member("f1", PARENT) }]);
+    for id in 0..4 {
+        if hop_to(&world.ask(at(id), txn(id, 0, id))).is_some() {
+            world.end(at(id), id, HopEnd::Unreachable, None);
+        }
+    }
+    assert_eq!(hop_to(&world.ask(at(10), txn(10, 0, 10))), None);
+    world.gateway.alive(at(20), &Arc::from("f1"));
+    assert!(hop_to(&world.ask(at(20), txn(11, 0, 11))).is_some());
+}
+
 #[test]
 fn what_the_asker_takes_at_the_oldest_bounds_every_copy() {
     let mut world = World::new(settings());
