Routing tests: expectations checked on the real module in all pairs of troubles

Change: package routes/: a file of expectations with a schema and all its faults at once, a world that drives the module in simulated time, a search over all sets of members in trouble (fewest first, in parallel, one verdict), vacuous ones fail; text, JSON and JUnit; kelpcart-routes test, check, schema; an example suite.

--- /dev/null
+++ b/routes/src/main.rs
@@ -0,0 +1,93 @@
+//! `kelpcart-routes`: checks a configuration and what is expected of its routes, without traffic.
+//! Exits with 0 if all hold, 1 if one does not, 2 if a file can't be used.
+
+use clap::{Parser, Subcommand};
+use kelpcart_gateway::config::Config;
+use kelpcart_routes::expect::Suite;
+use kelpcart_routes::fleet::Fleet;
+use kelpcart_routes::{report, search};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(about = "Checks what is expected of routes against the module that serves, without traffic.")]
+struct Line {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Every expectation of the file, in every circumstance that it asks for.
+    Test {
+        /// The gateway's configuration, as NODE_CONFIG names it.
+        #[arg(long)]
+        config: PathBuf,
+        #[arg(long)]
+        routes: PathBuf,
+        /// No more members in trouble at once than this, whatever the file says.
+        #[arg(long)]
+        search: Option<usize>,
+        /// The verdicts as JSON, and as JUnit XML, too.
+        #[arg(long)]
+        json: Option<PathBuf>,
+        #[arg(long)]
+        junit: Option<PathBuf>,
+    },
+    /// The configuration alone.
+    Check {
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// The schema of the file of expectations.
+    Schema,
+}
+
+fn main() -> ExitCode {
+    match run(Line::parse().what) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(why) => {
+            eprintln!("{why}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn config(path: &Path) -> Result<Config, String> {
+    Config::read(&read(path)?).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn run(what: What) -> Result<bool, String> {
+    match what {
+        What::Schema => {
+            println!("{}", Suite::schema());
+            Ok(true)
+        }
+        What::Check { config: path } => {
+            let fleet = Fleet::of(&config(&path)?);
+            println!("{} members, {} rules: it can be used", fleet.members.len(), fleet.names.rules.len());
+            Ok(true)
+        }
+        What::Test { config: path, routes, search: most, json, junit } => {
+            let fleet = Fleet::of(&config(&path)?);
+            let text = read(&routes)?;
+            let file = routes.display().to_string();
+            let suite = Suite::read(&text).map_err(|all| {
+                all.iter().map(|why| format!("{file}: {why}")).collect::<Vec<_>>().join("\n")
+            })?;
+            let all = search::run(&fleet, &suite, &text, most);
+            print!("{}", report::text(&all, &file));
+            let write = |path: &PathBuf, text: String| {
+                std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
+            };
+            json.map(|path| write(&path, report::json(&all).to_string())).transpose()?;
+            junit.map(|path| write(&path, report::junit(&all, &file))).transpose()?;
+            Ok(all.iter().all(search::Outcome::passes))
+        }
+    }
+}
--- /dev/null
+++ b/routes/src/world.rs
@@ -0,0 +1,165 @@
+//! Plays one circumstance on the real module: the list, the troubles, then txns one by one, each to its final answer. Owns
+//! simulated time. Must never decide in the module's place: it only answers hops as their member's trouble says.
+
+use crate::expect::Trouble;
+use crate::fleet::Fleet;
+use kelpcart::interface::*;
+use kelpcart::{Gateway, Span, Time};
+use std::collections::BTreeMap;
+
+/// Which members are in trouble, and what else holds.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Circumstance {
+    pub troubles: BTreeMap<usize, Trouble>,
+    pub purged: bool,
+    /// The gateway's list does not say so yet.
+    pub list_late: bool,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    pub member: usize,
+    pub source: Option<usize>,
+    pub oldest: Option<Span>,
+    pub end: HopEnd,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Final {
+    Served,
+    Rejected(Option<Span>),
+    Aborted,
+}
+
+/// A txn's whole way.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Way {
+    pub object: u64,
+    pub steps: Vec<Step>,
+    /// None within the bound on decisions: that is a fault of its own.
+    pub last: Option<Final>,
+}
+
+const START: u64 = 1_000_000_000;
+/// A txn and the next are this far apart: nothing is out when one begins.
+const APART: Span = Span::from_millis(400);
+/// No txn has more decisions than this.
+const MOST_DECISIONS: usize = 64;
+const ANSWERED: Span = Span::from_millis(20);
+
+pub struct World<'a> {
+    fleet: &'a Fleet,
+    now: Time,
+    gateway: Gateway,
+    circumstance: &'a Circumstance,
+    by_id: BTreeMap<MemberId, usize>,
+    next: TxnId,
+}
+
+impl<'a> World<'a> {
+    pub fn new(fleet: &'a Fleet, zone: usize, circumstance: &'a Circumstance) -> World<'a> {
+        let mut settings = fleet.settings.clone();
+        settings.zone = zone;
+        settings.list_asked = false;
+        let now = Time::from_micros(START);
+        let gateway = Gateway::new(settings, fleet.seed, now);
+        let by_id = fleet.members.iter().enumerate().map(|(i, m)| (m.id.clone(), i)).collect();
+        let mut world = World { fleet, now, gateway, circumstance, by_id, next: 1 };
+        world.gateway.members(now, true, fleet.members.clone());
+        world.settle();
+        if !circumstance.list_late {
+            let news =
+                circumstance.troubles.iter().filter_map(|(&i, &trouble)| world.news(i, trouble)).collect();
+            world.gateway.members(world.now, false, news);
+        }
+        world
+    }
+
+    /// What the list says of a member in trouble; nothing where it does not know.
+    fn news(&self, i: usize, trouble: Trouble) -> Option<Member> {
+        let member = self.fleet.members[i].clone();
+        match trouble {
+            Trouble::Down => Some(Member { state: MemberState::Gone, ..member }),
+            Trouble::Draining => Some(Member { state: MemberState::Draining, ..member }),
+            Trouble::Cold => Some(Member { started: Some(self.now), ..member }),
+            Trouble::Silent | Trouble::Full | Trouble::Failing => None,
+        }
+    }
+
+    fn settle(&mut self) {
+        while self.gateway.poll(self.now).is_some() {}
+    }
+
+    /// How a hop ends: its member's trouble, then its source's.
+    fn ends(&self, member: usize, source: Option<usize>, fill: Option<&Fill>) -> (HopEnd, Option<Note>) {
+        let trouble = |i: usize| self.circumstance.troubles.get(&i).copied();
+        match trouble(member) {
+            Some(Trouble::Down) => (HopEnd::Unreachable, None),
+            Some(Trouble::Silent) => (HopEnd::TimedOut, None),
+            Some(Trouble::Full) => (HopEnd::TurnedAway, None),
+            Some(Trouble::Failing) => (HopEnd::Errored, None),
+            _ => match source.map(|s| (s, trouble(s))) {
+                // Nothing is kept anywhere yet, the worst case for routes: who is asked only for what it holds lacks it.
+                None if fill.is_some_and(|f| f.held_only && f.source == self.fleet.members[member].id) => {
+                    (HopEnd::Lacking, None)
+                }
+                Some(_) if fill.is_some_and(|f| f.held_only) => (HopEnd::Lacking, Some(Note::SourceLacks)),
+                Some((_, Some(Trouble::Down | Trouble::Silent))) => (HopEnd::Errored, Some(Note::SourceLost)),
+                Some((_, Some(Trouble::Full | Trouble::Failing))) => {
+                    (HopEnd::Errored, Some(Note::SourceRefused))
+                }
+                _ => (HopEnd::Completed, Some(Note::Filled)),
+            },
+        }
+    }
+
+    /// One txn from its coming to its final answer.
+    pub fn ask(&mut self, rule: usize, object: u64) -> Way {
+        self.now += APART;
+        self.settle();
+        let group = object % 256;
+        if self.circumstance.purged {
+            self.gateway.purged(self.now, Some(object), group, Span::ZERO);
+        }
+        let (id, write) = (self.next, self.fleet.settings.rules[rule].write);
+        self.next += 1;
+        let left = self.fleet.settings.rules[rule].sla * 4.0;
+        let size = (self.fleet.settings.client_pace > 0.0).then_some(1.0);
+        let txn = Txn { id, rule, object, group, part: 0, write, size, left, oldest: None };
+        self.gateway.txn(self.now, txn);
+        let mut way = Way { object, steps: Vec::new(), last: None };
+        for _ in 0..MOST_DECISIONS {
+            match self.gateway.poll(self.now) {
+                Some(Decision::Hop { txn, member, fill, .. }) if txn == id => {
+                    let Some(&member) = self.by_id.get(&member) else { return way };
+                    let source = fill.as_ref().and_then(|f| self.by_id.get(&f.source)).copied();
+                    let source = source.filter(|&s| s != member);
+                    let (end, note) = self.ends(member, source, fill.as_ref());
+                    let (hop, closed) = (way.steps.len() as u32, end == HopEnd::Completed);
+                    let oldest = fill.and_then(|f| f.oldest);
+                    way.steps.push(Step { member, source, oldest, end });
+                    let took = if end == HopEnd::TimedOut { left * 0.25 } else { ANSWERED };
+                    self.now += took;
+                    let (first_byte, load) = (Some(ANSWERED), Load::default());
+                    self.gateway
+                        .outcome(self.now, Outcome { txn, hop, end, took, closed, note, first_byte, load });
+                    if closed {
+                        way.last = Some(Final::Served);
+                        return way;
+                    }
+                }
+                Some(Decision::Reject { txn, come_back }) if txn == id => {
+                    way.last = Some(Final::Rejected(come_back));
+                    return way;
+                }
+                Some(Decision::Abort { txn }) if txn == id => {
+                    way.last = Some(Final::Aborted);
+                    return way;
+                }
+                Some(_) => {}
+                None => return way,
+            }
+        }
+        way
+    }
+}
--- /dev/null
+++ b/routes/tests/suites.rs
@@ -0,0 +1,215 @@
+//! Suites against configurations: what breaks only with two members in trouble is found and named, what can't be put to
+//! the test is told, and the verdict is the same each time.
+
+use kelpcart_gateway::config::Config;
+use kelpcart_routes::expect::{Suite, Trouble};
+use kelpcart_routes::fleet::Fleet;
+use kelpcart_routes::report;
+use kelpcart_routes::search::{self, Found, Outcome};
+use quickcheck::{Gen, QuickCheck};
+use serde_json::{Value, json};
+
+fn example(name: &str) -> String {
+    std::fs::read_to_string(format!("{}/../examples/{name}", env!("CARGO_MANIFEST_DIR"))).unwrap()
+}
+
+/// The example's configuration with some values changed by their paths.
+fn fleet(changes: &[(&str, Value)]) -> Fleet {
+    let mut all: Value = serde_json::from_str(&example("config.json")).unwrap();
+    for (path, value) in changes {
+        *all.pointer_mut(path).unwrap() = value.clone();
+    }
+    Fleet::of(&Config::read(&all.to_string()).unwrap())
+}
+
+/// A fleet of so many boxes, parents and one origin, all in one zone.
+fn large(boxes: usize, parents: usize) -> Fleet {
+    let member = |name: String, kind: &str| {
+        json!({"name": name, "address": "127.0.0.1:1", "zone": "here", "type": kind, "group": 0, "status": "up",
+            "weight": 4, "since_ms": 0})
+    };
+    let boxes = (0..boxes).map(|i| member(format!("box-{i}"), "box"));
+    let parents = (0..parents).map(|i| member(format!("parent-{i}"), "parent"));
+    let all: Vec<Value> = boxes.chain(parents).chain([member("origin".to_owned(), "origin")]).collect();
+    fleet(&[("/known/items/0/roster/endpoints", json!(all))])
+}
+
+fn run(fleet: &Fleet, expectations: Value, most: Option<usize>) -> Vec<Outcome> {
+    let text = json!({"hosts": {"host1.example.org": "here"}, "expectations": expectations}).to_string();
+    search::run(fleet, &Suite::read(&text).unwrap(), &text, most)
+}
+
+fn one(fleet: &Fleet, expectation: Value) -> Found {
+    run(fleet, json!([expectation]), None).remove(0).found
+}
+
+fn expect(rule: &str, search: usize, must: Value) -> Value {
+    json!({"name": "n", "about": {"rule": rule}, "search": search, "must": must})
+}
+
+#[test]
+fn the_example_suite_holds_and_fails_by_name_after_one_edit() {
+    let text = example("routes.json");
+    let suite = Suite::read(&text).unwrap();
+    let all = search::run(&fleet(&[]), &suite, &text, None);
+    assert!(all.iter().all(Outcome::passes), "{}", report::text(&all, "routes.json"));
+    // Without direct hops, what both boxes' absence leaves is nothing.
+    let edited = fleet(&[("/settings/FamilyInfo/BypassAllowed", json!(false))]);
+    let all = search::run(&edited, &suite, &text, None);
+    let failed: Vec<&str> = all.iter().filter(|o| !o.passes()).map(|o| o.name.as_str()).collect();
+    assert!(failed.contains(&"a segment is served while both boxes are drained or down"), "{failed:?}");
+}
+
+#[test]
+fn what_breaks_only_with_two_boxes_down_together_is_found_with_both_named() {
+    let edited = fleet(&[("/settings/FamilyInfo/BypassAllowed", json!(false))]);
+    let mut served = expect("segment", 1, json!({"be_served": true}));
+    served["troubles"] = json!(["draining"]);
+    assert_eq!(one(&edited, served.clone()), Found::Held);
+    served["search"] = json!(2);
+    let Found::Broken { troubles, why, .. } = one(&edited, served.clone()) else { panic!("not found") };
+    let both = [("box-a".to_owned(), Trouble::Draining), ("box-b".to_owned(), Trouble::Draining)];
+    assert_eq!(troubles, both);
+    assert!(why.contains("rejected"), "{why}");
+    // Before the edit the two boxes are no trouble: others are the first to be.
+    let Found::Broken { troubles, .. } = one(&fleet(&[]), served) else { panic!("parent and origin") };
+    assert_ne!(troubles, both);
+}
+
+#[test]
+fn the_least_circumstance_is_the_one_that_is_told() {
+    // One down parent is enough, though two are searched.
+    let must = json!({"fill_only_from": {"names": ["parent"]}});
+    let Found::Broken { troubles, steps, .. } = one(&fleet(&[]), expect("segment", 2, must)) else {
+        panic!()
+    };
+    assert_eq!(troubles.len(), 1, "{troubles:?}");
+    assert_eq!(troubles[0].0, "parent");
+    assert!(steps.iter().any(|s| s.contains("filled from origin")), "{steps:?}");
+}
+
+#[test]
+fn an_unrepeatable_txn_keeps_its_rule_and_the_opposite_is_seen() {
+    let held = one(&fleet(&[]), expect("commit", 2, json!({"never_again_once_it_may_have_run": true})));
+    assert_eq!(held, Found::Held);
+    // A repeatable one does go on: the same expectation about it is broken.
+    let mut other = expect("segment", 1, json!({"never_again_once_it_may_have_run": true}));
+    other["troubles"] = json!(["failing"]);
+    assert!(matches!(one(&fleet(&[]), other), Found::Broken { .. }));
+    let mut aborted = expect("commit", 0, json!({"be_aborted": true}));
+    aborted["while"] = json!({"members": {"silent": {"kind": "origin"}}});
+    // The first of all: later ones are told at once that the origin is silent, and have not run.
+    aborted["about"]["objects"] = json!(1);
+    assert_eq!(one(&fleet(&[]), aborted.clone()), Found::Held);
+    aborted["must"] = json!({"be_rejected": true});
+    assert!(matches!(one(&fleet(&[]), aborted), Found::Broken { .. }));
+}
+
+#[test]
+fn what_is_never_put_to_the_test_fails_as_vacuous() {
+    let nobody = json!({"never_go_to": {"trouble": "full"}});
+    let mut e = expect("segment", 1, nobody);
+    e["troubles"] = json!(["down"]);
+    assert_eq!(one(&fleet(&[]), e), Found::Vacuous);
+    // Nothing is ever left unserved here, so that nothing can be rejected.
+    assert_eq!(one(&fleet(&[]), expect("segment", 0, json!({"be_rejected": true}))), Found::Vacuous);
+}
+
+#[test]
+fn contradictory_expectations_are_both_judged_and_one_is_named() {
+    let all = run(
+        &fleet(&[]),
+        json!([
+            {"name": "first", "about": {"rule": "segment"}, "search": 0, "must": {"go_first_to": {"kind": "box"}}},
+            {"name": "second", "about": {"rule": "segment"}, "search": 0, "must": {"never_go_to": {"kind": "box"}}},
+        ]),
+        None,
+    );
+    assert!(all[0].passes() && !all[1].passes());
+    let xml = report::junit(&all, "a <suite>");
+    assert!(
+        xml.contains("a &lt;suite&gt;")
+            && xml.contains("failures=\"1\"")
+            && xml.contains("name=\"second\"><failure")
+    );
+}
+
+#[test]
+fn what_is_not_there_is_told_with_the_likely_name() {
+    let told = |e: Value| match one(&fleet(&[]), e) {
+        Found::Unusable(why) => why,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(
+        told(expect("segmnet", 0, json!({"be_served": true}))),
+        "the configuration has no rule segmnet; did you mean segment?"
+    );
+    let why = told(expect("segment", 0, json!({"never_go_to": {"names": ["box-c"]}})));
+    assert!(why.starts_with("the configuration has no member box-c; did you mean box-"), "{why}");
+    let mut far = expect("segment", 0, json!({"be_served": true}));
+    far["about"]["near"] = json!("host9.example.org");
+    assert!(told(far).contains("no host and no zone"));
+    let mut twice = expect("segment", 0, json!({"be_served": true}));
+    twice["while"] = json!({"members": {"down": {"kind": "box"}, "cold": {"names": ["box-a"]}}});
+    assert_eq!(told(twice), "box-a is in two troubles at once");
+}
+
+#[test]
+fn faults_of_the_file_are_told_all_at_once_with_their_lines() {
+    let text = "{\"expectations\": [\n{\"name\": \"a\", \"about\": {\"rule\": \"x\", \"objects\": 0}, \"must\": {\"be_served\": false}},\n\
+        {\"name\": \"a\", \"about\": {\"rule\": \"x\", \"object\": \"zz\"}, \"search\": 9, \"must\": {\"move_at_most\": 2}}]}";
+    let faults: Vec<String> = Suite::read(text).unwrap_err().iter().map(ToString::to_string).collect();
+    assert_eq!(faults.len(), 6, "{faults:#?}");
+    assert!(faults[0].starts_with("line 2: a: objects is 0"));
+    let half = &example("routes.json")[..300];
+    assert!(Suite::read(half).unwrap_err()[0].to_string().contains("EOF"));
+    let unknown =
+        Suite::read(r#"{"expectations": [{"name": "ü", "about": {"rule": "x"}, "must": {"fly": 1}}]}"#);
+    assert!(unknown.unwrap_err()[0].to_string().contains("unknown variant"));
+}
+
+/// The verdict and what is told are the same whatever the order in which threads come to them.
+fn same(seed: u8) -> bool {
+    let fleet = large(3 + usize::from(seed % 4), 2);
+    let musts = [
+        json!({"be_served": true}),
+        json!({"at_most_hops": 1}),
+        json!({"fill_only_from": {"kind": "parent"}}),
+    ];
+    let all = musts.map(|must| expect("segment", 2, must));
+    let told = || {
+        format!("{:?}", run(&fleet, json!([all[0]]), None))
+            + &format!("{:?}", one(&fleet, all[usize::from(seed) % 3].clone()))
+    };
+    told() == told()
+}
+
+#[test]
+fn the_same_input_has_the_same_verdict() {
+    QuickCheck::new().rng(Gen::from_size_and_seed(5, 7)).tests(8).quickcheck(same as fn(u8) -> bool);
+}
+
+#[test]
+fn a_drained_member_is_left_in_fleets_of_every_size_and_a_late_list_is_seen() {
+    for boxes in [1, 5, 40] {
+        let fleet = large(boxes, 2);
+        let mut e = expect("segment", 1, json!({"never_go_to": {"trouble": "draining"}}));
+        e["while"] = json!({"members": {"draining": {"names": ["box-0"]}}});
+        assert_eq!(one(&fleet, e.clone()), Found::Held, "{boxes}");
+        // Told of it late, the gateway still goes there: the expectation says so.
+        e["while"]["list_late"] = json!(true);
+        assert!(matches!(one(&fleet, e), Found::Broken { .. }), "{boxes}");
+    }
+}
+
+#[test]
+fn a_purge_bounds_the_age_of_what_is_asked_for_in_every_circumstance() {
+    use kelpcart_routes::world::{Circumstance, World};
+    let fleet = large(4, 2);
+    let circumstance = Circumstance { purged: true, ..Circumstance::default() };
+    let mut world = World::new(&fleet, fleet.settings.zone, &circumstance);
+    for object in 1..20 {
+        let way = world.ask(0, object);
+        assert!(!way.steps.is_empty() && way.steps.iter().all(|s| s.oldest.is_some()), "{way:?}");
+    }
+}
