Searches start from one prepared gateway; their times are measured

Need: 100 members in all pairs with 50 expectations took 25 s on four threads. Change: each circumstance starts from a copy of a gateway that knows the list (Clone on the module's records); kelpcart-routes measure prints a table.

--- a/routes/src/lib.rs
+++ b/routes/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod expect;
 pub mod fleet;
 pub mod judge;
+pub mod measure;
 pub mod report;
 pub mod search;
 pub mod world;
--- a/routes/src/main.rs
+++ b/routes/src/main.rs
@@ -5,6 +5,7 @@
 use kelpcart_gateway::config::Config;
 use kelpcart_routes::expect::Suite;
 use kelpcart_routes::fleet::Fleet;
+use kelpcart_routes::measure::{self, Size};
 use kelpcart_routes::{report, search};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -39,6 +40,13 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// How long searches of growing size take on this machine, with the configuration's rules.
+    Measure {
+        #[arg(long)]
+        config: PathBuf,
+        #[arg(long)]
+        json: Option<PathBuf>,
+    },
     /// The schema of the file of expectations.
     Schema,
 }
@@ -73,6 +81,26 @@
             println!("{} members, {} rules: it can be used", fleet.members.len(), fleet.names.rules.len());
             Ok(true)
         }
+        What::Measure { config: path, json } => {
+            let base = Fleet::of(&config(&path)?);
+            let size = |members, expectations, search| Size { members, expectations, search };
+            let sizes = [
+                size(25, 50, 1),
+                size(25, 50, 2),
+                size(50, 50, 2),
+                size(100, 10, 2),
+                size(100, 50, 1),
+                size(100, 50, 2),
+                size(25, 5, 3),
+                size(1_000, 2, 1),
+            ];
+            let (table, rows) = measure::table(&base, &sizes)?;
+            print!("{table}");
+            if let Some(path) = json {
+                std::fs::write(&path, rows.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
+            }
+            Ok(true)
+        }
         What::Test { config: path, routes, search: most, json, junit } => {
             let fleet = Fleet::of(&config(&path)?);
             let text = read(&routes)?;
--- a/routes/src/search.rs
+++ b/routes/src/search.rs
@@ -5,7 +5,7 @@
 use crate::expect::{Expectation, Must, Suite, Trouble, line_of};
 use crate::fleet::Fleet;
 use crate::judge::{Case, Verdict};
-use crate::world::{Circumstance, Final, Way, World};
+use crate::world::{Calm, Circumstance, Final, Way, World};
 use rayon::prelude::*;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -60,6 +60,8 @@
     e: &'a Expectation,
     rule: usize,
     zone: usize,
+    /// By zone.
+    starts: Vec<Calm>,
     objects: Vec<u64>,
     calm: Vec<Way>,
     given: Circumstance,
@@ -87,15 +89,9 @@
         // Spread over all hashes, and the same at each run.
         None => (1..=e.about.objects as u64).map(|i| i.wrapping_mul(0x9e37_79b9_7f4a_7c15)).collect(),
     };
-    let mut trial = Trial {
-        fleet,
-        e,
-        rule: fleet.rule(&e.about.rule)?,
-        zone: fleet.near(suite, e)?,
-        objects,
-        calm: Vec::new(),
-        given,
-    };
+    let (rule, zone) = (fleet.rule(&e.about.rule)?, fleet.near(suite, e)?);
+    let starts = (0..fleet.names.zones.len().max(zone + 1)).map(|z| Calm::new(fleet, z)).collect();
+    let mut trial = Trial { fleet, e, rule, zone, starts, objects, calm: Vec::new(), given };
     trial.calm = trial.ways(trial.zone, &Circumstance::default());
     let free: Vec<usize> =
         (0..fleet.members.len()).filter(|i| !trial.given.troubles.contains_key(i)).collect();
@@ -146,7 +142,7 @@
 
 impl Trial<'_> {
     fn ways(&self, zone: usize, circumstance: &Circumstance) -> Vec<Way> {
-        let mut world = World::new(self.fleet, zone, circumstance);
+        let mut world = World::from(&self.starts[zone], self.fleet, circumstance);
         self.objects.iter().map(|&object| world.ask(self.rule, object)).collect()
     }
 
--- a/routes/src/world.rs
+++ b/routes/src/world.rs
@@ -6,6 +6,7 @@
 use kelpcart::interface::*;
 use kelpcart::{Gateway, Span, Time};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// Which members are in trouble, and what else holds.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -52,21 +53,41 @@
     now: Time,
     gateway: Gateway,
     circumstance: &'a Circumstance,
-    by_id: BTreeMap<MemberId, usize>,
+    by_id: Arc<BTreeMap<MemberId, usize>>,
     next: TxnId,
 }
 
-impl<'a> World<'a> {
-    pub fn new(fleet: &'a Fleet, zone: usize, circumstance: &'a Circumstance) -> World<'a> {
+/// A gateway that knows the list and has met nothing yet: the start of every circumstance.
+#[derive(Clone)]
+pub struct Calm {
+    now: Time,
+    gateway: Gateway,
+    by_id: Arc<BTreeMap<MemberId, usize>>,
+}
+
+impl Calm {
+    pub fn new(fleet: &Fleet, zone: usize) -> Calm {
         let mut settings = fleet.settings.clone();
         settings.zone = zone;
         settings.list_asked = false;
         let now = Time::from_micros(START);
-        let gateway = Gateway::new(settings, fleet.seed, now);
+        let mut gateway = Gateway::new(settings, fleet.seed, now);
         let by_id = fleet.members.iter().enumerate().map(|(i, m)| (m.id.clone(), i)).collect();
+        gateway.members(now, true, fleet.members.clone());
+        while gateway.poll(now).is_some() {}
+        Calm { now, gateway, by_id: Arc::new(by_id) }
+    }
+}
+
+impl<'a> World<'a> {
+    pub fn new(fleet: &'a Fleet, zone: usize, circumstance: &'a Circumstance) -> World<'a> {
+        World::from(&Calm::new(fleet, zone), fleet, circumstance)
+    }
+
+    /// The circumstance on top of what was calm.
+    pub fn from(calm: &Calm, fleet: &'a Fleet, circumstance: &'a Circumstance) -> World<'a> {
+        let Calm { now, gateway, by_id } = calm.clone();
         let mut world = World { fleet, now, gateway, circumstance, by_id, next: 1 };
-        world.gateway.members(now, true, fleet.members.clone());
-        world.settle();
         if !circumstance.list_late {
             let news =
                 circumstance.troubles.iter().filter_map(|(&i, &trouble)| world.news(i, trouble)).collect();
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -77,6 +77,7 @@
 /// The member of a hop, its fill source, and the orders for a miss.
 type Plan = (usize, Option<usize>, Option<Fill>);
 
+#[derive(Clone)]
 pub struct Gateway {
     set: Settings,
     rng: Pcg64Mcg,
--- a/src/state.rs
+++ b/src/state.rs
@@ -15,6 +15,7 @@
 }
 
 /// What the weight controller keeps of a parent, from this gateway's own fills.
+#[derive(Clone)]
 pub struct Weight {
     pub weight: f64,
     pub recent: Histogram,
@@ -27,6 +28,7 @@
 }
 
 /// A member of the list: an edge cache, a parent or the origin.
+#[derive(Clone)]
 pub struct Cache {
     pub m: Member,
     pub key: u64,
@@ -99,6 +101,7 @@
     }
 }
 
+#[derive(Clone)]
 pub struct Hop {
     pub member: usize,
     pub source: Option<usize>,
@@ -114,6 +117,7 @@
     pub cancelled: bool,
 }
 
+#[derive(Clone)]
 pub struct Open {
     pub txn: Txn,
     pub limit: Time,
@@ -143,11 +147,13 @@
 }
 
 /// What is measured of a remap rule's txns: their mean sending time in seconds.
+#[derive(Clone)]
 pub struct Row {
     pub sending: f64,
     pub told: bool,
 }
 
+#[derive(Clone)]
 pub struct Purge {
     pub object: Option<u64>,
     pub group: u64,
@@ -155,7 +161,7 @@
 }
 
 /// All that a gateway knows at a moment.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Book {
     pub caches: Vec<Cache>,
     /// Members listed now, by role, and the caches of the own zone: what a txn has to choose from.
