explain: why a txn goes where it goes, in the module's own words, and its whole way

Need: when an expectation breaks, operators have to see who was passed over and why. Result: over 40 random sets of circumstances the first hop and its source are those that were told.

--- /dev/null
+++ b/routes/src/explain.rs
@@ -0,0 +1,105 @@
+//! Why one txn goes where it goes in one circumstance, in the module's own words, and the whole way it takes.
+
+use crate::fleet::Fleet;
+use crate::world::{Circumstance, Final, Way, World};
+use kelpcart::explain::{Reasons, Standing};
+use kelpcart::interface::MemberState;
+use serde_json::{Value, json};
+
+pub struct Explained {
+    pub reasons: Reasons,
+    pub way: Way,
+}
+
+/// `after`: so many other txns of the rule come first, so that what only hops can tell is known.
+pub fn explain(
+    fleet: &Fleet,
+    zone: usize,
+    circumstance: &Circumstance,
+    rule: usize,
+    object: u64,
+    after: u64,
+) -> Explained {
+    let mut world = World::new(fleet, zone, circumstance);
+    for other in 1..=after {
+        world.ask(rule, other.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    }
+    let reasons = world.explain(rule, object);
+    Explained { reasons, way: world.ask(rule, object) }
+}
+
+/// What speaks against a member; empty where nothing does.
+fn against(s: &Standing, fraction: f64) -> Vec<String> {
+    let mut all = Vec::new();
+    match s.state {
+        MemberState::Up => {}
+        MemberState::Draining => all.push("draining".to_owned()),
+        MemberState::Gone => all.push("gone".to_owned()),
+    }
+    if s.silent_until.is_some() {
+        all.push("silent".to_owned());
+    }
+    if s.cold_budget_spent {
+        all.push("cold, its budget spent".to_owned());
+    }
+    if s.gate_full {
+        all.push("its gate is full".to_owned());
+    }
+    if let Some(weight) = s.weight.filter(|w| *w / 100.0 <= fraction) {
+        all.push(format!("weight {weight:.0} below the object's fraction {fraction:.2}"));
+    }
+    all
+}
+
+fn steps(fleet: &Fleet, way: &Way) -> Vec<String> {
+    let name = |i: usize| &*fleet.members[i].id;
+    let step = |s: &crate::world::Step| {
+        let from = s.source.map_or(String::new(), |s| format!(", filled from {}", name(s)));
+        let oldest =
+            s.oldest.map_or(String::new(), |o| format!(", no copy older than {} ms", o.as_micros() / 1_000));
+        format!("hop to {}{from}{oldest}: {:?}", name(s.member), s.end).to_lowercase()
+    };
+    let last = match way.last {
+        Some(Final::Served) => "served".to_owned(),
+        Some(Final::Rejected(wait)) => {
+            let wait =
+                wait.map_or(String::new(), |w| format!(", to come back after {} ms", w.as_micros() / 1_000));
+            format!("rejected{wait}")
+        }
+        Some(Final::Aborted) => "aborted".to_owned(),
+        None => "no final answer".to_owned(),
+    };
+    way.steps.iter().map(step).chain([last]).collect()
+}
+
+impl Explained {
+    pub fn text(&self, fleet: &Fleet) -> String {
+        let r = &self.reasons;
+        let mut out = String::new();
+        for (what, all) in [("caches", &r.caches), ("parents", &r.parents), ("origin", &r.origins)] {
+            out.push_str(&format!("{what}, in the object's order:\n"));
+            for s in all {
+                let against = against(s, r.fraction);
+                let told = if against.is_empty() { "fits".to_owned() } else { against.join("; ") };
+                out.push_str(&format!("  {}: {told}\n", s.member));
+            }
+        }
+        if r.origin_sick {
+            out.push_str("the origin is held to be sick: parents are asked for what they hold\n");
+        }
+        out.push_str("the way it takes:\n");
+        steps(fleet, &self.way).iter().for_each(|step| out.push_str(&format!("  {step}\n")));
+        out
+    }
+
+    pub fn json(&self, fleet: &Fleet) -> Value {
+        let r = &self.reasons;
+        let all = |all: &[Standing]| -> Vec<Value> {
+            all.iter()
+                .map(|s| json!({"member": &*s.member, "against": against(s, r.fraction), "weight": s.weight}))
+                .collect()
+        };
+        json!({"caches": all(&r.caches), "parents": all(&r.parents), "origins": all(&r.origins),
+            "fraction": r.fraction, "origin_sick": r.origin_sick, "way": steps(fleet, &self.way)})
+    }
+}
--- a/routes/src/fleet.rs
+++ b/routes/src/fleet.rs
@@ -65,6 +65,24 @@
         })
     }
 
+    pub fn zone(&self, name: &str) -> Result<usize, String> {
+        let found = self.names.zones.iter().position(|z| z == name);
+        found.ok_or_else(|| {
+            format!("the configuration has no zone {name}{}", nearest(name, &self.names.zones))
+        })
+    }
+
+    /// A member and its trouble, as NAME=TROUBLE.
+    pub fn trouble(&self, text: &str) -> Result<(usize, Trouble), String> {
+        let (name, word) = text.split_once('=').ok_or_else(|| format!("{text} is not NAME=TROUBLE"))?;
+        let ids: Vec<String> = self.members.iter().map(|m| m.id.to_string()).collect();
+        self.check_place("member", name, &ids)?;
+        let trouble = serde_json::from_value(word.into());
+        let trouble = trouble
+            .map_err(|_| format!("{word} is no trouble: down, draining, cold, silent, full, failing"))?;
+        Ok((ids.iter().position(|id| id == name).unwrap_or(0), trouble))
+    }
+
     /// Everything that is named has to be there.
     pub fn check(&self, suite: &Suite, e: &Expectation) -> Result<(), String> {
         self.rule(&e.about.rule)?;
--- a/routes/src/lib.rs
+++ b/routes/src/lib.rs
@@ -4,6 +4,7 @@
 //! Nothing here does I/O but the program.
 
 pub mod expect;
+pub mod explain;
 pub mod fleet;
 pub mod judge;
 pub mod measure;
--- a/routes/src/main.rs
+++ b/routes/src/main.rs
@@ -6,7 +6,8 @@
 use kelpcart_routes::expect::Suite;
 use kelpcart_routes::fleet::Fleet;
 use kelpcart_routes::measure::{self, Size};
-use kelpcart_routes::{report, search};
+use kelpcart_routes::world::Circumstance;
+use kelpcart_routes::{explain, report, search};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -40,6 +41,30 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// Why one txn goes where it goes, and its whole way.
+    Explain {
+        #[arg(long)]
+        config: PathBuf,
+        #[arg(long)]
+        rule: String,
+        /// In hex digits.
+        #[arg(long)]
+        object: String,
+        /// The zone that it comes from; else the configuration's own.
+        #[arg(long)]
+        zone: Option<String>,
+        /// Members in trouble: NAME=down, draining, cold, silent, full or failing; as often as there are.
+        #[arg(long)]
+        with: Vec<String>,
+        /// The object was purged just now.
+        #[arg(long)]
+        purged: bool,
+        /// So many other txns come first, so that what only hops can tell is known.
+        #[arg(long, default_value_t = 0)]
+        after: u64,
+        #[arg(long)]
+        json: Option<PathBuf>,
+    },
     /// How long searches of growing size take on this machine, with the configuration's rules.
     Measure {
         #[arg(long)]
@@ -81,6 +106,21 @@
             println!("{} members, {} rules: it can be used", fleet.members.len(), fleet.names.rules.len());
             Ok(true)
         }
+        What::Explain { config: path, rule, object, zone, with, purged, after, json } => {
+            let fleet = Fleet::of(&config(&path)?);
+            let (rule, object) = (fleet.rule(&rule)?, u64::from_str_radix(&object, 16));
+            let object = object.map_err(|_| "--object is not hex digits".to_owned())?;
+            let zone = zone.map_or(Ok(fleet.settings.zone), |z| fleet.zone(&z))?;
+            let troubles = with.iter().map(|w| fleet.trouble(w)).collect::<Result<_, _>>()?;
+            let circumstance = Circumstance { troubles, purged, list_late: false };
+            let told = explain::explain(&fleet, zone, &circumstance, rule, object, after);
+            print!("{}", told.text(&fleet));
+            if let Some(path) = json {
+                let text = told.json(&fleet).to_string();
+                std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+            }
+            Ok(true)
+        }
         What::Measure { config: path, json } => {
             let base = Fleet::of(&config(&path)?);
             let size = |members, expectations, search| Size { members, expectations, search };
--- a/routes/src/world.rs
+++ b/routes/src/world.rs
@@ -3,6 +3,7 @@
 
 use crate::expect::Trouble;
 use crate::fleet::Fleet;
+use kelpcart::explain::Reasons;
 use kelpcart::interface::*;
 use kelpcart::{Gateway, Span, Time};
 use std::collections::BTreeMap;
@@ -134,19 +135,32 @@
         }
     }
 
+    fn txn(&self, rule: usize, object: u64) -> Txn {
+        let (id, group, write) = (self.next, object % 256, self.fleet.settings.rules[rule].write);
+        let left = self.fleet.settings.rules[rule].sla * 4.0;
+        let size = (self.fleet.settings.client_pace > 0.0).then_some(1.0);
+        Txn { id, rule, object, group, part: 0, write, size, left, oldest: None }
+    }
+
+    /// What the module has to say of a txn that would come now.
+    pub fn explain(&mut self, rule: usize, object: u64) -> Reasons {
+        // The moment at which `ask` would bring it.
+        let now = self.now + APART;
+        let mut as_then = self.gateway.clone();
+        while as_then.poll(now).is_some() {}
+        as_then.explain(now, &self.txn(rule, object))
+    }
+
     /// One txn from its coming to its final answer.
     pub fn ask(&mut self, rule: usize, object: u64) -> Way {
         self.now += APART;
         self.settle();
-        let group = object % 256;
+        let txn = self.txn(rule, object);
+        let (id, group, left) = (txn.id, txn.group, txn.left);
+        self.next += 1;
         if self.circumstance.purged {
             self.gateway.purged(self.now, Some(object), group, Span::ZERO);
         }
-        let (id, write) = (self.next, self.fleet.settings.rules[rule].write);
-        self.next += 1;
-        let left = self.fleet.settings.rules[rule].sla * 4.0;
-        let size = (self.fleet.settings.client_pace > 0.0).then_some(1.0);
-        let txn = Txn { id, rule, object, group, part: 0, write, size, left, oldest: None };
         self.gateway.txn(self.now, txn);
         let mut way = Way { object, steps: Vec::new(), last: None };
         for _ in 0..MOST_DECISIONS {
--- a/routes/tests/suites.rs
+++ b/routes/tests/suites.rs
@@ -213,3 +213,55 @@
         assert!(!way.steps.is_empty() && way.steps.iter().all(|s| s.oldest.is_some()), "{way:?}");
     }
 }
+
+/// What is told of a txn is what the module then does: the first hop goes to the first cache against which nothing speaks,
+/// and is filled from the first parent of which the same holds.
+fn told_is_done(cases: Vec<(u8, u8, u8, u64)>) -> bool {
+    use kelpcart_routes::explain::explain;
+    use kelpcart_routes::world::Circumstance;
+    let fleet = large(5, 3);
+    cases.into_iter().all(|(a, b, trouble, object)| {
+        let all = [Trouble::Down, Trouble::Draining, Trouble::Silent, Trouble::Full];
+        let troubles = [a, b].map(|i| (usize::from(i) % fleet.members.len(), all[usize::from(trouble) % 4]));
+        let circumstance = Circumstance { troubles: troubles.into(), ..Circumstance::default() };
+        let told = explain(&fleet, fleet.settings.zone, &circumstance, 0, object, 30);
+        let fits = |s: &&kelpcart::explain::Standing| {
+            let by_weight = s.weight.is_none_or(|w| w / 100.0 > told.reasons.fraction);
+            let up = s.state == kelpcart::interface::MemberState::Up && s.silent_until.is_none();
+            up && !s.cold_budget_spent && by_weight
+        };
+        let name = |i: usize| fleet.members[i].id.clone();
+        let Some(first) = told.way.steps.first() else { return true };
+        let cache = told.reasons.caches.iter().find(fits).map(|s| s.member.clone());
+        let parent = told.reasons.parents.iter().find(fits).map(|s| s.member.clone());
+        // A trial may go to a silent one; and without a cache it goes straight to the parent.
+        let trial = |i: usize| circumstance.troubles.get(&i) == Some(&Trouble::Silent);
+        let to_cache = cache.is_none_or(|c| c == name(first.member)) || trial(first.member);
+        let from_parent = first.source.is_none_or(|s| parent.is_none_or(|p| p == name(s)) || trial(s));
+        to_cache && from_parent
+    })
+}
+
+#[test]
+fn what_is_explained_is_what_the_module_does() {
+    type Cases = Vec<(u8, u8, u8, u64)>;
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(12, 7))
+        .tests(40)
+        .quickcheck(told_is_done as fn(Cases) -> bool);
+}
+
+#[test]
+fn an_explanation_names_what_speaks_against_each() {
+    use kelpcart_routes::explain::explain;
+    use kelpcart_routes::world::Circumstance;
+    let fleet = large(3, 2);
+    let troubles = ["box-0=draining", "parent-1=silent"].map(|t| fleet.trouble(t).unwrap()).into();
+    let circumstance = Circumstance { troubles, purged: true, ..Circumstance::default() };
+    let told = explain(&fleet, fleet.settings.zone, &circumstance, 0, 77, 40);
+    let text = told.text(&fleet);
+    assert!(text.contains("box-0: draining") && text.contains("parent-1: silent"), "{text}");
+    assert!(text.contains("no copy older than") && text.contains("served"), "{text}");
+    assert!(fleet.trouble("box-9=down").unwrap_err().contains("did you mean box-"));
+    assert!(fleet.trouble("box-0=tired").unwrap_err().contains("no trouble"));
+}
--- /dev/null
+++ b/src/explain.rs
@@ -0,0 +1,70 @@
+//! Tells why a txn would go where it goes: each member in the object's order with what speaks for and against it now.
+//! Reads what the module knows, by the module's own tests; must never decide, nor change anything.
+
+use crate::interface::{MemberId, MemberState, Txn};
+use crate::logic::Gateway;
+use crate::state::Role;
+use crate::time::{Span, Time};
+
+/// A member as it stands for one txn.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Standing {
+    pub member: MemberId,
+    pub state: MemberState,
+    /// It answers nothing; a trial goes there at the time.
+    pub silent_until: Option<Time>,
+    /// It started lately, and its budget is spent.
+    pub cold_budget_spent: bool,
+    /// This gateway has as much there as its gate lets through.
+    pub gate_full: bool,
+    /// Of a parent, 0 to 100: a fill goes there if the object's fraction lies below a hundredth of it.
+    pub weight: Option<f64>,
+}
+
+/// In the object's hash order each.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reasons {
+    /// Caches of the own zone.
+    pub caches: Vec<Standing>,
+    pub parents: Vec<Standing>,
+    pub origins: Vec<Standing>,
+    /// The object's fraction, 0 to 1.
+    pub fraction: f64,
+    /// Its own sending time, as far as it is told.
+    pub sending: Span,
+    /// The oldest copy that would be asked for; `None`: the remap rule's fresh time.
+    pub oldest: Option<Span>,
+    pub origin_sick: bool,
+}
+
+impl Gateway {
+    /// Why a txn that comes now would go where it goes.
+    pub fn explain(&self, now: Time, txn: &Txn) -> Reasons {
+        let all = |role| self.standings(now, role, txn);
+        Reasons {
+            caches: all(Role::Edge),
+            parents: all(Role::Parent),
+            origins: all(Role::Origin),
+            fraction: self.fraction(txn),
+            sending: Span::from_secs_f64(self.sending(txn)),
+            oldest: self.oldest_for(now, txn),
+            origin_sick: self.origin_sick(),
+        }
+    }
+
+    fn standings(&self, now: Time, role: Role, txn: &Txn) -> Vec<Standing> {
+        let (sending, load) = (self.sending(txn), txn.size.unwrap_or(1.0));
+        let one = |i: usize| {
+            let c = &self.book.caches[i];
+            Standing {
+                member: c.m.id.clone(),
+                state: c.m.state,
+                silent_until: c.trial_at,
+                cold_budget_spent: !self.has_room(now, i, sending),
+                gate_full: !self.passes(now, i, load, sending),
+                weight: (role == Role::Parent).then_some(c.par.weight),
+            }
+        };
+        self.order(role, txn, false).into_iter().map(one).collect()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! kelpcart decides where a txn goes, where a missing object is filled from, and when to give up.
 
+pub mod explain;
 mod histogram;
 pub mod interface;
 mod logic;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -430,7 +430,7 @@
     /// Origin fills fail or start late behind every parent alike. Then parents are asked for what they hold
     /// first, ageing copies will do, and what must go on to the origin passes its gate: a slow or crowded
     /// origin gets what it can answer in time. Costs a hop for each miss while it lasts.
-    fn origin_sick(&self) -> bool {
+    pub(crate) fn origin_sick(&self) -> bool {
         self.book.origin_bad > ORIGIN_SICK
     }
 
@@ -450,7 +450,7 @@
 
     /// Room for a txn at a member: more for small txns, less for large ones. Where there is not enough for
     /// all, importance by the txn is served best so; large ones wait longest for a gate to open.
-    fn passes(&self, now: Time, i: usize, load: f64, sending: f64) -> bool {
+    pub(crate) fn passes(&self, now: Time, i: usize, load: f64, sending: f64) -> bool {
         let (c, held, room) = (&self.book.caches[i], self.held(now, i), self.room(i) * self.favour(sending));
         c.load <= 0.0 && held <= room / 2.0 || held + load / c.sharers <= room
     }
@@ -579,7 +579,7 @@
     }
 
     /// The txn's own sending time, as far as it is told.
-    fn sending(&self, txn: &Txn) -> f64 {
+    pub(crate) fn sending(&self, txn: &Txn) -> f64 {
         match txn.size {
             Some(kb) if self.set.client_pace > 0.0 => kb / self.set.client_pace,
             _ => self.book.rows.get(txn.rule).map_or(0.0, |r| r.sending),
@@ -588,7 +588,7 @@
 
     /// Guards a member that has just started: this gateway's equal part of what all may send it together in
     /// any span of the stated length. The capacity is its size, else what warm ones of its role have borne.
-    fn has_room(&self, now: Time, i: usize, cost: f64) -> bool {
+    pub(crate) fn has_room(&self, now: Time, i: usize, cost: f64) -> bool {
         let c = &self.book.caches[i];
         let (cold, sharers) = (cold_start(&self.set, c.role), c.sharers);
         let Some(age) = c.m.started.map(|at| now - at).filter(|&age| age < cold.within) else { return true };
@@ -609,7 +609,7 @@
     }
 
     /// Members of a role in the object's hash order, by weighted rendezvous where sizes are told.
-    fn order(&self, role: Role, txn: &Txn, all_zones: bool) -> Vec<usize> {
+    pub(crate) fn order(&self, role: Role, txn: &Txn, all_zones: bool) -> Vec<usize> {
         let all = &self.book.by_role[role as usize];
         let listed = if role == Role::Edge && !all_zones { &self.book.near } else { all };
         let place = |&i: &usize| {
@@ -621,6 +621,11 @@
         order.into_iter().map(|(_, i)| i).collect()
     }
 
+    /// By which of its parents' weights an object goes to its first one, 0 to 1.
+    pub(crate) fn fraction(&self, txn: &Txn) -> f64 {
+        unit(hash(txn.object, txn.part, 0))
+    }
+
     fn source(&self, now: Time, open: &Open) -> Option<usize> {
         let cost = self.sending(&open.txn);
         let mut order = self.order(Role::Parent, &open.txn, true);
@@ -634,7 +639,7 @@
         if open.origin_failed || held_back {
             return None;
         }
-        let fraction = unit(hash(open.txn.object, open.txn.part, 0));
+        let fraction = self.fraction(&open.txn);
         let by_weight = order.iter().find(|&&i| self.book.caches[i].par.weight / FULL > fraction);
         let home = by_weight.or(order.last()).copied();
         // Room is counted over all parents together: a fill leaves its home by weight, not by chance.
@@ -691,6 +696,11 @@
         }
     }
 
+    pub(crate) fn oldest_for(&self, now: Time, txn: &Txn) -> Option<Span> {
+        let rule = self.set.rules.get(txn.rule)?;
+        self.oldest(now, txn, rule, self.origin_sick())
+    }
+
     /// The oldest copy that will do: younger than any purge of the object or its group, for as long as some
     /// member may hold an older one. Zero would mean no limit.
     fn oldest(&self, now: Time, txn: &Txn, rule: &RemapRule, stale: bool) -> Option<Span> {
