--- /dev/null
+++ b/routes/src/diff.rs
@@ -0,0 +1,116 @@
+//! What changes between two configurations: which share of objects has another first cache or first parent, in calm and
+//! with each one member down, and which expectations change their verdict. What moves runs cold: each moved object is a
+//! fill that was none before. Pure.
+
+use crate::expect::{Suite, Trouble};
+use crate::fleet::Fleet;
+use crate::search::{self, Outcome};
+use crate::world::{Calm, Circumstance, Way, World};
+use kelpcart::interface::MemberId;
+use rayon::prelude::*;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+
+/// Shares of the objects of a rule, 0 to 1.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Moved {
+    pub rule: String,
+    /// The member that is down in both; none: calm.
+    pub down: Option<String>,
+    pub cache: f64,
+    pub parent: f64,
+    /// Not served in the new one, though served in the old.
+    pub lost: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Diff {
+    pub added: Vec<String>,
+    pub removed: Vec<String>,
+    pub moved: Vec<Moved>,
+    /// By name, whether it passed before and passes now; only those that differ.
+    pub verdicts: Vec<(String, bool, bool)>,
+}
+
+fn ways(fleet: &Fleet, rule: usize, down: Option<&str>, objects: u64) -> Vec<Way> {
+    let at = |name: &str| fleet.members.iter().position(|m| &*m.id == name);
+    let troubles: BTreeMap<usize, Trouble> =
+        down.and_then(at).map(|i| (i, Trouble::Down)).into_iter().collect();
+    let circumstance = Circumstance { troubles, ..Circumstance::default() };
+    let mut world = World::from(&Calm::new(fleet, fleet.settings.zone), fleet, &circumstance);
+    (1..=objects).map(|i| world.ask(rule, i.wrapping_mul(0x9e37_79b9_7f4a_7c15))).collect()
+}
+
+fn moved(old: &Fleet, new: &Fleet, rule: &str, down: Option<&str>, objects: u64) -> Option<Moved> {
+    let (before, after) = (old.rule(rule).ok()?, new.rule(rule).ok()?);
+    let (before, after) = (ways(old, before, down, objects), ways(new, after, down, objects));
+    let id = |fleet: &Fleet, i: Option<usize>| i.map(|i| MemberId::clone(&fleet.members[i].id));
+    let first = |fleet: &Fleet, w: &Way| id(fleet, w.steps.first().map(|s| s.member));
+    let source = |fleet: &Fleet, w: &Way| id(fleet, w.steps.first().and_then(|s| s.source));
+    let served = |w: &Way| w.last == Some(crate::world::Final::Served);
+    let share = |differs: &dyn Fn(&Way, &Way) -> bool| {
+        before.iter().zip(&after).filter(|(a, b)| differs(a, b)).count() as f64 / objects.max(1) as f64
+    };
+    Some(Moved {
+        rule: rule.to_owned(),
+        down: down.map(str::to_owned),
+        cache: share(&|a, b| first(old, a) != first(new, b)),
+        parent: share(&|a, b| source(old, a) != source(new, b)),
+        lost: share(&|a, b| served(a) && !served(b)),
+    })
+}
+
+/// `suite`: its text, too.
+pub fn diff(old: &Fleet, new: &Fleet, suite: Option<(&Suite, &str)>, objects: u64) -> Diff {
+    let names = |f: &Fleet| -> Vec<String> { f.members.iter().map(|m| m.id.to_string()).collect() };
+    let (before, after) = (names(old), names(new));
+    let not_in = |of: &[String], all: &[String]| of.iter().filter(|n| !all.contains(n)).cloned().collect();
+    let both = before.iter().filter(|n| after.contains(n)).map(|n| Some(n.as_str()));
+    let downs: Vec<Option<&str>> = [None].into_iter().chain(both).collect();
+    let cases: Vec<(&String, Option<&str>)> =
+        new.names.rules.iter().flat_map(|rule| downs.iter().map(move |down| (rule, *down))).collect();
+    let moved = cases.par_iter().filter_map(|(rule, down)| moved(old, new, rule, *down, objects)).collect();
+    let passes = |fleet: &Fleet, (suite, text): (&Suite, &str)| -> Vec<(String, bool)> {
+        search::run(fleet, suite, text, None).iter().map(|o| (o.name.clone(), Outcome::passes(o))).collect()
+    };
+    let verdicts = suite.map_or(Vec::new(), |suite| {
+        let pairs = passes(old, suite).into_iter().zip(passes(new, suite));
+        pairs.filter(|(a, b)| a.1 != b.1).map(|((name, a), (_, b))| (name, a, b)).collect()
+    });
+    Diff { added: not_in(&after, &before), removed: not_in(&before, &after), moved, verdicts }
+}
+
+impl Diff {
+    pub fn text(&self) -> String {
+        let mut out = String::new();
+        for (what, all) in [("added", &self.added), ("removed", &self.removed)] {
+            if !all.is_empty() {
+                out.push_str(&format!("{what}: {}\n", all.join(", ")));
+            }
+        }
+        out.push_str("rule         down             other cache  other parent  no more served\n");
+        for m in &self.moved {
+            let down = m.down.as_deref().unwrap_or("nobody");
+            out.push_str(&format!(
+                "{:12} {down:16} {:>11.3} {:>13.3} {:>15.3}\n",
+                m.rule, m.cache, m.parent, m.lost
+            ));
+        }
+        for (name, before, now) in &self.verdicts {
+            let word = |is: &bool| if *is { "holds" } else { "fails" };
+            out.push_str(&format!("{name}: {} before, {} now\n", word(before), word(now)));
+        }
+        out
+    }
+
+    pub fn json(&self) -> Value {
+        let moved: Vec<Value> = self
+            .moved
+            .iter()
+            .map(|m| json!({"rule": m.rule, "down": m.down, "cache": m.cache, "parent": m.parent, "lost": m.lost}))
+            .collect();
+        let verdicts: Vec<Value> =
+            self.verdicts.iter().map(|(n, a, b)| json!({"name": n, "before": a, "now": b})).collect();
+        json!({"added": self.added, "removed": self.removed, "moved": moved, "verdicts": verdicts})
+    }
+}
--- a/routes/src/lib.rs
+++ b/routes/src/lib.rs
@@ -3,6 +3,7 @@
 //! `judge` says whether an expectation held in it, `search` looks for a circumstance that breaks it, `report` tells.
 //! Nothing here does I/O but the program.
 
+pub mod diff;
 pub mod expect;
 pub mod explain;
 pub mod fleet;
--- a/routes/src/main.rs
+++ b/routes/src/main.rs
@@ -3,11 +3,11 @@
 
 use clap::{Parser, Subcommand};
 use kelpcart_gateway::config::Config;
-use kelpcart_routes::expect::Suite;
+use kelpcart_routes::expect::{self, Suite};
 use kelpcart_routes::fleet::Fleet;
 use kelpcart_routes::measure::{self, Size};
 use kelpcart_routes::world::Circumstance;
-use kelpcart_routes::{explain, report, search};
+use kelpcart_routes::{diff, explain, report, search};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -41,6 +41,19 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// What moves between two configurations, in calm and with each one member down.
+    Diff {
+        old: PathBuf,
+        new: PathBuf,
+        /// Expectations whose verdict is compared, too.
+        #[arg(long)]
+        routes: Option<PathBuf>,
+        /// Objects of each rule.
+        #[arg(long, default_value_t = 500)]
+        objects: u64,
+        #[arg(long)]
+        json: Option<PathBuf>,
+    },
     /// Why one txn goes where it goes, and its whole way.
     Explain {
         #[arg(long)]
@@ -95,6 +108,16 @@
     Config::read(&read(path)?).map_err(|e| format!("{}: {e}", path.display()))
 }
 
+/// A file of expectations and its text; all faults at once.
+fn suite(path: &Path) -> Result<(Suite, String), String> {
+    let (text, file) = (read(path)?, path.display());
+    let told = |all: Vec<expect::Unusable>| -> String {
+        all.iter().map(|why| format!("{file}: {why}")).collect::<Vec<_>>().join("\n")
+    };
+    let suite = Suite::read(&text).map_err(told)?;
+    Ok((suite, text))
+}
+
 fn run(what: What) -> Result<bool, String> {
     match what {
         What::Schema => {
@@ -106,6 +129,18 @@
             println!("{} members, {} rules: it can be used", fleet.members.len(), fleet.names.rules.len());
             Ok(true)
         }
+        What::Diff { old, new, routes, objects, json } => {
+            let (old, new) = (Fleet::of(&config(&old)?), Fleet::of(&config(&new)?));
+            let suite = routes.map(|path| suite(&path)).transpose()?;
+            let told = diff::diff(&old, &new, suite.as_ref().map(|(s, text)| (s, text.as_str())), objects);
+            print!("{}", told.text());
+            if let Some(path) = json {
+                std::fs::write(&path, told.json().to_string())
+                    .map_err(|e| format!("{}: {e}", path.display()))?;
+            }
+            // An expectation that no longer holds is a failure.
+            Ok(told.verdicts.iter().all(|(_, _, now)| *now))
+        }
         What::Explain { config: path, rule, object, zone, with, purged, after, json } => {
             let fleet = Fleet::of(&config(&path)?);
             let (rule, object) = (fleet.rule(&rule)?, u64::from_str_radix(&object, 16));
@@ -143,11 +178,8 @@
         }
         What::Test { config: path, routes, search: most, json, junit } => {
             let fleet = Fleet::of(&config(&path)?);
-            let text = read(&routes)?;
+            let (suite, text) = suite(&routes)?;
             let file = routes.display().to_string();
-            let suite = Suite::read(&text).map_err(|all| {
-                all.iter().map(|why| format!("{file}: {why}")).collect::<Vec<_>>().join("\n")
-            })?;
             let all = search::run(&fleet, &suite, &text, most);
             print!("{}", report::text(&all, &file));
             let write = |path: &PathBuf, text: String| {
--- a/routes/tests/suites.rs
+++ b/routes/tests/suites.rs
@@ -265,3 +265,28 @@
     assert!(fleet.trouble("box-9=down").unwrap_err().contains("did you mean box-"));
     assert!(fleet.trouble("box-0=tired").unwrap_err().contains("no trouble"));
 }
+
+#[test]
+fn a_box_more_moves_its_share_of_objects_and_no_parents() {
+    use kelpcart_routes::diff::diff;
+    let (old, new) = (large(4, 2), large(5, 2));
+    let told = diff(&old, &new, None, 400);
+    assert_eq!((told.added.as_slice(), told.removed.len()), (&["box-4".to_owned()][..], 0));
+    let calm = told.moved.iter().find(|m| m.rule == "segment" && m.down.is_none()).unwrap();
+    // One in five goes to the new one; who fills it does not change.
+    assert!((0.13..0.27).contains(&calm.cache) && calm.parent < 1e-9 && calm.lost < 1e-9, "{calm:?}");
+    let same = diff(&old, &old, None, 100);
+    assert!(same.moved.iter().all(|m| m.cache < 1e-9 && m.parent < 1e-9) && same.added.is_empty());
+}
+
+#[test]
+fn an_edit_that_changes_a_verdict_is_named() {
+    use kelpcart_routes::diff::diff;
+    let text = example("routes.json");
+    let suite = Suite::read(&text).unwrap();
+    let edited = fleet(&[("/settings/FamilyInfo/BypassAllowed", json!(false))]);
+    let told = diff(&fleet(&[]), &edited, Some((&suite, &text)), 50);
+    let name = "a segment is served while both boxes are drained or down";
+    assert!(told.verdicts.contains(&(name.to_owned(), true, false)), "{:?}", told.verdicts);
+    assert!(told.text().contains("holds before, fails now"));
+}
