--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -113,7 +113,7 @@
         let lines = Arc::clone(&log);
         let path = folder.join(format!("{name}.log"));
         let mut file = std::fs::OpenOptions::new().create(true).append(true).open(path)?;
-        thread::spawn(move || {
+        let reader = thread::spawn(move || {
             for line in BufReader::new(stderr).lines().map_while(Result::ok) {
                 // Without it the last lines are still at hand.
                 _ = writeln!(file, "{line}");
@@ -134,6 +134,8 @@
             if child.try_wait()?.is_some() || began.elapsed() > STARTS {
                 _ = child.kill();
                 _ = child.wait();
+                // Its last words are there only once all was read.
+                _ = reader.join();
                 let last = log.lock().unwrap().last().cloned().unwrap_or_default();
                 return Err(Failed::Start(name, last));
             }
