Answers cross and are kept in one form; what no end read is gone from the link

Cause: the last read of the change: notes of far hops crossed and were read by nobody, and the store wrote the mapping of endings to words again. Change: the store keeps the link's own message; the note is gone from Caller and the schema.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -8,7 +8,7 @@
 use crate::counters::{Counters, Held};
 use crate::end::End;
 use crate::rpc::{self, Fault, Message, Word};
-use crate::seam::{Caller, Event as Said, Keys, Told};
+use crate::seam::{Caller, Event as Said, Keys};
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use event_listener::Event;
@@ -101,7 +101,7 @@
         self.id
     }
 
-    fn serve(&self, id: u64, body: Option<Body>, until: Time, _: Told) {
+    fn serve(&self, id: u64, body: Option<Body>, until: Time) {
         let len = body.as_ref().map_or(0, Body::len);
         let (head, tail) = rpc::served(id, len, body.is_none());
         self.answer(id, head, body, tail, Some((until, id)));
--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -10,7 +10,7 @@
 use crate::counters::Counters;
 use crate::end::End;
 use crate::http;
-use crate::seam::{Ask, Caller, Carrier, Ended, Event, Job, Told};
+use crate::seam::{Ask, Caller, Carrier, Ended, Event, Job};
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use kelpcart::interface::*;
@@ -308,7 +308,7 @@
             && let Some(open) = self.close(txn)
         {
             self.counters.add("txns completed");
-            open.client.serve(open.id, ended.body, open.limit, Told { note: ended.note });
+            open.client.serve(open.id, ended.body, open.limit);
         }
         let link = ended.stats.as_deref().and_then(|report| http::stat(report, "x1"));
         let first_byte = ended.waited.filter(|waited| *waited > Span::ZERO);
--- a/gateway/src/seam.rs
+++ b/gateway/src/seam.rs
@@ -40,7 +40,7 @@
     /// Unique among all callers of the process.
     fn key(&self) -> u64;
     /// Without a body the asker's own copy is the one. After `until` nobody waits for it.
-    fn serve(&self, id: u64, body: Option<Body>, until: Time, origin: Told);
+    fn serve(&self, id: u64, body: Option<Body>, until: Time);
     /// Another try is harmless, and welcome after the span where one is given.
     fn reject(&self, id: u64, come_back: Option<Span>);
     /// What has run is not known.
@@ -50,12 +50,6 @@
     fn ready(&self, id: u64, ready: bool);
 }
 
-/// What the last hop told of an answer, for a front that passes it on to another gateway.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Told {
-    pub note: Option<Note>,
-}
-
 /// Gives each caller its own key, whatever its front.
 #[derive(Clone, Default)]
 pub struct Keys(Rc<Cell<u64>>);
--- a/gateway/src/sites/far.rs
+++ b/gateway/src/sites/far.rs
@@ -5,10 +5,9 @@
 use super::{Frame, Means, fresh_number, write_frames};
 use crate::buffers::Body;
 use crate::counters::Held;
-use crate::seam::{Ask, Caller, Event, Told};
+use crate::seam::{Ask, Caller, Event};
 use async_channel::Sender;
 use futures_lite::future;
-use kelpcart::interface::Note;
 use kelpcart::{Span, Time};
 use kelpcart_sites::far::{Asked, Call, Do, Far, SessionId, Turned};
 use kelpcart_sites::ledger::{Answer, Ending};
@@ -160,7 +159,7 @@
                 Do::Run { call, session, number } => self.run(call, session, number),
                 Do::Joined { session, number } => self.say(session, number, Said::Taken(number), false),
                 Do::Tell { session, number, answer } => {
-                    self.answer(session, number, answer.ending, None, Bytes::Kept(&answer.body), None);
+                    self.answer(session, number, answer.ending, Bytes::Kept(&answer.body), None);
                 }
                 Do::Turn { session, number, why } => {
                     self.means.counters.add(match why {
@@ -237,16 +236,8 @@
         }
     }
 
-    fn answer(
-        &self,
-        session: SessionId,
-        number: u64,
-        ending: Ending,
-        note: Option<Note>,
-        bytes: Bytes,
-        until: Option<Time>,
-    ) {
-        let answer = wire::Answer::of(number, ending, note, bytes.len());
+    fn answer(&self, session: SessionId, number: u64, ending: Ending, bytes: Bytes, until: Option<Time>) {
+        let answer = wire::Answer::of(number, ending, bytes.len());
         let mut frame = Frame::from(wire::encode(Said::Answer(answer)));
         match bytes {
             Bytes::Kept(bytes) => frame.bytes.extend_from_slice(bytes),
@@ -258,14 +249,14 @@
     }
 
     /// What the desk says of a call; each has one answer.
-    fn ended(&self, call: Call, ending: Ending, note: Option<Note>, body: Option<Body>, until: Option<Time>) {
+    fn ended(&self, call: Call, ending: Ending, body: Option<Body>, until: Option<Time>) {
         let Some(once) = self.calls.borrow_mut().remove(&call) else { return };
         let kept = body.iter().filter(|_| once).flat_map(Body::slices).flatten().copied().collect();
         let answer = Arc::new(Answer { ending, body: kept });
         let to = self.core.borrow_mut().ended(self.means.clock.now(), call, &answer);
         if let Some((session, number)) = to {
             let bytes = body.map_or(Bytes::None, Bytes::Body);
-            self.answer(session, number, ending, note, bytes, until);
+            self.answer(session, number, ending, bytes, until);
         }
         self.pull();
     }
@@ -447,21 +438,21 @@
         self.key
     }
 
-    fn serve(&self, id: u64, body: Option<Body>, until: Time, told: Told) {
+    fn serve(&self, id: u64, body: Option<Body>, until: Time) {
         let ending = if body.is_some() { Ending::Served } else { Ending::Current };
-        self.ended(id, ending, told.note, body, Some(until));
+        self.ended(id, ending, body, Some(until));
     }
 
     fn reject(&self, id: u64, come_back: Option<Span>) {
-        self.ended(id, Ending::Rejected { come_back }, None, None, None);
+        self.ended(id, Ending::Rejected { come_back }, None, None);
     }
 
     fn abort(&self, id: u64) {
-        self.ended(id, Ending::Aborted, None, None, None);
+        self.ended(id, Ending::Aborted, None, None);
     }
 
     fn invalid(&self, id: u64) {
-        self.ended(id, Ending::Invalid, None, None, None);
+        self.ended(id, Ending::Invalid, None, None);
     }
 
     fn ready(&self, _: u64, _: bool) {}
--- a/sites/src/store.rs
+++ b/sites/src/store.rs
@@ -2,9 +2,9 @@
 //! of its own does the waiting, so that the gateway's one never does. Must never call a change written before the disk
 //! has it, nor write a later one once an earlier one failed.
 
-use crate::ledger::{Answer, Change, Ending, Key};
+use crate::ledger::{Answer, Change, Key};
+use crate::wire;
 use async_channel::{Receiver, Sender};
-use kelpcart::Span;
 use prost::Message as _;
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
 use std::path::Path;
@@ -34,38 +34,23 @@
     pub taken: Vec<(Key, Option<Answer>)>,
 }
 
+/// An answer as it would cross a link, and the bytes behind it.
 #[derive(Clone, PartialEq, prost::Message)]
 struct Kept {
-    #[prost(uint32, tag = "1")]
-    word: u32,
-    #[prost(uint64, optional, tag = "2")]
-    come_back_us: Option<u64>,
-    #[prost(bytes = "vec", tag = "3")]
+    #[prost(message, tag = "1")]
+    answer: Option<wire::Answer>,
+    #[prost(bytes = "vec", tag = "2")]
     body: Vec<u8>,
 }
 
 impl Kept {
-    fn of(answer: &Answer) -> Kept {
-        let (word, come_back) = match answer.ending {
-            Ending::Served => (1, None),
-            Ending::Current => (2, None),
-            Ending::Rejected { come_back } => (3, come_back),
-            Ending::Aborted => (4, None),
-            Ending::Invalid => (5, None),
-        };
-        Kept { word, come_back_us: come_back.map(Span::as_micros), body: answer.body.clone() }
+    fn of(key: Key, answer: &Answer) -> Kept {
+        let told = wire::Answer::of(key.number, answer.ending, answer.body.len());
+        Kept { answer: Some(told), body: answer.body.clone() }
     }
 
     fn answer(self) -> Option<Answer> {
-        let ending = match self.word {
-            1 => Ending::Served,
-            2 => Ending::Current,
-            3 => Ending::Rejected { come_back: self.come_back_us.map(Span::from_micros) },
-            4 => Ending::Aborted,
-            5 => Ending::Invalid,
-            _ => return None,
-        };
-        Some(Answer { ending, body: self.body })
+        Some(Answer { ending: self.answer?.ending()?, body: self.body })
     }
 }
 
@@ -123,7 +108,7 @@
                         taken.insert((key.sender, key.number), &[][..]).map_err(disk)?;
                     }
                     Change::Ended(key, answer) => {
-                        let bytes = Kept::of(answer).encode_to_vec();
+                        let bytes = Kept::of(*key, answer).encode_to_vec();
                         taken.insert((key.sender, key.number), &bytes[..]).map_err(disk)?;
                     }
                     Change::Floor(key) => {
--- a/sites/src/wire.rs
+++ b/sites/src/wire.rs
@@ -5,7 +5,6 @@
 use crate::ledger::Ending;
 use crate::settings::is_name;
 use kelpcart::Span;
-use kelpcart::interface::Note;
 use prost::Message as _;
 
 /// Both ends speak the same one, or do not speak.
@@ -146,8 +145,6 @@
     pub word: i32,
     #[prost(uint64, optional, tag = "3")]
     pub come_back_us: Option<u64>,
-    #[prost(uint32, tag = "4")]
-    pub note: u32,
     /// So many bytes follow the message.
     #[prost(uint32, tag = "5")]
     pub length: u32,
@@ -281,7 +278,7 @@
 }
 
 impl Answer {
-    pub fn of(number: u64, ending: Ending, note: Option<Note>, length: usize) -> Answer {
+    pub fn of(number: u64, ending: Ending, length: usize) -> Answer {
         let (word, come_back) = match ending {
             Ending::Served => (Word::Served, None),
             Ending::Current => (Word::Current, None),
@@ -289,30 +286,23 @@
             Ending::Aborted => (Word::Aborted, None),
             Ending::Invalid => (Word::Invalid, None),
         };
-        let note = note.and_then(|n| NOTES.iter().position(|m| *m == n)).map_or(0, |i| i as u32 + 1);
         let come_back_us = come_back.map(Span::as_micros);
-        Answer { number, word: word as i32, come_back_us, note, length: length as u32 }
+        Answer { number, word: word as i32, come_back_us, length: length as u32 }
     }
 
     pub fn turned(number: u64, word: Word) -> Answer {
-        Answer { number, word: word as i32, come_back_us: None, note: 0, length: 0 }
+        Answer { number, word: word as i32, come_back_us: None, length: 0 }
     }
 
-    pub fn told(&self) -> Option<Note> {
-        NOTES.get((self.note as usize).checked_sub(1)?).copied()
+    /// How it ended there; `None` where it did not come to an end.
+    pub fn ending(&self) -> Option<Ending> {
+        Some(match Word::try_from(self.word).ok()? {
+            Word::Served => Ending::Served,
+            Word::Current => Ending::Current,
+            Word::Rejected => Ending::Rejected { come_back: self.come_back_us.map(Span::from_micros) },
+            Word::Aborted => Ending::Aborted,
+            Word::Invalid => Ending::Invalid,
+            Word::None | Word::Turned | Word::Forgotten => return None,
+        })
     }
 }
-
-/// By their numbers on the link, from 1.
-const NOTES: [Note; 10] = [
-    Note::Held,
-    Note::Filled,
-    Note::FilledByOrigin,
-    Note::Joined,
-    Note::Old,
-    Note::SourceRefused,
-    Note::SourceLost,
-    Note::SourceLacks,
-    Note::NoPlace,
-    Note::OriginFailed,
-];
