--- a/gateway/src/sites/near.rs
+++ b/gateway/src/sites/near.rs
@@ -257,10 +257,12 @@
         };
         // It fails only on a stream that has ended.
         _ = send.set_priority(importance as i32);
-        if quic::write(&mut send, &bytes).await.is_err() || send.finish().is_err() {
+        if quic::write(&mut send, &bytes).await.is_err() {
             quic::reset(&mut send);
             return self.tell(|core, now| core.unsent(now, number));
         }
+        // All of it is under way: whatever this says, the far end may read it whole.
+        _ = send.finish();
         loop {
             match quic::read(&mut recv).await {
                 Ok(said) => {
