--- a/sites/src/delay.rs
+++ b/sites/src/delay.rs
@@ -12,12 +12,12 @@
 /// The least round trip counts for this long.
 const BASE: Span = Span::from_millis(10_000);
 /// The queue that is let stand: the greater of these, the second of the base.
-const TARGET: Span = Span::from_millis(25);
-const TARGET_PART: f64 = 0.125;
+const TARGET: Span = Span::from_millis(20);
+const TARGET_PART: f64 = 0.08;
 /// A round trip's growth at the start and later, in full while there is no queue and by the square of what is left of
 /// the target.
 const START: f64 = 2.0;
-const GAIN: f64 = 0.25;
+const GAIN: f64 = 0.15;
 /// The start ends with so many rounds over the target: one may be chance where few packets are out.
 const START_ENDS: u32 = 2;
 /// A round's window is never cut by more.
