A request that comes again is answered by what became of it, whatever the room is

Change: the ledger is asked first; loops, leaving and room count only for what certainly has not come before.

--- a/sites/src/far.rs
+++ b/sites/src/far.rs
@@ -224,44 +224,31 @@
         // Its connection has gone meanwhile: nobody could be told.
         let from = self.sessions.get(&session).ok_or(None)?;
         let key = Key { sender: from.sender, number };
-        // Guards against txns that go round: two sites may name each other as the way to the same object.
-        let comes_from = asked.path.last().is_some_and(|last| *last == from.site);
-        if !comes_from || asked.path.contains(&self.site) || asked.path.len() >= self.most_sites {
-            self.turned += 1;
-            return Err(Some(turn(Turned::Loop)));
+        // What has come before is answered by what became of it, whatever the room is now: it may have run.
+        let before = if asked.once { self.ledger.known(now, key) } else { None };
+        if let Some(before) = before {
+            return Err(Some(self.told_before(session, key, before)));
         }
-        let known = self.once.get(&key).copied();
-        if known.is_none() && self.leaving {
-            self.turned += 1;
-            return Err(Some(turn(Turned::Leaving)));
-        }
-        let over = from.open.len() >= self.credit() as usize || self.calls.len() >= self.most_taken;
-        if from.open.contains_key(&number) && known.is_none() {
+        let Some(from) = self.sessions.get(&session) else { return Err(None) };
+        if from.open.contains_key(&number) {
             // A second one under the number of a repeatable: the first is answered.
             return Err(None);
         }
-        if known.is_none() && over {
+        // Guards against txns that go round: two sites may name each other as the way to the same object.
+        let comes_from = asked.path.last().is_some_and(|last| *last == from.site);
+        let round = !comes_from || asked.path.contains(&self.site) || asked.path.len() >= self.most_sites;
+        let over = from.open.len() >= self.credit() as usize || self.calls.len() >= self.most_taken;
+        let why = if round {
+            Some(Turned::Loop)
+        } else if self.leaving {
+            Some(Turned::Leaving)
+        } else {
+            over.then_some(Turned::Full)
+        };
+        let full = why.is_none() && asked.once && self.ledger.take(now, key) != Intake::New;
+        if let Some(why) = why.or(full.then_some(Turned::Full)) {
             self.turned += 1;
-            return Err(Some(turn(Turned::Full)));
-        }
-        if asked.once {
-            match self.ledger.take(now, key) {
-                Intake::New => {}
-                Intake::Running => {
-                    self.attach(session, key);
-                    return Err(Some(Do::Joined { session, number }));
-                }
-                Intake::Ended(answer) => return Err(Some(Do::Tell { session, number, answer })),
-                refused => {
-                    self.turned += 1;
-                    let why = match refused {
-                        Intake::Full => Turned::Full,
-                        Intake::Fenced => Turned::Fenced,
-                        _ => Turned::Forgotten,
-                    };
-                    return Err(Some(turn(why)));
-                }
-            }
+            return Err(Some(turn(why)));
         }
         self.next += 1;
         let call = self.next;
@@ -284,6 +271,22 @@
         Ok(call)
     }
 
+    fn told_before(&mut self, session: SessionId, key: Key, before: Intake) -> Do {
+        let number = key.number;
+        match before {
+            Intake::Running => {
+                self.attach(session, key);
+                Do::Joined { session, number }
+            }
+            Intake::Ended(answer) => Do::Tell { session, number, answer },
+            fenced => {
+                self.turned += 1;
+                let why = if fenced == Intake::Fenced { Turned::Fenced } else { Turned::Forgotten };
+                Do::Turn { session, number, why }
+            }
+        }
+    }
+
     /// A txn that runs is to be told on this session from now on.
     fn attach(&mut self, session: SessionId, key: Key) {
         let Some(&call) = self.once.get(&key) else { return };
--- a/sites/src/ledger.rs
+++ b/sites/src/ledger.rs
@@ -177,20 +177,23 @@
         true
     }
 
-    /// A txn has come. Only `New` lets it run.
-    pub fn take(&mut self, now: Time, key: Key) -> Intake {
-        let Some(sender) = self.senders.get_mut(&key.sender) else { return Intake::Forgotten };
+    /// What is to be said of one that has come before, or may have; `None` for one that certainly has not.
+    pub fn known(&mut self, now: Time, key: Key) -> Option<Intake> {
+        let Some(sender) = self.senders.get_mut(&key.sender) else { return Some(Intake::Forgotten) };
         sender.heard = now;
-        if let Some(entry) = sender.entries.get(&key.number) {
-            return match &entry.state {
-                State::Running => Intake::Running,
-                State::Ended(answer) => Intake::Ended(Arc::clone(answer)),
-                State::Lost => Intake::Forgotten,
-                State::Fenced => Intake::Fenced,
-            };
+        match sender.entries.get(&key.number).map(|e| &e.state) {
+            Some(State::Running) => Some(Intake::Running),
+            Some(State::Ended(answer)) => Some(Intake::Ended(Arc::clone(answer))),
+            Some(State::Lost) => Some(Intake::Forgotten),
+            Some(State::Fenced) => Some(Intake::Fenced),
+            None => (key.number < sender.floor).then_some(Intake::Forgotten),
         }
-        if key.number < sender.floor {
-            return Intake::Forgotten;
+    }
+
+    /// A txn has come. Only `New` lets it run.
+    pub fn take(&mut self, now: Time, key: Key) -> Intake {
+        if let Some(known) = self.known(now, key) {
+            return known;
         }
         if !self.has_room(now) {
             return Intake::Full;
--- a/sites/tests/cases.rs
+++ b/sites/tests/cases.rs
@@ -411,6 +411,21 @@
     assert_eq!(runs(&world.request(3, 1, 4)), 1);
 }
 
+#[test]
+fn what_has_run_is_never_told_off_as_not_run_when_it_comes_again() {
+    let mut world = far(false);
+    world.does(0);
+    world.request(1, 1, 1);
+    world.end(2, 1, b"done");
+    // No room is left, and then it leaves: the second coming is still answered by what became of the first.
+    assert_eq!((runs(&world.request(3, 1, 2)), runs(&world.request(3, 1, 3))), (1, 1));
+    let told = |session| [Do::Tell { session, number: 1, answer: answer(b"done") }];
+    assert_eq!(world.request(4, 1, 1), told(1));
+    world.far.stop();
+    world.does(5);
+    assert_eq!(world.request(6, 1, 1), told(1));
+}
+
 #[test]
 fn a_resumed_session_gets_the_answer_while_the_old_one_still_stands() {
     let mut world = far(false);
