What nothing reads is gone from the links' core, the carrier and the rig

Cause: the last read of the change: the least round trip, a count of requests told off, and five calls of the carrier and the rig were kept and read by nobody since the window went by the pace.

--- a/rig/src/bulletin.rs
+++ b/rig/src/bulletin.rs
@@ -57,11 +57,6 @@
     pub fn purge(&self, object: u64, issued_ms: u64) {
         self.push("recall", json!({"item": format!("{object:016x}"), "issued": issued_ms}));
     }
-
-    /// Tells of members whose state has changed.
-    pub fn roster(&self, endpoints: Vec<Value>) {
-        self.push("roster", json!({"index": 1, "snapshot": false, "endpoints": endpoints}));
-    }
 }
 
 fn tell(shared: &Shared, stream: TcpStream) -> io::Result<()> {
--- a/rig/src/relay.rs
+++ b/rig/src/relay.rs
@@ -164,10 +164,6 @@
         Ok(Relay { address, shared })
     }
 
-    pub fn weather(&self) -> Weather {
-        *self.shared.weather.lock().unwrap()
-    }
-
     pub fn set(&self, change: impl FnOnce(&mut Weather)) {
         change(&mut self.shared.weather.lock().unwrap());
     }
--- a/rig/src/report.rs
+++ b/rig/src/report.rs
@@ -169,10 +169,6 @@
             .map(|s| s - from)
     }
 
-    pub fn seconds(&self) -> &[Second] {
-        &self.seconds
-    }
-
     fn row(&self, i: usize) -> Value {
         let (r, c) = (&self.rules[i], &self.counts[i]);
         let ms = |h: &Histogram<u64>, q: f64| {
--- a/sites/src/far.rs
+++ b/sites/src/far.rs
@@ -129,7 +129,6 @@
     leaving: bool,
     next_expiry: Time,
     todo: VecDeque<Do>,
-    pub turned: u64,
 }
 
 const EXPIRES: Span = Span::from_millis(1_000);
@@ -161,7 +160,6 @@
             leaving: false,
             next_expiry: now + EXPIRES,
             todo: VecDeque::new(),
-            turned: 0,
         }
     }
 
@@ -247,7 +245,6 @@
         };
         let full = why.is_none() && asked.once && self.ledger.take(now, key) != Intake::New;
         if let Some(why) = why.or(full.then_some(Turned::Full)) {
-            self.turned += 1;
             return Err(Some(turn(why)));
         }
         self.next += 1;
@@ -280,7 +277,6 @@
             }
             Intake::Ended(answer) => Do::Tell { session, number, answer },
             fenced => {
-                self.turned += 1;
                 let why = if fenced == Intake::Fenced { Turned::Fenced } else { Turned::Forgotten };
                 Do::Turn { session, number, why }
             }
@@ -432,11 +428,6 @@
         self.next_expiry
     }
 
-    /// The sender of a session, and the site of the gateway there.
-    pub fn site(&self, session: SessionId) -> Option<&str> {
-        self.sessions.get(&session).map(|s| s.site.as_str())
-    }
-
     pub fn sizes(&self) -> [(&'static str, usize); 6] {
         [
             ("far sessions", self.sessions.len()),
--- a/sites/src/near.rs
+++ b/sites/src/near.rs
@@ -545,7 +545,6 @@
         (l.ledger, l.credit, l.leaving) = (Some(ledger), credit.max(1), leaving);
         (l.owed, l.next_ping, l.settled) = (None, now, 1);
         l.pings.clear();
-        l.rtt.reconnected();
         l.pace.reconnected();
         self.resolve(link, ledger);
     }
--- a/sites/src/quic.rs
+++ b/sites/src/quic.rs
@@ -252,10 +252,6 @@
     pub async fn accept(&self) -> Option<Incoming> {
         self.inner.accept().await
     }
-
-    pub fn close(&self) {
-        self.inner.close(VarInt::from_u32(0), b"ends");
-    }
 }
 
 pub fn close(connection: &Connection, why: &str) {
--- a/sites/src/rtt.rs
+++ b/sites/src/rtt.rs
@@ -2,7 +2,7 @@
 //! long enough to be a sign. Must never take a sample that could belong to another question.
 //!
 //! Source: RFC 6298, section 2 (smoothed round trip and variance) and section 5.5 (a timer that runs out backs
-//! off); RFC 9002, section 5.3 (the first sample, the least round trip).
+//! off); RFC 9002, section 5.3 (the first sample).
 
 use kelpcart::Span;
 
@@ -21,7 +21,6 @@
 pub struct RoundTrip {
     smooth: Option<f64>,
     spread: f64,
-    least: Option<Span>,
 }
 
 impl RoundTrip {
@@ -34,7 +33,6 @@
                 self.smooth = Some(smooth + ALPHA * (secs - smooth));
             }
         }
-        self.least = Some(self.least.map_or(took, |least| least.min(took)));
     }
 
     /// The smoothed round trip.
@@ -42,21 +40,11 @@
         self.smooth.map_or(FIRST, Span::from_secs_f64)
     }
 
-    /// The shortest that was seen.
-    pub fn least(&self) -> Span {
-        self.least.unwrap_or(FIRST)
-    }
-
     /// An answer that takes longer than this is out of the ordinary.
     pub fn timeout(&self) -> Span {
         let spread = Span::from_secs_f64(self.spread * SPREADS).max(GRAIN);
         (self.smooth() + spread).min(MOST)
     }
-
-    /// The path may have changed: what was learned of the spread stands, the least does not.
-    pub fn reconnected(&mut self) {
-        self.least = None;
-    }
 }
 
 #[cfg(test)]
@@ -78,7 +66,6 @@
             for ms in wild {
                 rtt.sample(Span::from_millis(ms.into()));
                 assert!(rtt.timeout() > rtt.smooth() || rtt.timeout() == MOST);
-                assert!(rtt.least() <= Span::from_millis(ms.into()));
             }
             let steady = Span::from_millis(u64::from(steady) + 1);
             (0..200).for_each(|_| rtt.sample(steady));
