Fleet: members, relayed list and common budgets as a core without I/O

Need: hundreds of gateways that start at once must swamp neither the list service nor the caches, where gateways may talk. Change: package fleet/ with a failure detector after SWIM and Lifeguard in which a claim is no verdict, the list relayed from three askers along three sources each with digests compared, and leases of common budgets kept by rendezvous hashing; datagrams under HMAC-SHA256, bound to the receiver's start, with a window against replays. Not wired to the gateway yet.

--- /dev/null
+++ b/fleet/tests/model.rs
@@ -0,0 +1,462 @@
+//! The core of the fleet in simulated time: hard cases one by one, and random schedules with the rules after every step.
+//! `FLEET_STEPS` seconds of schedule and `FLEET_SEEDS` make the random part longer.
+
+mod common;
+
+use common::*;
+use kelpcart_fleet::lease::Verdict;
+use kelpcart_fleet::node::Phase;
+use kelpcart_fleet::wire::Kind;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use rand::Rng;
+
+const NO_CHANGE: fn(usize, &mut serde_json::Value) = |_, _| ();
+
+#[test]
+fn all_start_at_once_and_a_few_ask() {
+    let mut net = Net::new(60, 1, NO_CHANGE);
+    net.start_all();
+    net.run(ms(5_000));
+    net.all_told().unwrap();
+    net.in_order().unwrap();
+    assert!(net.connections <= 9, "{} connections", net.connections);
+    net.run(ms(15_000));
+    assert_eq!(net.seen(), (60, 60));
+    assert!(net.live().into_iter().filter(|&i| net.node(i).asks()).count() == 3);
+}
+
+#[test]
+fn a_bulletin_that_is_down_at_the_start_is_not_stormed() {
+    let mut net = Net::new(60, 2, NO_CHANGE);
+    net.bulletin_up = false;
+    net.start_all();
+    net.run(ms(10_000));
+    // Ten a second of all together are allowed.
+    assert!(net.attempts <= 110, "{} attempts", net.attempts);
+    net.bulletin_up = true;
+    net.run(ms(5_000));
+    net.all_told().unwrap();
+    net.in_order().unwrap();
+}
+
+#[test]
+fn askers_killed_twice_in_a_row_are_replaced() {
+    let mut net = Net::new(40, 3, NO_CHANGE);
+    net.start_all();
+    net.run(ms(8_000));
+    for _ in 0..2 {
+        let askers: Vec<usize> = net.live().into_iter().filter(|&i| net.node(i).asks()).collect();
+        assert!(!askers.is_empty());
+        askers.into_iter().for_each(|i| net.kill(i));
+        let no = net.purge(7);
+        net.run(ms(12_000));
+        assert_eq!(net.events.len() as u64, no);
+        net.all_told().unwrap();
+    }
+    net.in_order().unwrap();
+}
+
+#[test]
+fn a_purge_is_everywhere_soon_also_when_a_source_on_each_level_dies() {
+    let mut net = Net::new(120, 4, NO_CHANGE);
+    net.start_all();
+    net.run(ms(10_000));
+    let depth = |net: &Net, i: usize| net.node(i).relay.pulse(net.now).depth;
+    let deepest = net.live().into_iter().map(|i| depth(&net, i)).max().unwrap();
+    assert!((2..=5).contains(&deepest), "{deepest}");
+    for level in 0..deepest {
+        let one = net.live().into_iter().find(|&i| depth(&net, i) == level).unwrap();
+        net.kill(one);
+    }
+    let (at, no) = (net.now, net.purge(9));
+    net.run(ms(500));
+    net.all_told().unwrap();
+    let late = net.live().into_iter().map(|i| net.all[i].heard.iter().find(|h| h.0 == no).unwrap().2 - at);
+    let worst = late.max().unwrap();
+    assert!(worst < ms(250), "{} ms", worst.as_micros() / 1_000);
+}
+
+#[test]
+fn one_that_declares_all_others_gone_is_not_believed() {
+    use kelpcart_fleet::wire::{Record, Said, Standing, place};
+    let mut net = Net::new(20, 5, NO_CHANGE);
+    net.start_all();
+    net.run(ms(12_000));
+    for _ in 0..20 {
+        let claims: Vec<Record> = (1..20)
+            .map(|i| {
+                let k = net.node(0).members.get(&format!("g{i}")).unwrap();
+                let (ip, port) = place(k.address);
+                Record {
+                    name: format!("g{i}"),
+                    ip,
+                    port,
+                    run: k.run,
+                    incarnation: k.incarnation + 1,
+                    standing: Standing::Gone as i32,
+                    by: "g0".to_owned(),
+                }
+            })
+            .collect();
+        net.with(0, |n, now| {
+            for to in 1..20 {
+                n.members.send(&format!("g{to}"), claims.iter().cloned().map(Said::News).collect());
+            }
+            n.tick(now);
+        });
+        net.run(ms(1_000));
+        assert_eq!(net.seen(), (20, 20));
+    }
+    let unheard: u64 = (1..20).map(|i| net.node(i).members.counts.not_heard).sum();
+    assert!(unheard > 0, "the liar is still heard");
+}
+
+#[test]
+fn stopped_ones_do_not_make_others_look_gone() {
+    let mut net = Net::new(40, 6, NO_CHANGE);
+    net.loss = 0.1;
+    net.start_all();
+    net.run(ms(12_000));
+    for round in 0..5 {
+        let stopped: Vec<usize> = (0..4).map(|i| (round * 4 + i) % 40).collect();
+        stopped.iter().for_each(|&i| net.all[i].stopped = true);
+        net.run(ms(2_000));
+        stopped.iter().for_each(|&i| net.all[i].stopped = false);
+        net.run(ms(3_000));
+    }
+    let gone: u64 = (0..40).map(|i| net.node(i).members.counts.gone).sum();
+    assert_eq!(gone, 0);
+    net.all_told().unwrap();
+}
+
+#[test]
+fn two_halves_find_each_other_again() {
+    let mut net = Net::new(24, 7, NO_CHANGE);
+    net.start_all();
+    net.run(ms(10_000));
+    let sides = |i: usize| i % 2;
+    for a in 0..24 {
+        for b in 0..24 {
+            if sides(a) != sides(b) {
+                net.cuts.insert((a, b));
+            }
+        }
+        if sides(a) == 1 {
+            net.cut_from_bulletin.insert(a);
+        }
+    }
+    net.run(ms(25_000));
+    assert!(net.seen().1 <= 13, "{:?}", net.seen());
+    // The half without a bulletin keeps to its part of the pace and knows that its list is old.
+    let odd: Vec<usize> = (0..24).filter(|i| i % 2 == 1).collect();
+    assert!(odd.iter().all(|&i| !net.node(i).relay.is_fresh(net.now)));
+    let before = net.attempts;
+    net.run(ms(10_000));
+    assert!(net.attempts - before <= 110, "{}", net.attempts - before);
+    net.cuts.clear();
+    net.cut_from_bulletin.clear();
+    net.purge(3);
+    net.run(ms(20_000));
+    net.all_told().unwrap();
+    net.in_order().unwrap();
+    assert_eq!(net.seen(), (24, 24));
+}
+
+#[test]
+fn a_one_way_cut_hurts_nobody_else() {
+    let mut net = Net::new(20, 8, NO_CHANGE);
+    net.start_all();
+    net.run(ms(10_000));
+    // g5 hears nothing; what it says arrives.
+    for i in 0..20 {
+        net.cuts.insert((i, 5));
+    }
+    net.run(ms(20_000));
+    for i in (0..20).filter(|i| *i != 5) {
+        let live = net.node(i).members.live();
+        assert!(live >= 19, "g{i} sees {live}");
+    }
+    net.cuts.clear();
+    net.run(ms(15_000));
+    assert_eq!(net.seen(), (20, 20));
+}
+
+#[test]
+fn old_news_sent_again_change_nothing() {
+    let mut net = Net::new(16, 9, NO_CHANGE);
+    net.record = true;
+    net.start_all();
+    net.run(ms(6_000));
+    net.record = false;
+    // One leaves for good, one comes back by a new start.
+    net.kill(15);
+    net.kill(14);
+    net.run(ms(12_000));
+    net.start(14);
+    net.run(ms(8_000));
+    assert_eq!(net.seen(), (15, 15));
+    let old = std::mem::take(&mut net.recorded);
+    for (from, to, bytes) in old {
+        if to < 14 {
+            net.send(from, to, bytes);
+        }
+    }
+    net.run(ms(3_000));
+    assert_eq!(net.seen(), (15, 15));
+    let replays: u64 = net.live().into_iter().map(|i| net.node(i).members.counts.replays).sum();
+    assert!(replays > 100, "{replays}");
+}
+
+#[test]
+fn another_fleet_with_the_same_seeds_is_not_heard() {
+    let mut net = Net::new(16, 10, |i, v| {
+        if i >= 8 {
+            v["keys"][0]["secret"] = "29".repeat(32).into();
+        }
+    });
+    net.start_all();
+    net.run(ms(10_000));
+    for i in 0..8 {
+        let names: Vec<&str> = net.node(i).members.names().collect();
+        assert!(names.len() == 8 && names.iter().all(|n| n[1..].parse::<usize>().unwrap() < 8), "{names:?}");
+    }
+}
+
+#[test]
+fn keys_change_in_the_middle_of_a_start() {
+    let mut net = Net::new(30, 11, NO_CHANGE);
+    net.start_all();
+    net.run(ms(300));
+    let key = |id: u32, byte: &str| kelpcart_fleet::settings::Key { id, secret: byte.repeat(32) };
+    let (old, new) = (key(1, "17"), key(2, "33"));
+    for step in [[old.clone(), new.clone()].to_vec(), [new.clone(), old].to_vec(), vec![new]] {
+        for i in 0..30 {
+            let step = step.clone();
+            assert!(net.with(i, |n, _| n.rekey(&step)));
+            net.run(ms(20));
+        }
+    }
+    net.run(ms(15_000));
+    net.all_told().unwrap();
+    assert_eq!(net.seen(), (30, 30));
+    assert!(!net.with(0, |n, _| n.rekey(&[])));
+}
+
+#[test]
+fn a_relayer_that_makes_up_or_keeps_back_events_is_found_out() {
+    use kelpcart_fleet::wire::{Pulse, Said};
+    let mut net = Net::new(40, 12, NO_CHANGE);
+    net.start_all();
+    net.run(ms(10_000));
+    let liar = net.live().into_iter().find(|&i| net.node(i).asks()).unwrap();
+    let no = net.events.len() as u64 + 1;
+    // It says that c1 is gone, which the bulletin never said, and that nothing else happened.
+    let false_line = format!(
+        "{{\"no\":{no},\"roster\":{{\"index\":0,\"snapshot\":false,\"endpoints\":[{{\"name\":\"c1\",\"status\":\"removed\"}}]}}}}\n"
+    );
+    let names: Vec<String> = (0..40).map(|i| format!("g{i}")).collect();
+    net.with(liar, |n, now| {
+        let pulse = Pulse {
+            no,
+            digest: 77,
+            age_us: 0,
+            depth: 0,
+            after: no - 1,
+            lines: false_line.clone().into_bytes(),
+            warm: true,
+        };
+        names.iter().for_each(|to| n.members.send(to, vec![Said::Pulse(pulse.clone())]));
+        n.tick(now);
+    });
+    net.run(ms(50));
+    net.purge(5);
+    net.run(ms(8_000));
+    net.all_told().unwrap();
+    let digest = net.node(liar).relay.list.digest();
+    for i in net.live() {
+        assert_eq!(net.node(i).relay.list.digest(), digest, "g{i} keeps what was made up");
+    }
+}
+
+#[test]
+fn a_relayer_stopped_and_continued_does_not_pass_for_fresh() {
+    let mut net = Net::new(40, 13, NO_CHANGE);
+    net.start_all();
+    net.run(ms(10_000));
+    let stopped: Vec<usize> = net.live().into_iter().filter(|&i| net.node(i).asks()).collect();
+    stopped.iter().for_each(|&i| net.all[i].stopped = true);
+    net.run(ms(1_000));
+    net.purge(4);
+    net.run(ms(12_000));
+    net.all_told().unwrap();
+    stopped.iter().for_each(|&i| net.all[i].stopped = false);
+    let no = net.purge(5);
+    net.run(ms(8_000));
+    net.all_told().unwrap();
+    net.in_order().unwrap();
+    assert_eq!(no, net.events.len() as u64);
+}
+
+#[test]
+fn one_that_starts_alone_in_a_warm_fleet_is_not_slowed() {
+    let mut net =
+        Net::new(50, 14, |_, v| v["budgets"] = serde_json::json!({"fills": 1, "warming_ms": 5_000}));
+    (0..49).for_each(|i| net.start(i));
+    net.run(ms(14_000));
+    assert!((0..49).all(|i| net.node(i).phase() == Phase::Serving));
+    net.start(49);
+    let at = net.now;
+    while net.node(49).phase() != Phase::Serving {
+        net.run(ms(10));
+        assert!(net.now - at < ms(600), "{:?}", net.node(49).phase());
+    }
+    assert!(net.node(49).relay.listed());
+}
+
+#[test]
+fn a_budget_is_never_lent_out_twice_and_what_one_leaves_others_have() {
+    let mut net =
+        Net::new(30, 15, |_, v| v["budgets"] = serde_json::json!({"connections": 12, "lease_ms": 1_000}));
+    net.start_all();
+    net.run(ms(10_000));
+    let key = (Kind::Connections, 77);
+    let until = net.now + ms(2_000);
+    // Two of the thirty want all of it.
+    for ticket in 0..12 {
+        net.want(3, key, ticket, until);
+        net.want(4, key, 100 + ticket, until);
+    }
+    net.run(ms(500));
+    let used = |net: &Net| -> u32 { net.live().into_iter().map(|i| net.node(i).leases.used(key).0).sum() };
+    assert_eq!(used(&net), 12);
+    net.run(ms(3_000));
+    assert_eq!(used(&net), 12, "leases that are renewed go on");
+    let told = |net: &Net, i: usize, v: Verdict| net.all[i].verdicts.values().filter(|x| x.1 == v).count();
+    let go = told(&net, 3, Verdict::Go) + told(&net, 4, Verdict::Go);
+    assert_eq!((go, told(&net, 3, Verdict::No) + told(&net, 4, Verdict::No)), (12, 12));
+    // One is killed with what it held: that ends by itself, and others have it.
+    let held = net.node(3).leases.used(key).0;
+    net.kill(3);
+    let until = net.now + ms(2_500);
+    for ticket in 200..200 + u64::from(held) {
+        net.want(5, key, ticket, until);
+    }
+    net.run(ms(2_500));
+    assert_eq!(used(&net), 12);
+}
+
+#[test]
+fn an_object_is_filled_by_one_and_the_others_go_on_when_it_is_done() {
+    let mut net = Net::new(30, 16, |_, v| v["budgets"] = serde_json::json!({"fills": 1}));
+    net.start_all();
+    net.run(ms(10_000));
+    let key = (Kind::Fill, 4_711);
+    let until = net.now + ms(900);
+    for i in 0..30 {
+        net.want(i, key, 1, until);
+    }
+    net.run(ms(100));
+    let first: Vec<usize> =
+        (0..30).filter(|&i| net.all[i].verdicts.get(&1).is_some_and(|v| v.1 == Verdict::Go)).collect();
+    assert_eq!(first.len(), 1);
+    net.with(first[0], |n, now| n.give_back(now, key, true));
+    net.run(ms(100));
+    let free = (0..30).filter(|&i| net.all[i].verdicts.get(&1).is_some_and(|v| v.1 == Verdict::Free)).count();
+    assert_eq!(free, 29);
+}
+
+#[test]
+fn the_fleet_shrinks_to_a_few_and_serves_on() {
+    let mut net = Net::new(60, 17, NO_CHANGE);
+    net.start_all();
+    net.run(ms(10_000));
+    (5..60).for_each(|i| net.kill(i));
+    net.purge(8);
+    net.run(ms(30_000));
+    net.all_told().unwrap();
+    net.run(ms(40_000));
+    assert!(net.seen().1 <= 8, "{:?}", net.seen());
+}
+
+#[derive(Clone, Debug)]
+struct Schedule {
+    seed: u64,
+    seconds: u64,
+}
+
+impl Arbitrary for Schedule {
+    fn arbitrary(g: &mut Gen) -> Schedule {
+        let seconds = std::env::var("FLEET_STEPS").ok().and_then(|s| s.parse().ok()).unwrap_or(20);
+        Schedule { seed: u64::arbitrary(g), seconds }
+    }
+}
+
+/// Kills, starts, stops, cuts, loss, repeats, replays and a bulletin that fails, then a calm time after which all have
+/// to agree.
+fn random_schedule(s: Schedule) -> bool {
+    const N: usize = 14;
+    let mut net =
+        Net::new(N, s.seed, |_, v| v["budgets"] = serde_json::json!({"connections": 5, "fills": 1}));
+    net.record = true;
+    net.start_all();
+    let mut ticket = 0;
+    for _ in 0..s.seconds * 4 {
+        let (i, j) = (net.rng.random_range(0..N), net.rng.random_range(0..N));
+        match net.rng.random_range(0..16) {
+            0 => net.kill(i),
+            1 | 2 if net.all[i].node.is_none() => net.start(i),
+            3 => net.all[i].stopped = true,
+            4 | 5 => net.all[i].stopped = false,
+            6 => _ = net.cuts.insert((i, j)),
+            7 => net.cuts.clear(),
+            8 => net.loss = net.rng.random_range(0.0..0.3),
+            9 => net.repeat = net.rng.random_range(0.0..0.3),
+            10 => _ = net.purge(i as u64),
+            11 => _ = net.listed(&format!("c{j}"), if i % 2 == 0 { "removed" } else { "up" }),
+            12 => net.bulletin_up = !net.bulletin_up,
+            13 if !net.recorded.is_empty() => {
+                let at = net.rng.random_range(0..net.recorded.len());
+                let (from, to, bytes) = net.recorded.swap_remove(at);
+                net.send(from, to, bytes);
+            }
+            _ if net.all[i].node.is_some() && !net.all[i].stopped => {
+                ticket += 1;
+                let kind = if j % 2 == 0 { Kind::Connections } else { Kind::Fill };
+                let until = net.now + ms(400);
+                net.want(i, (kind, (j % 3) as u64), ticket, until);
+                if j % 5 < 3 {
+                    net.run(ms(50));
+                    let went = net.all[i].verdicts.get(&ticket).is_some_and(|v| v.1 == Verdict::Go);
+                    if went && net.all[i].node.is_some() {
+                        net.with(i, |n, now| n.give_back(now, (kind, (j % 3) as u64), j % 5 == 0));
+                    }
+                }
+            }
+            _ => {}
+        }
+        net.run(ms(250));
+        net.in_order().unwrap();
+    }
+    (net.loss, net.repeat, net.bulletin_up) = (0.0, 0.0, true);
+    net.cuts.clear();
+    for i in 0..N {
+        net.all[i].stopped = false;
+        if net.all[i].node.is_none() {
+            net.start(i);
+        }
+    }
+    net.run(ms(45_000));
+    net.all_told().unwrap_or_else(|why| panic!("{why}"));
+    net.in_order().unwrap();
+    assert_eq!(net.seen(), (N, N));
+    let digest = net.node(0).relay.list.digest();
+    (1..N).for_each(|i| assert_eq!(net.node(i).relay.list.digest(), digest, "g{i}"));
+    // Every ticket has had its verdict.
+    true
+}
+
+#[test]
+fn random_schedules_keep_the_rules_and_end_in_agreement() {
+    let seeds = std::env::var("FLEET_SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(12);
+    QuickCheck::new().tests(seeds).quickcheck(random_schedule as fn(Schedule) -> bool);
+}
