The gateway joins a fleet: list relayed, budgets in common, and a rig of hundreds of processes

Need: the core of the fleet on sockets, and a rig that starts hundreds of real gateways between stand-ins that can be swamped, with faults between every pair. Change: KELPCART_FLEET names a file; the gateway then keeps one UDP socket, asks the bulletin only while the core says so, and hops take permits for connections and first fills. The bulletin's reader is split from who hears its lines; what is told of a stop and asked for sizes is a trait of its own. kelpcart-rig fleet: processes, a switch of datagrams between every pair, a list service and caches that fall over, clients, plans.

--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -202,10 +202,10 @@
         let period = Span::from_millis(set.probe_ms);
         Members {
             name: Arc::from(file.gateway.as_str()),
-            address: file.listen,
+            address: file.reached(),
             run: run.max(1),
             incarnation: 1,
-            seeds: file.seeds.iter().copied().filter(|s| *s != file.listen).collect(),
+            seeds: file.seeds.iter().copied().filter(|s| *s != file.reached()).collect(),
             all: BTreeMap::new(),
             rng,
             secret,
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -15,8 +15,11 @@
     pub fleet: String,
     /// This gateway's name, unique in its fleet and the same after a restart.
     pub gateway: String,
-    /// Where it is reached by the others (UDP).
+    /// Where it hears the others (UDP).
     pub listen: SocketAddr,
+    /// Where they reach it, if that is another address (IPv4).
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
     /// A few gateways that are asked first; its own address among them does no harm.
     pub seeds: Vec<SocketAddr>,
     /// The first one signs, each of them is good for what comes; read again on SIGHUP.
@@ -148,6 +151,11 @@
         need(is_name(&self.fleet), "fleet", "a name has 1 to 64 visible characters")?;
         need(is_name(&self.gateway), "gateway", "a name has 1 to 64 visible characters")?;
         need(self.listen.port() != 0, "listen", "the others have to know the port")?;
+        need(
+            self.reached().is_ipv4() && self.reached().port() != 0,
+            "advertise",
+            "an IPv4 address with its port",
+        )?;
         need(!self.seeds.is_empty() && self.seeds.len() <= 16, "seeds", "1 to 16 are wanted")?;
         need((1..=4).contains(&self.keys.len()), "keys", "1 to 4 are wanted")?;
         let mut ids = BTreeSet::new();
@@ -185,6 +193,10 @@
         need((0.0..=0.9).contains(&b.wait_part), "budgets.wait_part", "0 to 0.9")
     }
 
+    pub fn reached(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.listen)
+    }
+
     /// The schema of the file (JSON Schema 2020-12).
     pub fn schema() -> String {
         serde_json::to_string_pretty(&schemars::schema_for!(Fleet)).unwrap_or_default()
--- a/fleet/tests/common/mod.rs
+++ b/fleet/tests/common/mod.rs
@@ -44,10 +44,13 @@
     starts: u64,
 }
 
+/// When, its number, from, to, and what.
+type Under = Reverse<(Time, u64, usize, usize, Vec<u8>)>;
+
 pub struct Net {
     pub now: Time,
     pub all: Vec<Place>,
-    queue: BinaryHeap<Reverse<(Time, u64, usize, usize, Vec<u8>)>>,
+    queue: BinaryHeap<Under>,
     sent: u64,
     pub rng: Pcg64Mcg,
     pub loss: f64,
@@ -66,7 +69,6 @@
     pub record: bool,
     places: BTreeMap<SocketAddr, usize>,
     pub change: fn(usize, &mut Value),
-    pub by: fn(&mut Net, usize, usize, &[u8]) -> Option<Vec<u8>>,
 }
 
 fn roster(no: u64, whole: bool, names: &[(String, &str)]) -> Value {
@@ -100,7 +102,6 @@
             record: false,
             places: (0..n).map(|i| (address(i), i)).collect(),
             change,
-            by: |_, _, _, bytes| Some(bytes.to_vec()),
         };
         for i in 0..n {
             net.all.push(Place {
@@ -187,9 +188,7 @@
                     if self.record && self.recorded.len() < 5_000 {
                         self.recorded.push((i, to, bytes.clone()));
                     }
-                    if let Some(bytes) = (self.by)(self, i, to, &bytes) {
-                        self.send(i, to, bytes);
-                    }
+                    self.send(i, to, bytes);
                 }
                 Out::Line(line) => {
                     let value: Value = serde_json::from_slice(&line).unwrap();
@@ -300,8 +299,11 @@
             }
             for i in 0..self.all.len() {
                 let place = &mut self.all[i];
-                if place.wake <= at && !place.stopped && place.node.is_some() {
-                    place.node.as_mut().unwrap().tick(at);
+                if place.wake <= at
+                    && !place.stopped
+                    && let Some(node) = place.node.as_mut()
+                {
+                    node.tick(at);
                     self.pull(i);
                 }
             }
--- a/fleet/tests/wire.rs
+++ b/fleet/tests/wire.rs
@@ -94,6 +94,7 @@
     for (path, value, told) in [
         ("/fleet", json!(""), "fleet: a name"),
         ("/listen", json!("127.0.0.1:0"), "listen: "),
+        ("/listen", json!("[::1]:7600"), "advertise: "),
         ("/seeds", json!([]), "seeds: "),
         ("/keys", json!([]), "keys: "),
         ("/keys/0/secret", json!("abc"), "keys[0].secret: "),
--- a/gateway/src/bulletin.rs
+++ b/gateway/src/bulletin.rs
@@ -24,19 +24,28 @@
 const ONE_TRY: u64 = CONNECT.as_micros() + WAITS.end.as_micros();
 const _: () = assert!(2 * ONE_TRY < 2_000_000 && SILENT.as_micros() + 2 * ONE_TRY < 4_000_000);
 
-pub struct Bulletin {
+/// Who hears the lines. What comes after a gap or can't be read ends the connection.
+pub trait Hears {
+    /// The number of the last event that is known.
+    fn after(&self) -> u64;
+    fn line(&mut self, line: &[u8]) -> Result<(), String>;
+    /// Comes when a connection is wanted, and when one that stands is not wanted any more.
+    fn wanted(&self) -> impl Future<Output = ()>;
+    fn unwanted(&self) -> impl Future<Output = ()>;
+    /// A connection has ended, or did not come up.
+    fn ended(&mut self) {}
+}
+
+pub struct Bulletin<H> {
     pub address: SocketAddr,
     /// Further addresses, as the configuration comes to name them.
     pub moves: Receiver<SocketAddr>,
-    /// The number of the last event that was passed on.
-    pub last: u64,
-    pub names: Names,
     pub clock: Clock,
     pub counters: Rc<Counters>,
-    pub desk: Sender<Event>,
+    pub hears: H,
 }
 
-impl Bulletin {
+impl<H: Hears> Bulletin<H> {
     pub async fn follow(mut self) {
         let (moves, mut wait) = (self.moves.clone(), WAITS.start);
         loop {
@@ -50,12 +59,15 @@
                 future::pending().await
             };
             let followed = async {
-                let (before, mut healthy) = (self.last, false);
+                self.hears.wanted().await;
+                let (before, mut healthy) = (self.hears.after(), false);
                 let end = self.read(&mut healthy).await;
                 self.counters.ended(end);
-                if end == End::PeerDamaged || self.last > before {
-                    log::warn!("the bulletin's connection ended ({end:?}); asking again after {}", self.last);
+                let after = self.hears.after();
+                if end == End::PeerDamaged || after > before && end != End::Withdrawn {
+                    log::warn!("the bulletin's connection ended ({end:?}); asking again after {after}");
                 }
+                self.hears.ended();
                 wait = if healthy { WAITS.start } else { (wait * 2.0).min(WAITS.end) };
                 self.clock.sleep(wait).await;
                 here
@@ -63,7 +75,8 @@
             self.address = future::or(moved, followed).await;
             if self.address != here {
                 wait = WAITS.start;
-                log::info!("the bulletin is now followed at {}, after {}", self.address, self.last);
+                let after = self.hears.after();
+                log::info!("the bulletin is now followed at {}, after {after}", self.address);
             }
         }
     }
@@ -75,12 +88,17 @@
             Some(Err(_)) => return End::Refused,
             None => return End::NoConnection,
         };
-        if stream.write_all(format!("after {}\n", self.last).as_bytes()).await.is_err() {
+        if stream.write_all(format!("after {}\n", self.hears.after()).as_bytes()).await.is_err() {
             return End::PeerLeft;
         }
         let (mut held, mut bytes) = (Vec::new(), vec![0; 16 * 1024]);
         loop {
-            let got = self.clock.within(SILENT, stream.read(&mut bytes)).await;
+            let read = async { Some(self.clock.within(SILENT, stream.read(&mut bytes)).await) };
+            let unwanted = async {
+                self.hears.unwanted().await;
+                None
+            };
+            let Some(got) = future::or(read, unwanted).await else { return End::Withdrawn };
             let n = match got {
                 Some(Ok(0) | Err(_)) => return End::PeerLeft,
                 Some(Ok(n)) => n,
@@ -91,7 +109,7 @@
             let mut used = 0;
             while let Some(end) = held[seen.max(used)..].iter().position(|&b| b == b'\n') {
                 let end = seen.max(used) + end;
-                if let Err(why) = self.line(&held[used..end]) {
+                if let Err(why) = self.hears.line(&held[used..end]) {
                     log::warn!("a line of the bulletin can't be used: {why}");
                     return End::PeerDamaged;
                 }
@@ -104,6 +122,27 @@
             }
         }
     }
+}
+
+/// Passes events on to the desk; a connection is always wanted.
+pub struct Alone {
+    /// The number of the last event that was passed on.
+    pub last: u64,
+    pub names: Names,
+    pub counters: Rc<Counters>,
+    pub desk: Sender<Event>,
+}
+
+impl Hears for Alone {
+    fn after(&self) -> u64 {
+        self.last
+    }
+
+    async fn wanted(&self) {}
+
+    async fn unwanted(&self) {
+        future::pending().await
+    }
 
     fn line(&mut self, line: &[u8]) -> Result<(), String> {
         if line.trim_ascii().is_empty() {
--- a/gateway/src/caches.rs
+++ b/gateway/src/caches.rs
@@ -9,13 +9,13 @@
 use crate::counters::{Counters, Held};
 use crate::end::End;
 use crate::http;
-use crate::seam::{Ended, Job};
+use crate::seam::{Common, Ended, Job, Permit};
 use async_io::Async;
 use event_listener::Event;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use kelpcart::interface::{MemberId, MemberState};
 use kelpcart::{Span, Time};
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
@@ -36,6 +36,7 @@
 struct Link {
     stream: Async<TcpStream>,
     _held: Held,
+    _permit: Option<Box<dyn Permit>>,
 }
 
 struct Kept {
@@ -66,6 +67,8 @@
     kept: RefCell<BTreeMap<MemberId, Vec<Kept>>>,
     /// A hop has ended, so that its descriptor may be free.
     freed: Event,
+    /// Bounds in common with other gateways, where there are any.
+    common: OnceCell<Rc<dyn Common>>,
 }
 
 /// Tells of the end of a hop, also of one that is taken back.
@@ -81,7 +84,27 @@
 impl Caches {
     pub fn new(clock: Clock, pool: Rc<Pool>, counters: Rc<Counters>, bounds: Bounds) -> Rc<Caches> {
         let (places, kept) = Default::default();
-        Rc::new(Caches { clock, pool, counters, bounds, places, kept, freed: Event::new() })
+        Rc::new(Caches {
+            clock,
+            pool,
+            counters,
+            bounds,
+            places,
+            kept,
+            freed: Event::new(),
+            common: OnceCell::new(),
+        })
+    }
+
+    /// Connections and fills need a permit from now on.
+    pub fn bound_by(&self, common: Rc<dyn Common>) {
+        // A second one has no place beside the first.
+        _ = self.common.set(common);
+    }
+
+    /// Closes idle connections to some members: others want their places.
+    pub fn close_idle(&self, of: impl Fn(&MemberId) -> bool) {
+        self.kept.borrow_mut().retain(|id, _| !of(id));
     }
 
     /// Closes idle connections well before the caches would, lest one is closed just as it is used.
@@ -154,9 +177,25 @@
     async fn run(&self, job: &Job, progress: &Progress) -> Ended {
         let place = self.places.borrow().get(&job.member).map(|p| p.address);
         let Some(address) = place else { return End::NoSocket.into() };
+        let mut fill = None;
+        if let Some(permit) = self.common.get().and_then(|common| common.fill(job)) {
+            fill = self.own(progress, End::LateUnsent, permit).await;
+            if fill.is_none() {
+                self.counters.add("hops without a fill in common");
+                return End::NoSocket.into();
+            }
+        }
+        let ended = self.talk(job, address, progress).await;
+        if let Some(fill) = fill.as_mut().filter(|_| ended.end == End::Whole) {
+            fill.done();
+        }
+        ended
+    }
+
+    async fn talk(&self, job: &Job, address: SocketAddr, progress: &Progress) -> Ended {
         let (mut link, again) = match self.take_kept(&job.member) {
             Some(link) => (link, true),
-            None => match self.connect(address, progress).await {
+            None => match self.connect(&job.member, address, progress).await {
                 Ok(link) => (link, false),
                 Err(end) => return end.into(),
             },
@@ -266,16 +305,30 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr, progress: &Progress) -> Result<Link, End> {
+    async fn connect(
+        &self,
+        member: &MemberId,
+        address: SocketAddr,
+        progress: &Progress,
+    ) -> Result<Link, End> {
         let room = self.clock.within(self.bounds.connect, self.room());
         self.own(progress, End::LateUnsent, room).await.ok_or(End::NoSocket)?;
+        let mut permit = None;
+        if let Some(common) = self.common.get() {
+            let permits = common.connection(member, self.clock.now() + self.bounds.connect);
+            permit = self.own(progress, End::LateUnsent, permits).await;
+            if permit.is_none() {
+                self.counters.add("hops without a connection in common");
+                return Err(End::NoSocket);
+            }
+        }
         let limit = self.clock.now() + self.bounds.connect;
         let held = Held::new(&self.counters.hops);
         self.counters.add("hop connections opened");
         let connected = self.clock.by(limit, Async::<TcpStream>::connect(address)).await;
         let stream = connected.ok_or(End::NoConnection)?.map_err(refusal)?;
         stream.get_ref().set_nodelay(true).map_err(refusal)?;
-        Ok(Link { stream, _held: held })
+        Ok(Link { stream, _held: held, _permit: permit })
     }
 
     /// Guards txns at the bound of descriptors against being told off at once by every cache in turn: a hop waits
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -92,6 +92,13 @@
     address(all.as_object().ok_or("not an object")?, "bulletin")
 }
 
+/// The events of the start as they are written.
+pub fn known(json: &str) -> Found<Vec<Value>> {
+    let all: Value = serde_json::from_str(json).map_err(|e| format!("not JSON: {e}"))?;
+    let known = object(all.as_object().ok_or("not an object")?, "known")?;
+    list(known, "items").map(|items| items.to_vec())
+}
+
 /// The number of an event and what it says; `None` for kinds of event not known here.
 pub fn news(item: &Value, names: &Names) -> Found<(u64, Option<News>)> {
     let item = item.as_object().ok_or("not an event")?;
--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -10,7 +10,7 @@
 use crate::counters::Counters;
 use crate::end::End;
 use crate::http;
-use crate::seam::{Ask, Caller, Carrier, Ended, Event, Job};
+use crate::seam::{Ask, Beside, Caller, Carrier, Ended, Event, Job};
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use kelpcart::interface::*;
@@ -62,6 +62,8 @@
     tasks: Tasks,
     caches: Rc<Caches>,
     carriers: Vec<Rc<dyn Carrier>>,
+    /// What is told of a stop and asked for its sizes.
+    beside: Vec<Rc<dyn Beside>>,
     /// Members that carriers reach, listed beside those of the bulletin.
     carried: Vec<Listed>,
     counters: Rc<Counters>,
@@ -116,6 +118,7 @@
             tasks,
             caches,
             carriers: Vec::new(),
+            beside: Vec::new(),
             carried: Vec::new(),
             counters,
             queue,
@@ -135,11 +138,16 @@
 
     /// Adds a way to members of its own; they stay listed whatever the bulletin says.
     pub fn add(&mut self, carrier: Rc<dyn Carrier>, members: Vec<Listed>) {
+        self.beside.push(carrier.clone());
         self.carriers.push(carrier);
         self.carried.extend(members.iter().cloned());
         self.news(News::Roster { whole: false, list: members });
     }
 
+    pub fn add_beside(&mut self, beside: Rc<dyn Beside>) {
+        self.beside.push(beside);
+    }
+
     /// Ends some time after `Stop`, with all answered.
     pub async fn run(mut self) {
         loop {
@@ -186,7 +194,7 @@
             Event::Stop => {
                 log::info!("told to stop, {} txns open", self.open.len());
                 self.stopped.get_or_insert(self.clock.now());
-                self.carriers.iter().for_each(|c| c.stop());
+                self.beside.iter().for_each(|b| b.stop());
             }
         }
     }
@@ -200,8 +208,8 @@
             ("hops out", self.out.len()),
             ("bytes of writes", self.held),
         ];
-        let carried = self.carriers.iter().flat_map(|c| c.sizes());
-        let all = own.into_iter().chain(self.caches.sizes()).chain(carried);
+        let beside = self.beside.iter().flat_map(|b| b.sizes());
+        let all = own.into_iter().chain(self.caches.sizes()).chain(beside);
         let all = all.chain(self.gateway.sizes(self.clock.now()));
         *self.counters.sizes.borrow_mut() = all.collect();
         log::info!("{}", self.counters);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod counters;
 pub mod desk;
 pub mod end;
+pub mod fleet;
 pub mod http;
 pub mod logger;
 pub mod rpc;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -7,13 +7,14 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
 use kelpcart_gateway::buffers::Pool;
-use kelpcart_gateway::bulletin::Bulletin;
+use kelpcart_gateway::bulletin::{Alone, Bulletin};
 use kelpcart_gateway::caches::{Bounds, Caches};
 use kelpcart_gateway::clients::Front;
 use kelpcart_gateway::clock::Clock;
 use kelpcart_gateway::config::{self, Config};
 use kelpcart_gateway::counters::Counters;
 use kelpcart_gateway::desk::Desk;
+use kelpcart_gateway::fleet::{Asker, Fleet, Means as Company};
 use kelpcart_gateway::seam::{Event, Keys};
 use kelpcart_gateway::sites::{Between, Means};
 use kelpcart_gateway::{Tasks, logger};
@@ -47,11 +48,17 @@
     let listener = Async::<TcpListener>::bind(config.listen);
     let listener = listener.map_err(|e| format!("{}: {e}", config.listen))?;
     let tasks: Tasks = Box::leak(Box::new(LocalExecutor::new()));
-    let sites = env::var("KELPCART_SITES").ok();
-    async_io::block_on(tasks.run(run(tasks, &path, sites, config, listener, signals)))
+    let files = Files { sites: env::var("KELPCART_SITES").ok(), fleet: env::var("KELPCART_FLEET").ok() };
+    async_io::block_on(tasks.run(run(tasks, &path, files, config, listener, signals)))
 }
 
-fn read<T>(path: &str, what: fn(&str) -> Result<T, String>) -> Result<T, String> {
+/// What the environment names beside the configuration.
+struct Files {
+    sites: Option<String>,
+    fleet: Option<String>,
+}
+
+fn read<T>(path: &str, what: impl FnOnce(&str) -> Result<T, String>) -> Result<T, String> {
     let text = std::fs::read_to_string(path).map_err(|e| e.to_string());
     text.and_then(|text| what(&text)).map_err(|e| format!("{path}: {e}"))
 }
@@ -59,7 +66,7 @@
 async fn run(
     tasks: Tasks,
     path: &str,
-    sites: Option<String>,
+    files: Files,
     config: Config,
     listener: Async<TcpListener>,
     mut signals: Signals,
@@ -74,16 +81,6 @@
     let caches = Caches::new(clock, Rc::clone(&pool), Rc::clone(&counters), bounds);
     caches.sweep(tasks);
     let (moved, moves) = async_channel::unbounded();
-    let bulletin = Bulletin {
-        address: config.bulletin,
-        moves,
-        last: config.last,
-        names: config.names.clone(),
-        clock,
-        counters: Rc::clone(&counters),
-        desk: desk.clone(),
-    };
-    tasks.spawn(bulletin.follow()).detach();
     let keys = Keys::default();
     let means = Means {
         tasks,
@@ -98,7 +95,37 @@
         let between = text.and_then(|text| Between::start(means, &text, &config));
         between.map_err(|e| format!("{path}: {e}"))
     };
-    let between = sites.as_ref().map(start).transpose()?;
+    let between = files.sites.as_ref().map(start).transpose()?;
+    let of_fleet = Company {
+        tasks,
+        clock,
+        counters: Rc::clone(&counters),
+        desk: desk.clone(),
+        caches: Rc::clone(&caches),
+    };
+    let join = |of: &String| {
+        let known = read(path, config::known)?;
+        read(of, |text| Fleet::start(of_fleet, text, &config, &known))
+    };
+    let fleet = files.fleet.as_ref().map(join).transpose()?;
+    let address = config.bulletin;
+    match &fleet {
+        None => {
+            let hears = Alone {
+                last: config.last,
+                names: config.names.clone(),
+                counters: Rc::clone(&counters),
+                desk: desk.clone(),
+            };
+            let bulletin = Bulletin { address, moves, clock, counters: Rc::clone(&counters), hears };
+            tasks.spawn(bulletin.follow()).detach();
+        }
+        Some(fleet) => {
+            let hears = Asker(Rc::clone(fleet));
+            let bulletin = Bulletin { address, moves, clock, counters: Rc::clone(&counters), hears };
+            tasks.spawn(bulletin.follow()).detach();
+        }
+    }
     let listens = listener.get_ref().local_addr().unwrap_or(config.listen);
     log::info!("{} listens on {listens}", config.name);
     let front = Front {
@@ -117,6 +144,9 @@
     if let Some((between, members)) = between {
         work.add(between, members);
     }
+    if let Some(fleet) = &fleet {
+        work.add_beside(fleet.clone());
+    }
     let told = async {
         while let Some(signal) = signals.next().await {
             match signal {
@@ -127,6 +157,9 @@
                         Err(why) => log::warn!("{why}; the bulletin stays where it was"),
                     }
                     rekeys.iter().for_each(|between| between.rekey());
+                    if let Some((fleet, of)) = fleet.as_ref().zip(files.fleet.as_ref()) {
+                        fleet.rekey(read(of, |text| Ok(text.to_owned())));
+                    }
                 }
                 Ok(_) => _ = desk.send(Event::Stop).await,
                 Err(e) => log::warn!("signals: {e}"),
--- a/gateway/src/seam.rs
+++ b/gateway/src/seam.rs
@@ -128,14 +128,35 @@
 
 pub type Running = Pin<Box<dyn Future<Output = Ended>>>;
 
+/// Work beside that of the desk.
+pub trait Beside {
+    /// The process is told to stop.
+    fn stop(&self);
+    /// How much is kept, by name.
+    fn sizes(&self) -> Vec<(&'static str, usize)>;
+}
+
 /// A way to some members other than a connection of HTTP to each.
-pub trait Carrier {
+pub trait Carrier: Beside {
     /// Members that are reached by it.
     fn carries(&self, member: &MemberId) -> bool;
     /// Runs one hop to its end, which comes by the job's time at the latest; dropped, the hop is given up.
     fn hop(&self, job: Job) -> Running;
-    /// The process is told to stop.
-    fn stop(&self);
-    /// How much is kept, by name.
-    fn sizes(&self) -> Vec<(&'static str, usize)>;
+}
+
+/// Given back when it is dropped.
+pub trait Permit {
+    /// What it was given for is done, and need not be done again by another gateway.
+    fn done(&mut self);
+}
+
+pub type Permits = Pin<Box<dyn Future<Output = Option<Box<dyn Permit>>>>>;
+
+/// Bounds that hold for several gateways together. It only narrows what the module has ordered: a hop for which there
+/// is no permit in time ends as never sent.
+pub trait Common {
+    /// For one connection to a member; `None`: there is none in time.
+    fn connection(&self, member: &MemberId, until: Time) -> Permits;
+    /// For a fill of the object through a member; `None` at once where fills are not counted now.
+    fn fill(&self, job: &Job) -> Option<Permits>;
 }
--- a/gateway/src/sites.rs
+++ b/gateway/src/sites.rs
@@ -10,7 +10,7 @@
 use crate::clock::Clock;
 use crate::config::{Config, Listed};
 use crate::counters::{Counters, Held};
-use crate::seam::{Carrier, Event, Job, Keys, Running};
+use crate::seam::{Beside, Carrier, Event, Job, Keys, Running};
 use async_channel::{Receiver, Sender};
 use far::Door;
 use kelpcart::Time;
@@ -159,7 +159,9 @@
         let ways = Rc::clone(&self.ways);
         Box::pin(async move { ways.hop(job).await })
     }
+}
 
+impl Beside for Between {
     fn stop(&self) {
         if let Some(door) = &self.door {
             door.stop();
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::caches::Place;
 use serde_json::{Value, json};
+use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -183,15 +184,7 @@
     }
 
     pub fn used(&self) -> Used {
-        let read = |what: &str| std::fs::read_to_string(format!("/proc/{}/{what}", self.child.id()));
-        let stat = read("stat").unwrap_or_default();
-        // Behind the name: the 14th and 15th fields are ticks of 10 ms.
-        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-        let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
-        let status = read("status").unwrap_or_default();
-        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB"));
-        let peak_kb = peak.and_then(|kb| kb.trim().parse::<f64>().ok()).unwrap_or(0.0);
-        Used { cpu_s: (ticks(11) + ticks(12)) / 100.0, peak_mb: peak_kb / 1024.0 }
+        used(self.child.id())
     }
 }
 
@@ -201,6 +194,98 @@
     }
 }
 
+/// One of many gateways: its log goes to a file, and nothing waits for its start.
+pub struct Process {
+    child: Child,
+    log: PathBuf,
+}
+
+impl Process {
+    /// `name` is that of the files in the folder; with a fleet's file it is of that fleet.
+    pub fn spawn(
+        program: &Path,
+        folder: &Path,
+        name: &str,
+        config: &Value,
+        fleet: Option<&Value>,
+    ) -> io::Result<Process> {
+        let file = |end: &str, value: &Value| -> io::Result<PathBuf> {
+            let path = folder.join(format!("{name}.{end}.json"));
+            std::fs::write(&path, value.to_string())?;
+            Ok(path)
+        };
+        let path = folder.join(format!("{name}.log"));
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(&path)?;
+        let mut command = Command::new(program);
+        command.env_remove("NODE_LISTEN").env_remove("KELPCART_SITES").env_remove("KELPCART_FLEET");
+        command.env("NODE_CONFIG", file("config", config)?);
+        if let Some(fleet) = fleet {
+            command.env("KELPCART_FLEET", file("fleet", fleet)?);
+        }
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
+        Ok(Process { child, log: path })
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    pub fn kill(&mut self) {
+        // It fails only where it has ended already.
+        _ = self.child.kill();
+        _ = self.child.wait();
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    pub fn used(&self) -> Used {
+        used(self.child.id())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The same signal to many.
+pub fn signal(name: &str, ids: &[u32]) -> io::Result<()> {
+    for some in ids.chunks(256) {
+        let ids = some.iter().map(u32::to_string);
+        Command::new("kill").args(["-s", name]).args(ids).stderr(Stdio::null()).status()?;
+    }
+    Ok(())
+}
+
+/// The counters of a line that a gateway writes on SIGUSR1.
+pub fn counters(line: &str) -> BTreeMap<String, f64> {
+    let parts = line.split([',', ';']).filter_map(|part| {
+        let (name, n) = part.trim().trim_start_matches("in all").trim().rsplit_once(' ')?;
+        Some((name.to_owned(), n.parse().ok()?))
+    });
+    parts.collect()
+}
+
+/// What the machine says of a process.
+pub fn used(id: u32) -> Used {
+    let read = |what: &str| std::fs::read_to_string(format!("/proc/{id}/{what}"));
+    let stat = read("stat").unwrap_or_default();
+    // Behind the name: the 14th and 15th fields are ticks of 10 ms.
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+    let status = read("status").unwrap_or_default();
+    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB"));
+    let peak_kb = peak.and_then(|kb| kb.trim().parse::<f64>().ok()).unwrap_or(0.0);
+    Used { cpu_s: (ticks(11) + ticks(12)) / 100.0, peak_mb: peak_kb / 1024.0 }
+}
+
 /// An address of UDP at which nobody listens now.
 pub fn free_udp() -> io::Result<SocketAddr> {
     std::net::UdpSocket::bind("127.0.0.1:0")?.local_addr()
--- /dev/null
+++ b/rig/src/fleet_plan.rs
@@ -0,0 +1,114 @@
+//! What happens to a fleet and when: read from a file or one of the named ones, in order. No I/O and no clock.
+
+use serde::{Deserialize, Serialize};
+
+/// What is cut, killed or stopped is undone at the event's end.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum What {
+    BulletinDown,
+    /// Its connections end after so many bytes.
+    BulletinDies(u64),
+    /// This part of the gateways is killed, and started again at the end.
+    Kill(f64),
+    /// Those that are connected to the bulletin.
+    KillAskers,
+    /// This part is stopped (SIGSTOP), and continued at the end.
+    Stop(f64),
+    StopAskers,
+    /// This part is cut off from the others, and from the bulletin.
+    Cut(f64),
+    /// One gateway hears nothing of the others; what it says arrives.
+    Deaf(usize),
+    /// Part of the datagrams between gateways is lost.
+    Lossy(f64),
+    /// One cache in so many answers with errors.
+    Bad(usize),
+    /// One cache in so many is slow by these milliseconds.
+    Slow(usize, u64),
+    /// All are restarted as planned, a tenth at a time, over the event's time.
+    Roll,
+    /// An object that many want is purged.
+    Purge,
+    /// The keys change in three steps over the event's time.
+    Rekey,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Event {
+    /// Seconds from the start, and how long it lasts.
+    pub at: f64,
+    #[serde(default)]
+    pub lasts: f64,
+    pub what: What,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum Unusable {
+    #[error("the plan: {0}")]
+    Form(#[from] serde_json::Error),
+    #[error("event {0}: {1}")]
+    Event(usize, &'static str),
+}
+
+/// A moment at which something begins or ends.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Moment {
+    pub at: f64,
+    pub begins: bool,
+    pub event: Event,
+}
+
+pub fn read(text: &str) -> Result<Vec<Event>, Unusable> {
+    let events: Vec<Event> = serde_json::from_str(text)?;
+    for (i, event) in events.iter().enumerate() {
+        let time = |t: f64| t.is_finite() && t >= 0.0;
+        if !time(event.at) || !time(event.lasts) {
+            return Err(Unusable::Event(i, "at and lasts are seconds"));
+        }
+        match event.what {
+            What::Kill(part) | What::Stop(part) | What::Cut(part) | What::Lossy(part)
+                if !(0.0..=1.0).contains(&part) =>
+            {
+                return Err(Unusable::Event(i, "a part lies between 0 and 1"));
+            }
+            What::Bad(0) | What::Slow(0, _) => return Err(Unusable::Event(i, "one cache in 1 or more")),
+            _ => {}
+        }
+    }
+    Ok(events)
+}
+
+/// Beginnings and ends in order.
+pub fn moments(events: &[Event]) -> Vec<Moment> {
+    let both = |event: &Event| {
+        let moment = |at, begins| Moment { at, begins, event: event.clone() };
+        [moment(event.at, true), moment(event.at + event.lasts, false)]
+    };
+    let mut all: Vec<Moment> = events.iter().flat_map(both).collect();
+    all.sort_by(|a, b| a.at.total_cmp(&b.at));
+    all
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_file_is_read_and_its_faults_are_told() {
+        let plan =
+            read(r#"[{"at": 2, "lasts": 1, "what": {"kill": 0.7}}, {"at": 1, "what": "purge"}]"#).unwrap();
+        let order: Vec<(f64, bool)> = moments(&plan).iter().map(|m| (m.at, m.begins)).collect();
+        assert_eq!(order, [(1.0, true), (1.0, false), (2.0, true), (3.0, false)]);
+        for (text, told) in [
+            (r#"[{"at": -1, "what": "purge"}]"#, "event 0: at and lasts"),
+            (r#"[{"at": 1, "what": {"kill": 2}}]"#, "event 0: a part"),
+            (r#"[{"at": 1, "what": {"bad": 0}}]"#, "event 0: one cache"),
+            (r#"[{"at": 1, "what": "fog"}]"#, "the plan: unknown variant"),
+        ] {
+            let why = read(text).unwrap_err().to_string();
+            assert!(why.starts_with(told), "{why}");
+        }
+    }
+}
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -5,6 +5,7 @@
 use kelpcart_rig::lane::Weather;
 use kelpcart_rig::plan::Plan;
 use kelpcart_rig::sites::{self, Ledger, Options};
+use kelpcart_rig::{fleet_day, fleet_plan, list_service, tier};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -19,6 +20,8 @@
 enum What {
     /// Two sites with a slow, lossy link between them.
     Sites(Box<Day>),
+    /// A whole fleet that starts at once between stand-ins that can be swamped.
+    Fleet(Box<FleetDay>),
     /// Certificates for trying things out: an authority and one for each site named.
     Keys {
         /// The folder they are written to.
@@ -128,9 +131,131 @@
     counters: bool,
 }
 
+/// Remedies that can be left out.
+#[derive(Clone, Copy, ValueEnum, PartialEq)]
+enum Without {
+    /// Each gateway for itself, as without the feature.
+    Fleet,
+    /// Each asks the bulletin.
+    Relays,
+    Connections,
+    Fills,
+    FillsAtCache,
+}
+
+#[derive(clap::Args)]
+struct FleetDay {
+    #[arg(long, default_value_t = 50)]
+    gateways: usize,
+    #[arg(long, default_value_t = 20.0)]
+    seconds: f64,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[arg(long, default_value_t = 24)]
+    caches: usize,
+    #[arg(long, default_value_t = 4)]
+    parents: usize,
+    /// Txns a second at each gateway.
+    #[arg(long, default_value_t = 3.0)]
+    rate: f64,
+    #[arg(long, default_value_t = 2_000)]
+    objects: u64,
+    /// What happens and when, as JSON.
+    #[arg(long)]
+    plan: Option<PathBuf>,
+    /// Between gateways, each way.
+    #[arg(long, default_value_t = 0.3)]
+    delay_ms: f64,
+    #[arg(long, default_value_t = 0.0)]
+    loss: f64,
+    #[arg(long, value_enum)]
+    without: Vec<Without>,
+    /// Connections to one cache or parent, of all gateways together; and what one bears.
+    #[arg(long, default_value_t = 80)]
+    connections: u32,
+    #[arg(long, default_value_t = 100)]
+    bears_connections: usize,
+    /// Objects that are filled through one cache at once, of all together; and what a cold one bears.
+    #[arg(long, default_value_t = 16)]
+    fills_at_cache: u32,
+    #[arg(long, default_value_t = 32)]
+    bears_fills: usize,
+    /// What the bulletin bears.
+    #[arg(long, default_value_t = 20.0)]
+    bulletin_connections: f64,
+    #[arg(long, default_value_t = 1_024.0)]
+    bulletin_kb: f64,
+    #[arg(long, default_value_t = 64)]
+    memory_mb: u64,
+    #[arg(long)]
+    folder: Option<PathBuf>,
+    #[arg(long)]
+    program: Option<PathBuf>,
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+fn play_fleet(day: &FleetDay) -> Outcome {
+    if !(2..=400).contains(&day.gateways)
+        || !(1..=200).contains(&day.caches)
+        || day.parents + day.caches > 250
+    {
+        return Err("--gateways is 2 to 400, --caches 1 to 200, with --parents 250 at the most".into());
+    }
+    if day.seconds.is_nan() || day.seconds < 1.0 || day.rate.is_nan() || day.rate <= 0.0 {
+        return Err("--seconds is at least 1, --rate above 0".into());
+    }
+    let plan = match &day.plan {
+        Some(path) => {
+            fleet_plan::read(&std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?)?
+        }
+        None => Vec::new(),
+    };
+    let has = |w: Without| !day.without.contains(&w);
+    let own = std::env::temp_dir().join(format!("kelpcart-rig-{}", std::process::id()));
+    let options = fleet_day::Options {
+        gateways: day.gateways,
+        caches: day.caches,
+        parents: day.parents,
+        seconds: day.seconds,
+        seed: day.seed,
+        rate: day.rate * day.gateways as f64,
+        objects: day.objects.max(2),
+        plan,
+        weather: Weather { delay_ms: day.delay_ms, loss: day.loss, ..Weather::default() },
+        fleet: has(Without::Fleet),
+        relays: has(Without::Relays),
+        connections: has(Without::Connections).then_some(day.connections),
+        fills: has(Without::Fills).then_some(1),
+        fills_at_cache: has(Without::FillsAtCache).then_some(day.fills_at_cache),
+        list: list_service::Bears { connections_per_s: day.bulletin_connections, kb_per_s: day.bulletin_kb },
+        cache: tier::Bears {
+            connections: day.bears_connections,
+            cold_fills: day.bears_fills,
+            cold_for: std::time::Duration::from_secs(20),
+            down_for: std::time::Duration::from_secs(3),
+        },
+        memory_mb: day.memory_mb,
+        program: day.program.clone().unwrap_or_else(sites::program),
+        folder: day.folder.clone().unwrap_or_else(|| own.clone()),
+    };
+    let outcome = fleet_day::run(&options);
+    if day.folder.is_none() {
+        // It is gone already where the run never came so far.
+        _ = std::fs::remove_dir_all(&own);
+    }
+    let outcome = outcome?;
+    print!("{}", fleet_day::table(&options, &outcome));
+    if let Some(path) = &day.json {
+        std::fs::write(path, serde_json::to_string_pretty(&fleet_day::json(&options, &outcome))?)?;
+    }
+    Ok(!fleet_day::broken(&outcome))
+}
+
 fn main() -> ExitCode {
     let result = match Line::parse().what {
         What::Sites(day) => play(&day),
+        What::Fleet(day) => play_fleet(&day),
         What::Keys { folder, sites } => keys(&folder, &sites),
     };
     match result {
--- a/rig/src/sites.rs
+++ b/rig/src/sites.rs
@@ -27,16 +27,16 @@
     Rule { name: "rates", importance: 1.0, sla: 0.4, stretch: 2.0, limit: 2.5, write: false },
     Rule { name: "book", importance: 3.0, sla: 0.8, stretch: 0.0, limit: 3.0, write: true },
 ];
-const MEDIA: usize = 0;
-const RATES: usize = 1;
-const BOOK: usize = 2;
+pub const MEDIA: usize = 0;
+pub const RATES: usize = 1;
+pub const BOOK: usize = 2;
 /// What a client and its machine may take on top of the time limit.
-const GRACE: f64 = 0.05;
+pub const GRACE: f64 = 0.05;
 /// From a purge on, copies from before may be served for so long.
-const PURGE_GRACE_MS: u64 = 500;
+pub const PURGE_GRACE_MS: u64 = 500;
 /// KB as the settings count them, for each KB on the socket.
-const COUNTED: f64 = 4.0;
-const PACE: f64 = 5_000.0;
+pub const COUNTED: f64 = 4.0;
+pub const PACE: f64 = 5_000.0;
 const CONNECTIONS: usize = 12;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,7 +73,7 @@
 }
 
 /// Bytes of an object: media 8 KB to 235 KB, rates 1 KB to 20 KB, each half as often as one of half its size.
-fn len(object: u64) -> usize {
+pub fn len(object: u64) -> usize {
     let spread = |low: f64, high: f64| {
         let unit = (object.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 11) as f64 / (1u64 << 53) as f64;
         (low / (1.0 - unit * (1.0 - low / high))) as usize
--- /dev/null
+++ b/rig/src/switch.rs
@@ -0,0 +1,170 @@
+//! What lies between gateways of a fleet, as a stand-in: each one's address for the others is a socket here, and what
+//! comes to it goes on to the gateway itself after what the weather and the cuts do to it. Must never send anywhere but
+//! on loopback, nor hold more than its bound.
+
+use crate::lane::{Lane, Weather};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Datagrams under way; beyond that, new ones are lost.
+const MOST: usize = 262_144;
+const LOOKS: Duration = Duration::from_millis(200);
+
+/// Where gateway `i` of a fleet binds, and where the others believe it to be.
+pub fn own(i: usize) -> SocketAddr {
+    SocketAddr::from(([127, 42, (i / 200) as u8, (i % 200) as u8 + 1], 7_600))
+}
+
+pub fn reached(i: usize) -> SocketAddr {
+    SocketAddr::from(([127, 43, (i / 200) as u8, (i % 200) as u8 + 1], 7_600))
+}
+
+#[derive(Default)]
+struct State {
+    lanes: BTreeMap<(usize, usize), Lane>,
+    /// From one to another, one way.
+    cuts: BTreeSet<(usize, usize)>,
+    weather: Weather,
+}
+
+/// When, its number, from, to, and what.
+type Under = Reverse<(u64, u64, usize, usize, Vec<u8>)>;
+
+struct Shared {
+    start: Instant,
+    sockets: Vec<UdpSocket>,
+    state: Mutex<(State, Pcg64Mcg)>,
+    due: Mutex<(BinaryHeap<Under>, u64)>,
+    changed: Condvar,
+    ends: AtomicBool,
+    passed: AtomicU64,
+    bytes: AtomicU64,
+}
+
+pub struct Switch {
+    shared: Arc<Shared>,
+}
+
+impl Switch {
+    pub fn start(n: usize, seed: u64, weather: Weather) -> io::Result<Switch> {
+        let sockets = (0..n)
+            .map(|i| {
+                let socket = UdpSocket::bind(reached(i))?;
+                socket.set_read_timeout(Some(LOOKS))?;
+                Ok(socket)
+            })
+            .collect::<io::Result<Vec<_>>>()?;
+        let state = State { weather, ..State::default() };
+        let shared = Arc::new(Shared {
+            start: Instant::now(),
+            sockets,
+            state: Mutex::new((state, Pcg64Mcg::seed_from_u64(seed))),
+            due: Mutex::default(),
+            changed: Condvar::new(),
+            ends: AtomicBool::new(false),
+            passed: AtomicU64::new(0),
+            bytes: AtomicU64::new(0),
+        });
+        let sends = Arc::clone(&shared);
+        thread::spawn(move || sends.send());
+        for i in 0..n {
+            let reads = Arc::clone(&shared);
+            thread::Builder::new().stack_size(128 * 1024).spawn(move || reads.read(i))?;
+        }
+        Ok(Switch { shared })
+    }
+
+    pub fn weather(&self, change: impl FnOnce(&mut Weather)) {
+        change(&mut self.shared.state.lock().unwrap().0.weather);
+    }
+
+    /// Cuts, or mends, what goes from one to another for which `of` says so.
+    pub fn cut(&self, is: bool, of: impl Fn(usize, usize) -> bool) {
+        let n = self.shared.sockets.len();
+        let mut state = self.shared.state.lock().unwrap();
+        for from in 0..n {
+            for to in (0..n).filter(|&to| to != from && of(from, to)) {
+                if is {
+                    state.0.cuts.insert((from, to));
+                } else {
+                    state.0.cuts.remove(&(from, to));
+                }
+            }
+        }
+    }
+
+    /// Datagrams and bytes that were passed.
+    pub fn counts(&self) -> (u64, u64) {
+        (self.shared.passed.load(Ordering::Relaxed), self.shared.bytes.load(Ordering::Relaxed))
+    }
+}
+
+impl Shared {
+    /// What came to the address of `to`.
+    fn read(&self, to: usize) {
+        let mut bytes = vec![0; 2_048];
+        while !self.ends.load(Ordering::Relaxed) {
+            let Ok((n, from)) = self.sockets[to].recv_from(&mut bytes) else { continue };
+            let SocketAddr::V4(from) = from else { continue };
+            let [a, b, c, d] = from.ip().octets();
+            let from = usize::from(c) * 200 + usize::from(d).wrapping_sub(1);
+            if (a, b) != (127, 42) || from >= self.sockets.len() {
+                continue;
+            }
+            let now = self.start.elapsed().as_secs_f64();
+            let times = {
+                let mut state = self.state.lock().unwrap();
+                let (state, rng) = &mut *state;
+                if state.cuts.contains(&(from, to)) {
+                    continue;
+                }
+                let weather = state.weather;
+                state.lanes.entry((from, to)).or_default().pass(now, n, 0, &weather, rng)
+            };
+            let mut due = self.due.lock().unwrap();
+            for at in times.into_iter().take(MOST.saturating_sub(due.0.len())) {
+                due.1 += 1;
+                let no = due.1;
+                due.0.push(Reverse(((at * 1e6) as u64, no, from, to, bytes[..n].to_vec())));
+            }
+            self.changed.notify_one();
+        }
+    }
+
+    fn send(&self) {
+        let mut due = self.due.lock().unwrap();
+        while !self.ends.load(Ordering::Relaxed) {
+            let now = self.start.elapsed().as_micros() as u64;
+            match due.0.peek().map(|Reverse(d)| d.0) {
+                Some(at) if at <= now => {
+                    let Some(Reverse((_, _, from, to, bytes))) = due.0.pop() else { continue };
+                    drop(due);
+                    // A gateway that is not there is an address at which nobody hears.
+                    _ = self.sockets[from].send_to(&bytes, own(to));
+                    self.passed.fetch_add(1, Ordering::Relaxed);
+                    self.bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+                    due = self.due.lock().unwrap();
+                }
+                next => {
+                    let wait = next.map_or(LOOKS, |at| Duration::from_micros(at - now).min(LOOKS));
+                    due = self.changed.wait_timeout(due, wait).unwrap().0;
+                }
+            }
+        }
+    }
+}
+
+impl Drop for Switch {
+    fn drop(&mut self) {
+        self.shared.ends.store(true, Ordering::Relaxed);
+        self.shared.changed.notify_all();
+    }
+}
