Seeds bring the first list, spare askers give their place back, mass deaths are found out fast

Seen: at 200 gateways 11 connections to the bulletin stayed open, and the first served txn came after 2.4 s at the median. Cause: a spare asker kept its place since it had dropped the sources by which it would know that others bring the list (Relay::tick_sources); and nobody asked before the order of members had settled. With 55 of 60 dead, strain slowed probes. Change: only the first ones go without sources; seeds ask at once while there is no list; a check that fails leads to another.

--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -910,6 +910,16 @@
             } else {
                 self.checks.remove(&name);
                 self.suspect(now, &name);
+                // Where many die at once one that is gone leads to others; the first answer ends the row.
+                let fit = |n: &Name, k: &Known| {
+                    k.standing == Standing::Alive
+                        && !self.checks.contains_key(n)
+                        && !self.to_check.contains(n)
+                };
+                let others = self.all.iter().filter(|(n, k)| fit(n, k)).map(|(n, _)| n.clone());
+                if let Some(next) = others.choose(&mut self.rng) {
+                    self.to_check.push_back(next);
+                }
             }
         }
         self.check(now);
--- a/fleet/src/relay.rs
+++ b/fleet/src/relay.rs
@@ -121,6 +121,8 @@
 pub struct Relay {
     set: settings::Relays,
     expected: usize,
+    /// Its place among the seeds is one of the first.
+    seed: bool,
     pub list: List,
     start: Time,
     /// When the bulletin had no more than what is known here.
@@ -158,6 +160,7 @@
         let early: f64 = rng.random();
         Relay {
             expected: file.members.expected,
+            seed: file.seeds.iter().take(set.askers).any(|s| *s == file.reached()),
             list,
             start: now,
             fresh_at: None,
@@ -623,13 +626,19 @@
     fn ask_or_not(&mut self, now: Time, members: &Members) {
         let (askers, n) = (self.set.askers, members.live());
         let since = now - self.start;
+        if self.seed && !self.listed() && since < SETTLES_BY {
+            // The seeds are known to all before anyone else is: they bring the first list.
+            return self.ask_if(now, true, 0.5 / askers as f64);
+        }
         if !members.joined() {
             // Its fair part of the common pace, and no more.
             let part = 1.0 / self.expected.max(members.names_of_late().count()).max(1) as f64;
             let mine = f64::from(members.name.len() as u32 % 8) / 8.0;
             return self.ask_if(now, since > ALONE * (1.0 + mine), part);
         }
-        let settled = now - members.grew >= SETTLED || since >= SETTLES_BY;
+        // With most of those that are expected the order is nearly the last one.
+        let enough = n * 5 >= self.expected * 4;
+        let settled = enough || now - members.grew >= SETTLED || since >= SETTLES_BY;
         let first = self.rank < askers;
         if first {
             self.spare_since = None;
@@ -678,7 +687,8 @@
         self.tokens.0 = (self.tokens.0 + (now - self.tokens.1).as_secs_f64() * rate).min(1.0);
         self.tokens.1 = now;
         if self.line == Line::Closed && now >= self.next_attempt {
-            let begins = self.counts.asked == 0 && self.rank < self.set.askers && !self.order.is_empty();
+            let first = self.seed || self.rank < self.set.askers && !self.order.is_empty();
+            let begins = self.counts.asked == 0 && first;
             if !self.set.on || begins || self.tokens.0 >= 1.0 {
                 self.tokens.0 = (self.tokens.0 - 1.0).max(0.0);
                 self.counts.asked += 1;
@@ -729,7 +739,7 @@
                 self.leave(now, &name, AVOID);
             }
         }
-        if self.line == Line::Open {
+        if self.line == Line::Open && self.rank < self.set.askers {
             // The source of others needs none for itself; its probes compare it with them.
             for i in 0..SOURCES {
                 if let Some(s) = self.sources[i].take() {
