--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -96,6 +96,8 @@
     /// Who says that it does not answer, oneself among them once one's own probe failed.
     accusers: BTreeSet<Name>,
     deadline: Option<Time>,
+    /// The suspicion is over, and it was asked once more.
+    asked_last: bool,
     window: Window,
     /// It has named this start of ours.
     pub knows_us: bool,
@@ -448,6 +450,7 @@
             since: now,
             accusers: BTreeSet::new(),
             deadline: None,
+            asked_last: false,
             window,
             knows_us,
             list,
@@ -723,6 +726,7 @@
     }
 
     fn accused(&mut self, now: Time, name: &Name, by: Name) {
+        let least = self.least_suspicion();
         let Some(k) = self.all.get_mut(name) else { return };
         let known = k.accusers.contains(&by);
         if k.accusers.len() < MOST_ACCUSERS {
@@ -730,7 +734,9 @@
         }
         if k.standing == Standing::Suspect {
             // Borne out already by a probe of one's own: another confirmation shortens the wait.
-            k.deadline = Some(Self::deadline(&self.set, k));
+            if !k.asked_last {
+                k.deadline = Some(Self::deadline(least, k));
+            }
             if !known && k.accusers.len() <= CONFIRMED + 1 {
                 let own = self.name.clone();
                 self.tell(name, &own);
@@ -765,8 +771,12 @@
         self.send(name, vec![Said::News(claim), Said::Ping(ping)]);
     }
 
-    fn deadline(set: &settings::Members, k: &Known) -> Time {
-        let least = set.suspect_ms as f64 / 1e3;
+    /// The shortest suspicion in seconds: news need the logarithm of the members to come round (Lifeguard, section 3.4).
+    fn least_suspicion(&self) -> f64 {
+        self.set.suspect_ms as f64 / 1e3 * (self.live() as f64).log10().max(1.0)
+    }
+
+    fn deadline(least: f64, k: &Known) -> Time {
         let most = least * LONGEST;
         let others = k.accusers.len().saturating_sub(1) as f64;
         let part = (others + 1.0).ln() / (CONFIRMED as f64 + 1.0).ln();
@@ -778,7 +788,7 @@
         if now < self.calm_until {
             return;
         }
-        let own = self.name.clone();
+        let (own, least) = (self.name.clone(), self.least_suspicion());
         let Some(k) = self.all.get_mut(name).filter(|k| k.standing <= Standing::Suspect) else { return };
         k.accusers.insert(own.clone());
         if k.standing == Standing::Alive {
@@ -786,7 +796,9 @@
             k.standing = Standing::Suspect;
             k.since = now;
         }
-        k.deadline = Some(Self::deadline(&self.set, k));
+        if !k.asked_last {
+            k.deadline = Some(Self::deadline(least, k));
+        }
         self.tell(name, &own);
     }
 
@@ -832,6 +844,9 @@
     // What time brings.
 
     pub fn next_wake(&self) -> Time {
+        if self.leaving {
+            return self.last_tick + SEEK_EVERY;
+        }
         let mut at = self.next_probe.min(self.next_seek);
         if self.probe.as_ref().is_some_and(|p| !p.asked) {
             at = self.probe.iter().fold(at, |at, p| at.min(p.helped_at));
@@ -1012,6 +1027,15 @@
         let over = |k: &Known| k.standing == Standing::Suspect && k.deadline.is_some_and(|at| at <= now);
         let gone: Vec<Name> = self.all.iter().filter(|(_, k)| over(k)).map(|(n, _)| n.clone()).collect();
         for name in gone {
+            let wait = Span::from_millis(self.set.answer_ms) * 2.0 * f64::from(1 + self.strain);
+            if let Some(k) = self.all.get_mut(&name).filter(|k| !k.asked_last) {
+                // A last word from here: on a starved machine an answer is late, and any sign of it is enough.
+                (k.asked_last, k.deadline) = (true, Some(now + wait));
+                self.seq += 1;
+                let seq = self.seq;
+                self.send_check(&name, seq);
+                continue;
+            }
             self.counts.gone += 1;
             let k = self.all[&name].clone();
             self.put(now, &name, k.address, k.run, k.incarnation, Standing::Gone);
--- a/fleet/src/relay.rs
+++ b/fleet/src/relay.rs
@@ -20,10 +20,12 @@
 /// One tells events, the others numbers: with any two of them gone at once the third one still does.
 const SOURCES: usize = 3;
 /// Followers are told this often that nothing is new, and again so long after something was.
-const PULSE_EVERY: Span = Span::from_millis(500);
+const PULSE_EVERY: Span = Span::from_millis(300);
 const AGAIN: [Span; 2] = [Span::from_millis(60), Span::from_millis(200)];
 /// A source that says nothing for so long is left.
-const SILENT: Span = Span::from_millis(1_600);
+const SILENT: Span = Span::from_millis(1_000);
+/// One that was left for that is not counted among those ahead for so long.
+const PASSED_OVER: Span = Span::from_millis(10_000);
 /// Followers say this often that they still follow, and are forgotten after the other span.
 const FOLLOW_EVERY: Span = Span::from_millis(1_000);
 const FOLLOWED_FOR: Span = Span::from_millis(3_500);
@@ -137,6 +139,8 @@
     spare_since: Option<Time>,
     sources: [Option<Source>; SOURCES],
     avoid: BTreeMap<Name, Time>,
+    /// Sources that fell silent, and when: who stands behind them asks in their place before they are held to be gone.
+    silent: BTreeMap<Name, Time>,
     followers: BTreeMap<Name, Follower>,
     next_pulse: Time,
     fetch: Option<Fetching>,
@@ -172,6 +176,7 @@
             spare_since: None,
             sources: [const { None }; SOURCES],
             avoid: BTreeMap::new(),
+            silent: BTreeMap::new(),
             followers: BTreeMap::new(),
             next_pulse: now + PULSE_EVERY * early,
             fetch: None,
@@ -193,6 +198,7 @@
         let mut all = vec![
             ("fleet followers", self.followers.len()),
             ("fleet sources avoided", self.avoid.len()),
+            ("fleet sources silent", self.silent.len()),
             ("fleet votes", self.votes.len()),
             ("fleet depth", self.depth as usize),
         ];
@@ -295,6 +301,7 @@
     // What members say.
 
     pub fn said(&mut self, now: Time, from: &Name, said: &Said) {
+        self.silent.remove(from);
         match said {
             Said::Follow(follow) => self.follow(now, from, follow),
             Said::Full(_) if self.sources.iter().flatten().any(|s| s.name == *from) => {
@@ -608,6 +615,7 @@
         self.tick_fetch(now, members);
         self.tick_followers(now);
         self.avoid.retain(|_, until| *until > now);
+        self.silent.retain(|_, at| now - *at < PASSED_OVER);
     }
 
     fn rerank(&mut self, members: &Members) {
@@ -638,8 +646,13 @@
         }
         // With most of those that are expected the order is nearly the last one.
         let enough = n * 5 >= self.expected * 4;
-        let settled = enough || now - members.grew >= SETTLED || since >= SETTLES_BY;
-        let first = self.rank < askers;
+        // One that is fed already takes its place at the bulletin when the order stands for sure.
+        let settled = if self.is_fresh(now) { false } else { enough || now - members.grew >= SETTLED };
+        let settled = settled || since >= SETTLES_BY;
+        let passed = |n: &&Name| self.silent.get(*n).is_some_and(|at| now - *at < PASSED_OVER);
+        let ahead = self.rank.min(self.order.len());
+        let silent = self.order[..ahead].iter().filter(passed).count();
+        let first = self.rank - silent.min(self.rank) < askers;
         if first {
             self.spare_since = None;
             return self.ask_if(now, settled, 0.5 / askers as f64);
@@ -720,6 +733,7 @@
     }
 
     fn tick_sources(&mut self, now: Time, members: &Members) {
+        let first = self.rank < self.set.askers;
         let stale = Span::from_millis(self.set.stale_ms);
         for i in 0..SOURCES {
             let Some(s) = &self.sources[i] else { continue };
@@ -736,10 +750,13 @@
                     .any(|(n, k)| *n != s.name && Self::is_better(k.list.as_ref(), now, stale));
             if silent || gone || old {
                 let name = s.name.clone();
+                if silent {
+                    self.silent.insert(name.clone(), now);
+                }
                 self.leave(now, &name, AVOID);
             }
         }
-        if self.line == Line::Open && self.rank < self.set.askers {
+        if self.line == Line::Open && first {
             // The source of others needs none for itself; its probes compare it with them.
             for i in 0..SOURCES {
                 if let Some(s) = self.sources[i].take() {
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -51,7 +51,8 @@
     pub probe_ms: u64,
     /// A probe that is not answered by then is repeated through others; the period's end decides.
     pub answer_ms: u64,
-    /// A member that does not answer is held to be gone after this time at the least.
+    /// A member that does not answer is held to be gone after this time at the least; it grows with the decimal
+    /// logarithm of the members beyond ten.
     pub suspect_ms: u64,
     /// Bytes a second that news may take beyond probes.
     pub news_bytes: u64,
--- a/fleet/tests/model.rs
+++ b/fleet/tests/model.rs
@@ -365,6 +365,35 @@
     assert_eq!(free, 29);
 }
 
+#[test]
+fn a_gateway_with_a_wrong_clock_is_one_like_others() {
+    let mut net = Net::new(20, 18, NO_CHANGE);
+    net.all[7].ahead = ms(3_600_000 * 24 * 365);
+    net.all[0].ahead = ms(3_600_000);
+    net.start_all();
+    net.run(ms(10_000));
+    net.purge(1);
+    net.run(ms(400));
+    net.all_told().unwrap();
+    assert_eq!(net.seen(), (20, 20));
+    assert!(net.live().into_iter().all(|i| net.node(i).relay.is_fresh(net.at(i))));
+}
+
+#[test]
+fn one_that_leaves_asks_for_no_more_turns_than_one_that_stays() {
+    let mut net = Net::new(8, 19, NO_CHANGE);
+    net.start_all();
+    net.run(ms(6_000));
+    net.with(3, |n, now| n.leave(now));
+    // The net fails where time stands still.
+    net.run(ms(3_000));
+    let at = net.at(3);
+    assert!(net.node(3).next_wake(at) > at);
+    net.kill(3);
+    net.run(ms(5_000));
+    assert_eq!(net.seen(), (7, 7));
+}
+
 #[test]
 fn the_fleet_shrinks_to_a_few_and_serves_on() {
     let mut net = Net::new(60, 17, NO_CHANGE);
--- a/gateway/src/fleet.rs
+++ b/gateway/src/fleet.rs
@@ -29,6 +29,7 @@
 
 /// Datagrams that are taken in before others have their turn.
 const AT_ONCE: usize = 64;
+const LEAST_SLEEP: Span = Span::from_millis(1);
 
 pub struct Fleet {
     node: RefCell<Node>,
@@ -145,7 +146,8 @@
             self.node.borrow_mut().tick(now);
             self.pull();
             let moved = self.moved.listen();
-            let at = self.node.borrow().next_wake(now);
+            // Whatever the core asks for, the others of the process have their turn.
+            let at = self.node.borrow().next_wake(now).max(now + LEAST_SLEEP);
             self.sleeps_until.set(at);
             self.clock.by(at, moved).await;
         }
--- a/rig/src/list_service.rs
+++ b/rig/src/list_service.rs
@@ -3,6 +3,7 @@
 //! what it was asked for, can be down, and can die in the middle of a list. Each gateway has an address of its own here,
 //! so that one can be cut off.
 
+use crate::switch;
 use async_channel::Receiver;
 use async_executor::Executor;
 use async_io::{Async, Timer};
@@ -58,7 +59,7 @@
 }
 
 pub fn address(i: usize) -> SocketAddr {
-    SocketAddr::from(([127, 44, (i / 200) as u8, (i % 200) as u8 + 1], 7_070))
+    switch::address(3, i, 7_070)
 }
 
 impl ListService {
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -170,6 +170,12 @@
     loss: f64,
     #[arg(long, value_enum)]
     without: Vec<Without>,
+    /// Purges count as told so many milliseconds later: 2,000 where the plan breaks all connections to the bulletin.
+    #[arg(long, default_value_t = 0)]
+    told_ms: u64,
+    /// So many gateways have another key: a fleet of its own with the same seeds.
+    #[arg(long, default_value_t = 0)]
+    foreign: usize,
     /// Connections to one cache or parent, of all gateways together; and what one bears.
     #[arg(long, default_value_t = 80)]
     connections: u32,
@@ -228,6 +234,10 @@
         connections: has(Without::Connections).then_some(day.connections),
         fills: has(Without::Fills).then_some(1),
         fills_at_cache: has(Without::FillsAtCache).then_some(day.fills_at_cache),
+        foreign: day.foreign,
+        guests: 0,
+        told_ms: day.told_ms,
+        has_net: false,
         list: list_service::Bears { connections_per_s: day.bulletin_connections, kb_per_s: day.bulletin_kb },
         cache: tier::Bears {
             connections: day.bears_connections,
--- a/rig/src/tier.rs
+++ b/rig/src/tier.rs
@@ -3,6 +3,7 @@
 //! Times are slept, not worked; the store counts how often each object was fetched and each write ran.
 
 use crate::caches::{MOST_BODY, Place, body, unix_ms};
+use crate::switch;
 use async_executor::Executor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
@@ -90,7 +91,7 @@
 }
 
 pub fn address(i: usize) -> SocketAddr {
-    SocketAddr::from(([127, 45, 0, i as u8 + 1], 8_080))
+    switch::address(4, i, 8_080)
 }
 
 impl Tier {
