Fleet: a quiet moment no longer passes for a stop, so that the dead are buried in time

Checked by a print of counts every 2 s: all 55 were suspected after 6 s, then nothing moved; ruled out strain and probes. At fault: Node::tick compared the time with the earliest wake ever planned, also where that had been put off by an answer, so that Members::stopped put all deadlines off again and again. Change: each input first looks whether it comes late, and plans the next wake anew after it; probes leave out suspects.

--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -30,7 +30,7 @@
 const GOSSIP_EVERY: Span = Span::from_millis(200);
 const GOSSIP_TO: usize = 3;
 /// The local health multiplier's greatest value.
-const MOST_STRAIN: u32 = 4;
+const MOST_STRAIN: u32 = 2;
 /// Independent accusers that bring the suspicion down to its shortest.
 const CONFIRMED: usize = 3;
 /// The longest suspicion is this many times the shortest.
@@ -863,10 +863,14 @@
         checks.chain(helps).chain(ends).fold(at, Time::min)
     }
 
-    pub fn tick(&mut self, now: Time, due: Time) {
+    /// The host comes now, and was to come at `due`.
+    pub fn comes(&mut self, now: Time, due: Time) {
         if now - due > STOPPED {
             self.stopped(now, now - due);
         }
+    }
+
+    pub fn tick(&mut self, now: Time) {
         self.last_tick = now;
         if self.leaving {
             return;
@@ -994,7 +998,8 @@
             return;
         }
         while let Some(name) = self.next_target() {
-            if self.all.get(&name).is_none_or(|k| k.standing > Standing::Suspect) {
+            // One under suspicion is asked once more at its end; till then others are looked at.
+            if self.all.get(&name).is_none_or(|k| k.standing != Standing::Alive) {
                 continue;
             }
             self.counts.probes += 1;
@@ -1017,7 +1022,8 @@
     /// Each one once in a round, in an order drawn anew each time (SWIM, section 4.3).
     fn next_target(&mut self) -> Option<Name> {
         if self.order.is_empty() {
-            self.order = self.others().map(|(n, _)| n.clone()).collect();
+            let fit = |k: &Known| k.standing == Standing::Alive;
+            self.order = self.all.iter().filter(|(_, k)| fit(k)).map(|(n, _)| n.clone()).collect();
             self.order.shuffle(&mut self.rng);
         }
         self.order.pop()
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -119,9 +119,16 @@
         }
     }
 
+    /// Whatever comes first after a stop shows it.
+    fn comes(&mut self, now: Time) {
+        self.members.comes(now, self.due);
+        self.due = self.due.max(now);
+    }
+
     // Inputs.
 
     pub fn datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8]) {
+        self.comes(now);
         self.traffic.datagrams_in += 1;
         self.traffic.bytes_in += bytes.len() as u64;
         let packet = match self.keys.open(bytes) {
@@ -176,6 +183,7 @@
 
     /// An event of the bulletin as it wrote it.
     pub fn line(&mut self, now: Time, line: &[u8]) -> Result<(), Unusable> {
+        self.comes(now);
         self.relay.line(now, line)?;
         self.relay.pass_on(now);
         self.collect(now);
@@ -184,6 +192,7 @@
 
     /// The bulletin's last number; `false`: it has more than it told.
     pub fn last(&mut self, now: Time, no: u64) -> bool {
+        self.comes(now);
         let fits = self.relay.last(now, no);
         self.collect(now);
         fits
@@ -200,6 +209,7 @@
     }
 
     pub fn want(&mut self, now: Time, key: Key, ticket: u64, until: Time) {
+        self.comes(now);
         self.leases.want(now, key, ticket, until, &self.members);
         self.collect(now);
     }
@@ -209,6 +219,7 @@
     }
 
     pub fn give_back(&mut self, now: Time, key: Key, done: bool) {
+        self.comes(now);
         self.leases.give_back(now, key, done, &self.members);
         self.collect(now);
     }
@@ -227,8 +238,9 @@
     }
 
     pub fn tick(&mut self, now: Time) {
+        self.comes(now);
         self.members.list = self.relay.pulse(now);
-        self.members.tick(now, self.due);
+        self.members.tick(now);
         self.relay.tick(now, &self.members);
         self.leases.tick(now, &self.members);
         if self.relay.listed() {
@@ -238,7 +250,6 @@
             }
         }
         self.collect(now);
-        self.due = self.next_wake(now).max(now);
     }
 
     pub fn poll(&mut self) -> Option<Out> {
@@ -274,9 +285,7 @@
             self.traffic.bytes_out += bytes.len() as u64;
             self.out.push_back(Out::Datagram(letter.to, bytes));
         }
-        if self.due > now + Span::from_millis(1) {
-            self.due = self.due.min(self.next_wake(now));
-        }
+        self.due = self.next_wake(now).max(now);
     }
 
     /// How much is kept, by name.
