--- a/rig/src/fleet_day.rs
+++ b/rig/src/fleet_day.rs
@@ -329,6 +329,8 @@
     pub served_at: Option<usize>,
     /// From the start of a gateway to its first served txn: median and most.
     pub first_served: (f64, f64),
+    /// The same for those that were started again later.
+    pub first_again: (f64, f64),
     pub started_over: f64,
     pub lost: u64,
     /// Copies older than a purge that were served, and how long after it, in milliseconds: number, most.
@@ -349,6 +351,8 @@
     /// What an event has hit, so that its end undoes it.
     hit: BTreeMap<String, Vec<usize>>,
     stopped: BTreeSet<usize>,
+    /// Started a second time, into a fleet that serves.
+    again: BTreeSet<usize>,
     /// Told to stop as planned, and started again once they have ended.
     rolling: Vec<usize>,
     crashed: usize,
@@ -366,6 +370,10 @@
         match Process::spawn(&self.o.program, &self.o.folder, &name, &self.configs[i], file) {
             Ok(process) => {
                 self.processes[i] = Some(process);
+                if self.clients.started.lock().unwrap().contains_key(&i) {
+                    self.again.insert(i);
+                    self.clients.first.lock().unwrap().remove(&i);
+                }
                 self.clients.started.lock().unwrap().insert(i, self.clients.now());
             }
             Err(why) => eprintln!("{name}: {why}"),
@@ -594,6 +602,7 @@
         rng: Pcg64Mcg::seed_from_u64(o.seed),
         hit: BTreeMap::new(),
         stopped: BTreeSet::new(),
+        again: BTreeSet::new(),
         rolling: Vec::new(),
         crashed: 0,
         used: BTreeMap::new(),
@@ -668,16 +677,20 @@
     report.broken.stale = stale.iter().filter(|(_, after)| *after > late).count() as u64;
     let after_purge = (stale.len(), stale.iter().map(|s| s.1).max().unwrap_or(0));
     let (first, started) = (clients.first.lock().unwrap(), clients.started.lock().unwrap());
-    let mut to_first: Vec<f64> =
-        first.iter().filter_map(|(i, at)| Some(at - started.get(i)?)).filter(|s| *s >= 0.0).collect();
-    to_first.sort_by(f64::total_cmp);
-    let first_served =
-        (to_first.get(to_first.len() / 2).copied().unwrap_or(-1.0), to_first.last().copied().unwrap_or(-1.0));
+    let to_first = |again: bool| {
+        let of = first.iter().filter(|(i, _)| run.again.contains(i) == again);
+        let mut all: Vec<f64> =
+            of.filter_map(|(i, at)| Some(at - started.get(i)?)).filter(|s| *s >= 0.0).collect();
+        all.sort_by(f64::total_cmp);
+        (all.get(all.len() / 2).copied().unwrap_or(-1.0), all.last().copied().unwrap_or(-1.0))
+    };
+    let (first_served, first_again) = (to_first(false), to_first(true));
     let served_at = (0..o.seconds as usize).find(|&s| report.share(s, s + 2) >= 0.95);
     drop(ends);
     Ok(Outcome {
         served_at,
         first_served,
+        first_again,
         started_over,
         lost: clients.book.lock().unwrap().lost,
         after_purge,
@@ -744,7 +757,7 @@
         "plan": o.plan, "bulletin": outcome.list, "caches": kind('c'), "parents": kind('p'),
         "fetches_of_an_object": {"mean": outcome.fetches.0, "most": outcome.fetches.1, "objects": outcome.fetches.2},
         "served_0.95_at_s": outcome.served_at, "first_served_s": outcome.first_served,
-        "started_over_s": outcome.started_over, "lost": outcome.lost, "crashed": outcome.crashed,
+        "first_served_again_s": outcome.first_again, "started_over_s": outcome.started_over, "lost": outcome.lost, "crashed": outcome.crashed,
         "after_purge": {"copies": outcome.after_purge.0, "latest_ms": outcome.after_purge.1},
         "cpu_s": {"mean": outcome.used.iter().map(|u| u.cpu_s).sum::<f64>() / n,
             "most": outcome.used.iter().map(|u| u.cpu_s).fold(0.0, f64::max)},
@@ -762,6 +775,10 @@
     line("0.95 of importance served from", served);
     let (median, most) = outcome.first_served;
     line("first served after a start, median, most s", format!("{median:.2}, {most:.2}"));
+    if outcome.first_again.1 >= 0.0 {
+        let (median, most) = outcome.first_again;
+        line("the same for those started again", format!("{median:.2}, {most:.2}"));
+    }
     let b = &outcome.list;
     line(
         "bulletin: connections, most at once, a second",
