--- a/gateway/tests/fleet.rs
+++ b/gateway/tests/fleet.rs
@@ -1,10 +1,12 @@
 //! Fleets of the program on loopback, between stand-ins that can be swamped and with faults between every pair. All
 //! servers are simulated. Runs follow one another, since each uses the same part of loopback.
 
-use kelpcart_fleet::node::{Node, Out};
+use kelpcart_fleet::node::{Node as Member, Out};
 use kelpcart_fleet::settings::Fleet;
 use kelpcart_fleet::wire::{Record, Said, Standing, place};
 use kelpcart_gateway::clock::Clock;
+use kelpcart_rig::bulletin::Bulletin;
+use kelpcart_rig::fleet::{self, Node};
 use kelpcart_rig::fleet_day::{self, Options, Outcome};
 use kelpcart_rig::fleet_plan::{Event, What};
 use kelpcart_rig::switch;
@@ -162,6 +164,58 @@
     );
 }
 
+/// What a process holds: its threads, and its sockets of UDP.
+fn held(id: u32) -> (usize, usize) {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+    let threads = status.lines().find_map(|l| l.strip_prefix("Threads:")?.trim().parse().ok()).unwrap();
+    let udp = std::fs::read_to_string("/proc/net/udp").unwrap();
+    let inodes: Vec<&str> = udp.lines().skip(1).filter_map(|l| l.split_whitespace().nth(9)).collect();
+    let links = std::fs::read_dir(format!("/proc/{id}/fd")).unwrap().flatten();
+    let sockets = links.filter_map(|f| std::fs::read_link(f.path()).ok()).filter(|to| {
+        let to = to.to_string_lossy();
+        to.strip_prefix("socket:[").and_then(|t| t.strip_suffix(']')).is_some_and(|n| inodes.contains(&n))
+    });
+    (threads, sockets.count())
+}
+
+#[test]
+fn off_there_is_no_thread_socket_or_table_of_it_and_on_one_socket() {
+    let _alone = alone();
+    let folder = std::env::temp_dir().join(format!("kelpcart-fleet-off-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let bulletin = Bulletin::start(1).unwrap();
+    let config = |name| {
+        let node =
+            Node { name, zone: "hub", bulletin: bulletin.address, places: &[], memory_mb: 64, seed: 1 };
+        fleet::config(&node)
+    };
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_kelpcart"));
+    let off = fleet::Gateway::start(&program, &folder, &config("off"), None).unwrap();
+    let listen = fleet::free_udp().unwrap().to_string();
+    let file = json!({"fleet": "one", "gateway": "on", "listen": listen, "seeds": [listen],
+        "keys": [{"id": 1, "secret": "ab".repeat(32)}]});
+    let on = fleet::Process::spawn(&program, &folder, "on", &config("on"), Some(&file)).unwrap();
+    let begun = Instant::now();
+    while !on.log().contains(" listens on ") {
+        assert!(begun.elapsed() < Duration::from_secs(10), "{}", on.log());
+        thread::sleep(Duration::from_millis(10));
+    }
+    let ((threads, sockets), (with_threads, with_sockets)) = (held(off.id()), held(on.id()));
+    assert_eq!((sockets, with_sockets, with_threads), (0, 1, threads));
+    let counters = off.counters();
+    assert!(!counters.is_empty() && !counters.contains("fleet"), "{counters}");
+    // A file that can't be used ends the start with its field.
+    let mut bad = file.clone();
+    bad["keys"] = json!([]);
+    let mut wrong = fleet::Process::spawn(&program, &folder, "wrong", &config("wrong"), Some(&bad)).unwrap();
+    let begun = Instant::now();
+    while !wrong.has_ended() && begun.elapsed() < Duration::from_secs(10) {
+        thread::sleep(Duration::from_millis(10));
+    }
+    assert!(wrong.has_ended() && wrong.log().contains("keys: 1 to 4 are wanted"), "{}", wrong.log());
+    _ = std::fs::remove_dir_all(folder);
+}
+
 /// A member that speaks for itself with the fleet's key, declares all others gone and sends old news again.
 #[test]
 fn a_member_that_lies_and_replays_does_no_harm() {
@@ -177,7 +231,7 @@
         let clock = Clock::start();
         let socket = UdpSocket::bind(switch::own(10)).unwrap();
         let mut node =
-            Node::new(&Fleet { advertise: Some(switch::reached(10)), ..file }, 7, 7, clock.now(), 0, &[])
+            Member::new(&Fleet { advertise: Some(switch::reached(10)), ..file }, 7, 7, clock.now(), 0, &[])
                 .unwrap();
         let (begun, mut bytes, mut old, mut lied) = (Instant::now(), [0; 2_048], Vec::new(), Instant::now());
         let mut told = 0;
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -144,6 +144,10 @@
         }
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, name: &str) -> io::Result<()> {
         Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status().map(|_| ())
     }
