--- a/rig/src/fleet_day.rs
+++ b/rig/src/fleet_day.rs
@@ -323,7 +323,7 @@
     pub fetches: (f64, u64, usize),
     pub used: Vec<Used>,
     pub counters: Vec<BTreeMap<String, f64>>,
-    /// Gateways that ended by themselves.
+    /// Gateways that ended by themselves, or panicked in one of their tasks.
     pub crashed: usize,
     /// Second from the start at which 0.95 of the importance is served, over two seconds.
     pub served_at: Option<usize>,
@@ -382,7 +382,8 @@
 
     fn end(&mut self, i: usize) {
         if let Some(mut process) = self.processes[i].take() {
-            self.crashed += usize::from(process.has_ended());
+            // A panic in a task that nobody waits for ends that task only: the log alone tells of it.
+            self.crashed += usize::from(process.has_ended() || process.log().contains("panicked at"));
             let used = process.used();
             let all = self.used.entry(i).or_default();
             (all.cpu_s, all.peak_mb) = (all.cpu_s + used.cpu_s, all.peak_mb.max(used.peak_mb));
@@ -830,7 +831,7 @@
         }
     }
     if outcome.crashed > 0 {
-        line("gateways that ended by themselves", format!("{}  BROKEN", outcome.crashed));
+        line("gateways that ended by themselves or panicked", format!("{}  BROKEN", outcome.crashed));
     }
     out
 }
