--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -342,6 +342,10 @@
         let strange = *packet.from == *self.name;
         if strange || packet.to_run != self.run && packet.to_run != 0 {
             self.counts.twins += u64::from(strange && packet.run != self.run);
+            if !strange {
+                // It knows an earlier start of ours: by this word it learns of the present one.
+                self.challenge(now, from, packet);
+            }
             return Taken::Dropped;
         }
         if let Some(k) = self.all.get_mut(&*packet.from)
--- a/fleet/tests/model.rs
+++ b/fleet/tests/model.rs
@@ -379,6 +379,20 @@
     assert!(net.live().into_iter().all(|i| net.node(i).relay.is_fresh(net.at(i))));
 }
 
+#[test]
+fn those_that_come_back_at_once_with_all_seeds_are_known_again_soon() {
+    let mut net = Net::new(16, 20, NO_CHANGE);
+    net.start_all();
+    net.run(ms(6_000));
+    (0..11).for_each(|i| net.kill(i));
+    net.run(ms(1_000));
+    (0..11).for_each(|i| net.start(i));
+    net.run(ms(5_000));
+    assert_eq!(net.seen(), (16, 16));
+    let runs = |of: usize, i: usize| net.node(of).members.get(&format!("g{i}")).map(|k| k.run);
+    assert!((11..16).all(|of| (0..11).all(|i| runs(of, i) == Some(net.node(i).members.run))));
+}
+
 #[test]
 fn one_that_leaves_asks_for_no_more_turns_than_one_that_stays() {
     let mut net = Net::new(8, 19, NO_CHANGE);
