What nothing reads is gone from the fleet's leases, and a comment says what is done

Seen on the last read: a count for tests that no test reads, a list bound twice, and a comment that promised more units to those that wait than are lent.

--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -308,8 +308,7 @@
         Some(free)
     }
 
-    /// Units have come back: those that wait are told, so that they ask for them; a few more than there are units, since
-    /// some will have gone elsewhere.
+    /// Units have come back: one each is lent to those that wait, in their order.
     fn offer(&mut self, now: Time, key: Key, most: u32) {
         let Some(kept) = self.kept.get_mut(&key) else { return };
         let out: u32 = kept.holders.values().map(|(n, _)| n).sum();
@@ -334,9 +333,8 @@
 
     fn drop_oldest(&mut self, now: Time) {
         let idle = |k: &Kept| k.holders.values().all(|(_, until)| *until <= now);
-        let old: Vec<(Time, Key)> =
+        let mut old: Vec<(Time, Key)> =
             self.kept.iter().filter(|(_, k)| idle(k)).map(|(key, k)| (k.touched, *key)).collect();
-        let mut old = old;
         old.sort_unstable();
         for (_, key) in old.into_iter().take(MOST_KEPT / 8) {
             self.kept.remove(&key);
@@ -450,12 +448,6 @@
         (silent && !hold.waiting.is_empty()).then(|| self.fair(key, members))
     }
 
-    /// What the keeper has lent of a budget in all; for tests.
-    pub fn lent_out(&self, now: Time, key: Key) -> u32 {
-        let live = |k: &Kept| k.holders.values().filter(|(_, until)| *until > now).map(|(n, _)| n).sum();
-        self.kept.get(&key).map_or(0, live)
-    }
-
     /// The rules that have to hold after every step; for tests.
     pub fn check_rules(&self, now: Time) -> Result<(), String> {
         for (key, kept) in &self.kept {
