Copies: replicated ledgers in groups as a core without I/O, on a consensus library

Cause: the ledger of what must not run twice lives in one process; a machine lost with its disk loses every promise in it.

--- /dev/null
+++ b/copies/src/group.rs
@@ -0,0 +1,522 @@
+//! One gateway's membership in one group: the consensus library, the steps it holds and the ledger they make, behind
+//! one set of inputs. Must never tell what came of a command before a majority holds it, nor take part under an id that
+//! an earlier start had: what was forgotten must not vote.
+
+use crate::command::{Command, Outcome, Step, Word};
+use crate::heal::{self, Healer, Heard, Seen};
+use crate::machine::{self, Machine, Member};
+use crate::settings::{Copies, Holder};
+use crate::steps::Steps;
+use kelpcart::{Span, Time};
+use prost::Message as _;
+use protobuf::Message as _;
+use raft::eraftpb::{ConfChangeSingle, ConfChangeType, ConfChangeV2, Entry, EntryType, Message, MessageType};
+use raft::{Config, ProgressState, RawNode, SnapshotStatus, StateRole};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Steps of the group's clock in an election's time, and between signs of life.
+const ELECTION: usize = 10;
+const HEARTBEAT: usize = 2;
+/// Messages under way to one member, and bytes of steps in one of them.
+const UNDER_WAY: usize = 256;
+const MOST_BATCH: u64 = 256 * 1024;
+/// A member this close to the leader's last step has caught up.
+const CLOSE: u64 = 64;
+/// An image that brought nobody forward by then is sent again.
+const IMAGE_SENT: Span = Span::from_millis(5_000);
+const EXPIRES: Span = Span::from_millis(1_000);
+
+/// What goes to another member.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sent {
+    /// Memberships.
+    pub from: u64,
+    pub to: u64,
+    pub message: Vec<u8>,
+    /// It holds the whole ledger, and has a way of its own.
+    pub image: bool,
+}
+
+/// What came of a command that a gateway asked for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Done {
+    pub run: u64,
+    pub ask: u64,
+    pub outcome: Outcome,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// Another one leads, or none.
+    Leads,
+    Busy,
+}
+
+/// Counters of one member, for operators.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Counts {
+    pub elections: u64,
+    pub led: u64,
+    pub proposed: u64,
+    pub busy: u64,
+    pub applied: u64,
+    pub images_made: u64,
+    pub images_taken: u64,
+    pub replaced: u64,
+}
+
+pub struct Group {
+    pub number: u32,
+    pub ledger: u64,
+    /// Of this membership.
+    pub id: u64,
+    /// This start of the gateway.
+    run: u64,
+    raft: RawNode<Steps>,
+    machine: Machine,
+    seed: u64,
+    step: Span,
+    next_step: Time,
+    /// The group's time when this one began to lead, and when that was here.
+    led: Option<(Time, Time)>,
+    healer: Healer,
+    heal: heal::Limits,
+    lost_after: Span,
+    /// Starts of gateways whose loss has been proposed in this term.
+    lost: BTreeMap<u64, Time>,
+    images: BTreeMap<u64, Time>,
+    next_expiry: Time,
+    waiting: usize,
+    keeps: (usize, usize),
+    applied: u64,
+    role: StateRole,
+    pub counts: Counts,
+    pub sent: VecDeque<Sent>,
+    pub done: VecDeque<Done>,
+}
+
+fn config(id: u64) -> Config {
+    Config {
+        id,
+        election_tick: ELECTION,
+        heartbeat_tick: HEARTBEAT,
+        min_election_tick: ELECTION,
+        max_election_tick: 2 * ELECTION,
+        max_size_per_msg: MOST_BATCH,
+        max_inflight_msgs: UNDER_WAY,
+        max_committed_size_per_ready: u64::MAX,
+        check_quorum: true,
+        pre_vote: true,
+        ..Config::default()
+    }
+}
+
+impl Group {
+    /// A member of a group that it founds: alone at first, and not ready for promises before others have joined.
+    pub fn found(file: &Copies, number: u32, ledger: u64, run: u64, seed: u64, now: Time) -> Option<Group> {
+        let (holder, id) = (file.me()? as u32, run);
+        let mut group = Group::start(file, (number, ledger), (id, run), seed, now, Steps::founded(id))?;
+        group.machine.members.insert(id, Member { id, holder, run });
+        // It fails only where it is no voter, which it is.
+        _ = group.raft.campaign();
+        group.drive(now);
+        Some(group)
+    }
+
+    /// A member that another one has called, under an id that it gave: it learns all from the leader.
+    pub fn join(file: &Copies, of: (u32, u64), as_who: (u64, u64), seed: u64, now: Time) -> Option<Group> {
+        Group::start(file, of, as_who, seed, now, Steps::default())
+    }
+
+    /// `of`: the group's number and its ledger; `as_who`: the id of the membership, and this start of the gateway.
+    fn start(
+        file: &Copies,
+        (number, ledger): (u32, u64),
+        (id, run): (u64, u64),
+        seed: u64,
+        now: Time,
+        steps: Steps,
+    ) -> Option<Group> {
+        let applied = steps.hard.commit;
+        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        let raft = RawNode::new(&Config { applied, ..config(id) }, steps, &logger).ok()?;
+        let (t, b, step) = (&file.times, &file.bounds, file.times.step());
+        Some(Group {
+            number,
+            ledger,
+            id,
+            run,
+            raft,
+            machine: Machine::new(machine::bounds(b)),
+            seed,
+            step,
+            next_step: now + step,
+            led: None,
+            healer: Healer::default(),
+            heal: heal::Limits {
+                copies: file.copies,
+                absent: Span::from_millis(t.absent_ms),
+                between: Span::from_millis(t.replace_ms),
+                silent: Span::from_millis(t.lost_ms),
+            },
+            lost_after: Span::from_millis(t.lost_ms),
+            lost: BTreeMap::new(),
+            images: BTreeMap::new(),
+            next_expiry: now + EXPIRES,
+            waiting: b.waiting,
+            keeps: (b.log, b.log_kb * 1024),
+            applied,
+            role: StateRole::Follower,
+            counts: Counts::default(),
+            sent: VecDeque::new(),
+            done: VecDeque::new(),
+        })
+    }
+
+    pub fn leads(&self) -> bool {
+        self.raft.raft.state == StateRole::Leader
+    }
+
+    /// Enough members vote for a majority of them to be one of the copies wanted, and all that earlier leaders
+    /// promised is known here.
+    pub fn ready(&self) -> bool {
+        let enough = self.raft.store().members.voters.len() > self.heal.copies / 2;
+        self.leads() && enough && self.led.is_some()
+    }
+
+    pub fn term(&self) -> u64 {
+        self.raft.raft.term
+    }
+
+    /// The leader, where one is known.
+    pub fn leader(&self) -> Option<u64> {
+        Some(self.raft.raft.leader_id).filter(|id| *id != 0)
+    }
+
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.machine.members.values()
+    }
+
+    /// The holder and its start that a member is, where that is known.
+    pub fn member(&self, id: u64) -> Option<&Member> {
+        self.machine.members.get(&id)
+    }
+
+    pub fn voters(&self) -> &[u64] {
+        &self.raft.store().members.voters
+    }
+
+    pub fn machine(&self) -> &Machine {
+        &self.machine
+    }
+
+    pub fn steps(&self) -> &Steps {
+        self.raft.store()
+    }
+
+    /// Commands that are proposed and not held by a majority yet.
+    pub fn waiting(&self) -> usize {
+        (self.raft.raft.raft_log.last_index() - self.applied.min(self.raft.raft.raft_log.last_index()))
+            as usize
+    }
+
+    // Inputs.
+
+    /// From another member.
+    pub fn receive(&mut self, bytes: &[u8]) {
+        if let Ok(message) = Message::parse_from_bytes(bytes)
+            && message.to == self.id
+        {
+            // What does not fit its state is dropped by the library.
+            _ = self.raft.step(message);
+        }
+    }
+
+    /// A command of a gateway's start; `importance` 0 to 9.
+    pub fn propose(
+        &mut self,
+        now: Time,
+        run: u64,
+        ask: u64,
+        importance: u32,
+        command: Command,
+    ) -> Result<(), Refused> {
+        if !self.ready() {
+            return Err(Refused::Leads);
+        }
+        // Room for the least important ends at half, and grows with importance; endings and questions always pass,
+        // since each makes room or lets somebody stop waiting.
+        let part = 0.5 + 0.5 * f64::from(importance.min(9)) / 9.0;
+        let takes = matches!(command.word, Some(Word::Take(_) | Word::Greet(_)));
+        if takes && self.waiting() as f64 >= self.waiting as f64 * part {
+            self.counts.busy += 1;
+            return Err(Refused::Busy);
+        }
+        self.counts.proposed += 1;
+        self.append(now, run, ask, command)
+    }
+
+    fn append(&mut self, now: Time, run: u64, ask: u64, command: Command) -> Result<(), Refused> {
+        let at = self.time(now).as_micros();
+        let step = Step { at_us: at, run, ask, command: Some(command) };
+        self.raft.propose(Vec::new(), step.encode_to_vec()).map_err(|_| Refused::Leads)
+    }
+
+    /// The group's own time, carried on by each leader from where the last step left it: no clock of a machine counts.
+    fn time(&self, now: Time) -> Time {
+        let (from, at) = self.led.unwrap_or((self.machine.at(), now));
+        (from + (now - at)).max(self.machine.at())
+    }
+
+    /// A start of a holder can't be reached at the moment.
+    pub fn unreachable(&mut self, run: u64) {
+        let of_run = self.machine.members.values().filter(|m| m.run == run).map(|m| m.id);
+        for id in of_run.collect::<Vec<_>>() {
+            self.raft.report_unreachable(id);
+            if self.images.remove(&id).is_some() {
+                self.raft.report_snapshot(id, SnapshotStatus::Failure);
+            }
+        }
+    }
+
+    // Time.
+
+    pub fn next_wake(&self) -> Time {
+        self.next_step
+    }
+
+    pub fn tick(&mut self, now: Time, holders: &[Holder], order: &[usize], heard: &[Heard]) {
+        let mut steps = 0;
+        while self.next_step <= now {
+            self.next_step += self.step;
+            steps += 1;
+            // A process that was stopped does not make up for it in one go: others had no chance to be heard.
+            if steps <= 2 {
+                self.raft.tick();
+            }
+            if steps > ELECTION as u64 {
+                self.next_step = now + self.step;
+            }
+        }
+        if self.leads() {
+            self.watch(now, heard);
+            self.heal(now, holders, order, heard);
+        }
+    }
+
+    /// Gateways that are gone take what they ran with them; what is old is let go of.
+    fn watch(&mut self, now: Time, heard: &[Heard]) {
+        let Some((_, since)) = self.led else { return };
+        for run in self.machine.runners().into_keys() {
+            if run == self.run || self.lost.get(&run).is_some_and(|at| now - *at < self.lost_after) {
+                continue;
+            }
+            let one = heard.iter().find(|h| h.id == Some(run));
+            let gone =
+                one.map_or(now - since >= self.lost_after, |h| now - h.at.max(since) >= self.lost_after);
+            if gone {
+                self.lost.insert(run, now);
+                // It is tried again where leadership is lost meanwhile.
+                _ = self.append(now, 0, 0, Command { word: Some(Word::Lost(run)) });
+            }
+        }
+        if now >= self.next_expiry {
+            self.next_expiry = now + EXPIRES;
+            if self.machine.has_old(self.time(now)) {
+                _ = self.append(now, 0, 0, Command { word: Some(Word::Expire(true)) });
+            }
+        }
+        let late: Vec<u64> =
+            self.images.iter().filter(|(_, at)| now - **at >= IMAGE_SENT).map(|(id, _)| *id).collect();
+        for id in late {
+            self.images.remove(&id);
+            self.raft.report_snapshot(id, SnapshotStatus::Failure);
+        }
+    }
+
+    fn heal(&mut self, now: Time, holders: &[Holder], order: &[usize], heard: &[Heard]) {
+        let conf = &self.raft.store().members;
+        let busy = self.raft.raft.has_pending_conf() || !conf.voters_outgoing.is_empty();
+        if busy || !self.raft.raft.commit_to_current_term() {
+            return;
+        }
+        let last = self.raft.raft.raft_log.last_index();
+        let seen: Vec<Seen> = conf
+            .voters
+            .iter()
+            .chain(&conf.learners)
+            .filter_map(|&id| {
+                let Member { holder, run, .. } = *self.machine.members.get(&id)?;
+                let holder = holder as usize;
+                let progress = self.raft.raft.prs().get(id)?;
+                let has = progress.matched > 0 && progress.state != ProgressState::Snapshot;
+                let close = id == self.id || has && progress.matched + CLOSE >= last;
+                Some(Seen { id, run, holder, voter: conf.voters.contains(&id), close })
+            })
+            .collect();
+        let view = heal::View { now, me: self.id, limits: &self.heal, holders, order, members: &seen, heard };
+        let next = self.healer.next(&view);
+        let Some(next) = next else { return };
+        let one = |kind: ConfChangeType, id: u64| {
+            let mut one = ConfChangeSingle::default();
+            one.set_change_type(kind);
+            one.node_id = id;
+            one
+        };
+        let mut change = ConfChangeV2::default();
+        match next {
+            heal::Step::Learn { run, holder } => {
+                // Never one that was: what was sent to an earlier membership may still be under way.
+                let id = Pcg64Mcg::seed_from_u64(self.seed ^ last.rotate_left(32) ^ run)
+                    .random_range(1..=u64::MAX);
+                change.mut_changes().push(one(ConfChangeType::AddLearnerNode, id));
+                change.context = Member { id, holder: holder as u32, run }.encode_to_vec().into();
+            }
+            heal::Step::Promote { id, instead_of } => {
+                change.mut_changes().push(one(ConfChangeType::AddNode, id));
+                if let Some(gone) = instead_of {
+                    change.mut_changes().push(one(ConfChangeType::RemoveNode, gone));
+                    self.counts.replaced += 1;
+                }
+            }
+            heal::Step::Remove { id } => change.mut_changes().push(one(ConfChangeType::RemoveNode, id)),
+            heal::Step::Lead { id } => return self.raft.transfer_leader(id),
+        }
+        // Where another change is under way, the next one comes after it.
+        _ = self.raft.propose_conf_change(Vec::new(), change);
+    }
+
+    /// Carries on whatever the inputs have made possible.
+    pub fn drive(&mut self, now: Time) {
+        while self.raft.has_ready() {
+            let mut ready = self.raft.ready();
+            self.post(now, ready.take_messages());
+            if *ready.snapshot() != Default::default() {
+                self.take_image(ready.snapshot());
+            }
+            self.apply(ready.take_committed_entries());
+            let steps = ready.take_entries();
+            if !steps.is_empty() {
+                self.raft.mut_store().append(steps);
+            }
+            if let Some(hard) = ready.hs() {
+                self.raft.mut_store().hard = hard.clone();
+            }
+            let held = ready.take_persisted_messages();
+            self.post(now, held);
+            let mut light = self.raft.advance(ready);
+            if let Some(commit) = light.commit_index() {
+                self.raft.mut_store().hard.commit = commit;
+            }
+            self.post(now, light.take_messages());
+            self.apply(light.take_committed_entries());
+            self.raft.advance_apply();
+        }
+        self.changed(now);
+        if let Some(index) = self.raft.store().wanted()
+            && index <= self.applied
+        {
+            let image = self.machine.image();
+            self.raft.store().keep_image(self.applied, image);
+            self.counts.images_made += 1;
+        }
+        let (most, bytes) = self.keeps;
+        let applied = self.applied;
+        self.raft.mut_store().trim(applied, most, bytes);
+        if !self.images.is_empty() {
+            let prs = self.raft.raft.prs();
+            self.images.retain(|id, _| prs.get(*id).is_some_and(|p| p.state == ProgressState::Snapshot));
+            if self.images.is_empty() {
+                self.raft.store().drop_image();
+            }
+        }
+    }
+
+    fn changed(&mut self, now: Time) {
+        // In place of what the library draws from the process's own chance: by the seed, anew in each term.
+        let drawn = ELECTION + Pcg64Mcg::seed_from_u64(self.seed ^ self.term()).random_range(0..ELECTION);
+        self.raft.raft.set_randomized_election_timeout(drawn);
+        let role = self.raft.raft.state;
+        if role != self.role {
+            self.role = role;
+            self.counts.elections += u64::from(role == StateRole::Candidate);
+            if role != StateRole::Leader {
+                self.led = None;
+            }
+        }
+        if self.leads() && self.led.is_none() && self.raft.raft.commit_to_current_term() {
+            self.led = Some((self.machine.at(), now));
+            self.healer.leads(now);
+            self.lost.clear();
+            self.images.clear();
+            self.counts.led += 1;
+        }
+    }
+
+    fn post(&mut self, now: Time, messages: Vec<Message>) {
+        for message in messages {
+            let image = message.get_msg_type() == MessageType::MsgSnapshot;
+            if image {
+                self.images.insert(message.to, now);
+            }
+            if let Ok(bytes) = message.write_to_bytes() {
+                self.sent.push_back(Sent { from: self.id, to: message.to, message: bytes, image });
+            }
+        }
+    }
+
+    fn take_image(&mut self, image: &raft::eraftpb::Snapshot) {
+        if !self.machine.restore(&image.data) {
+            // Its own kind made it: nothing here can go on from a state that is not the group's.
+            ::log::error!("group {}: the ledger as it was sent can't be read", self.number);
+        }
+        self.raft.mut_store().restore(image);
+        self.applied = image.get_metadata().index;
+        self.counts.images_taken += 1;
+    }
+
+    fn apply(&mut self, steps: Vec<Entry>) {
+        for step in steps {
+            self.applied = step.index;
+            self.counts.applied += 1;
+            match step.get_entry_type() {
+                EntryType::EntryNormal if step.data.is_empty() => {}
+                EntryType::EntryNormal => self.apply_step(&step),
+                _ => self.apply_change(&step),
+            }
+        }
+    }
+
+    fn apply_step(&mut self, entry: &Entry) {
+        let Ok(step) = Step::decode(&entry.data[..]) else { return };
+        let Some(word) = step.command.and_then(|c| c.word) else { return };
+        let outcome = self.machine.apply(Time::from_micros(step.at_us), step.run, &word);
+        // Who leads tells: one that led when it was proposed may not know that it does no more.
+        if step.ask != 0 && self.leads() {
+            self.done.push_back(Done { run: step.run, ask: step.ask, outcome });
+        }
+    }
+
+    fn apply_change(&mut self, entry: &Entry) {
+        let Ok(change) = ConfChangeV2::parse_from_bytes(&entry.data) else { return };
+        let Ok(members) = self.raft.apply_conf_change(&change) else { return };
+        if let Ok(member) = Member::decode(&change.context[..])
+            && member.id != 0
+        {
+            self.machine.members.insert(member.id, member);
+        }
+        let all = [&members.voters, &members.learners, &members.voters_outgoing, &members.learners_next];
+        self.machine.members.retain(|id, _| all.iter().any(|some| some.contains(id)));
+        self.images.retain(|id, _| members.learners.contains(id) || members.voters.contains(id));
+        self.raft.mut_store().members = members;
+        // A member that an image does not name would not take it.
+        self.raft.store().drop_image();
+    }
+
+    /// It has been replaced, or its group is gone.
+    pub fn is_member(&self) -> bool {
+        self.machine.members.contains_key(&self.id) || self.applied == 0
+    }
+}
--- /dev/null
+++ b/copies/src/node.rs
@@ -0,0 +1,654 @@
+//! One gateway among the holders of copies: its memberships, what it asks of groups, who leads them, and how a group
+//! comes to be. The host hands in frames and times, and pulls what is to be done until there is nothing; it is driven
+//! alike by the gateway and by tests. Must never found a group beside one that is known, nor give a member that has
+//! forgotten what it held the place that it had.
+
+use crate::client::{Client, Leader, Told};
+use crate::command::{Command, Word};
+use crate::group::{Counts, Done, Group, Refused};
+use crate::heal::Heard;
+use crate::place;
+use crate::settings::Copies;
+use crate::wire::{self, Said};
+use kelpcart::{Span, Time};
+use protobuf::Message as _;
+use raft::eraftpb::{Message, MessageType};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Those heard within this many signs of life are counted as there.
+const THERE: f64 = 8.0;
+/// Between two looks for a group that is not known.
+const SEEKS: Span = Span::from_millis(200);
+/// What was said of a group holds for this time.
+const SAID: Span = Span::from_millis(1_000);
+/// Who is backed as a founder is backed alone for this time.
+const BACKS: Span = Span::from_millis(3_000);
+/// A member that its group does not name any more, or that was never let in, goes after this time.
+const LINGERS: Span = Span::from_millis(3_000);
+const NEVER_LET_IN: Span = Span::from_millis(15_000);
+/// Memberships that ended and are remembered; one that was let in so often is let in no more.
+const MOST_ENDED: usize = 65_536;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Out {
+    /// To this start of a holder, by the connection to it; an image goes on a stream of its own.
+    Send {
+        holder: usize,
+        frame: Vec<u8>,
+        image: bool,
+    },
+    Told(Told),
+    /// The group has another ledger than before, or one is known for the first time: what was asked of the one before
+    /// is not known there.
+    Ledger {
+        group: u32,
+        ledger: u64,
+    },
+}
+
+struct Slot {
+    order: Vec<usize>,
+    member: Option<Group>,
+    since: Time,
+    next_seek: Time,
+    /// By which holder a member was heard, for one that does not know the members yet.
+    routes: BTreeMap<u64, usize>,
+    /// What holders said of the group, and when.
+    said: BTreeMap<usize, (Time, wire::Here)>,
+    /// Whom this gateway backs, until when.
+    backs: Option<(u64, Time)>,
+    /// Since when this member stands outside its group, as its leader sees it.
+    outside: Option<Time>,
+    was_ready: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Totals {
+    pub founded: u64,
+    pub joined: u64,
+    pub dropped: u64,
+    pub lost_majorities: u64,
+    pub frames_in: u64,
+    pub bytes_in: u64,
+    pub frames_out: u64,
+    pub bytes_out: u64,
+    pub refused: u64,
+}
+
+pub struct Node {
+    file: Copies,
+    me: usize,
+    id: u64,
+    rng: Pcg64Mcg,
+    heard: Vec<Heard>,
+    slots: Vec<Slot>,
+    client: Client,
+    /// Memberships that ended: what still comes for them is nobody's.
+    ended: BTreeSet<u64>,
+    leaving: bool,
+    started: Time,
+    pulse: Span,
+    next_pulse: Time,
+    next_watch: Time,
+    pub totals: Totals,
+    gone_counts: Counts,
+    out: VecDeque<Out>,
+}
+
+impl Node {
+    /// `id`: a number that no other start of any gateway has. `None`: the file does not name this gateway.
+    pub fn new(file: &Copies, id: u64, seed: u64, now: Time) -> Option<Node> {
+        let me = file.me()?;
+        let slot = |group| Slot {
+            order: place::order(&file.holders, group),
+            member: None,
+            since: now,
+            next_seek: now,
+            routes: BTreeMap::new(),
+            said: BTreeMap::new(),
+            backs: None,
+            outside: None,
+            was_ready: false,
+        };
+        let pulse = Span::from_micros(file.times.election_ms * 500);
+        let mut heard = vec![Heard { id: None, at: now, leaving: false }; file.holders.len()];
+        heard[me].id = Some(id);
+        Some(Node {
+            me,
+            id,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            heard,
+            slots: (0..file.groups).map(slot).collect(),
+            client: Client::new(Span::from_millis(file.times.wait_ms), pulse * 5.0),
+            ended: BTreeSet::new(),
+            leaving: false,
+            started: now,
+            pulse,
+            next_pulse: now,
+            next_watch: now,
+            totals: Totals::default(),
+            gone_counts: Counts::default(),
+            out: VecDeque::new(),
+            file: file.clone(),
+        })
+    }
+
+    pub fn id(&self) -> u64 {
+        self.id
+    }
+
+    pub fn holders(&self) -> usize {
+        self.heard.len()
+    }
+
+    pub fn group_of(&self, sender: u64) -> u32 {
+        place::group_of(sender, self.file.groups)
+    }
+
+    /// The ledger of a group as far as it is known here.
+    pub fn ledger(&self, group: u32) -> Option<u64> {
+        self.client.ledger(group)
+    }
+
+    /// Whether promises can be given by the group now.
+    pub fn has_majority(&self, now: Time, group: u32) -> bool {
+        self.client.leader(now, group).is_some()
+    }
+
+    pub fn member(&self, group: u32) -> Option<&Group> {
+        self.slots.get(group as usize)?.member.as_ref()
+    }
+
+    pub fn phase(&self, now: Time) -> (usize, usize) {
+        let led = (0..self.file.groups).filter(|&g| self.has_majority(now, g)).count();
+        (led, self.slots.iter().filter(|s| s.member.is_some()).count())
+    }
+
+    // Inputs.
+
+    /// What a connection begins with.
+    pub fn greeting(&self) -> Vec<u8> {
+        wire::encode(Said::Hello(wire::Hello {
+            version: wire::VERSION,
+            gateway: self.file.gateway.clone(),
+            id: self.id,
+            file: self.digest(),
+        }))
+    }
+
+    /// All have to agree on who the holders are and how the ledgers are spread.
+    fn digest(&self) -> u64 {
+        let names: Vec<&str> = self.file.holders.iter().map(|h| h.name.as_str()).collect();
+        let text = format!("{}/{}/{}", names.join(","), self.file.copies, self.file.groups);
+        xxhash_rust::xxh3::xxh3_64(text.as_bytes())
+    }
+
+    /// A holder has connected, and this was its first frame. Which holder it is, or why it is not heard.
+    pub fn greeted(&mut self, now: Time, bytes: &[u8]) -> Result<(usize, u64), String> {
+        let Some(Said::Hello(hello)) = wire::decode(bytes) else {
+            return Err("its first frame is no greeting".to_owned());
+        };
+        if hello.version != wire::VERSION {
+            return Err(format!("version {} is spoken here, not {}", wire::VERSION, hello.version));
+        }
+        let holder = self.file.holders.iter().position(|h| h.name == hello.gateway);
+        let Some(holder) = holder.filter(|h| *h != self.me) else {
+            return Err(format!("{} is not among the holders", hello.gateway));
+        };
+        if hello.file != self.digest() {
+            return Err(format!("{} has other holders, copies or groups in its file", hello.gateway));
+        }
+        if let Some(before) = self.heard[holder].id.filter(|id| *id != hello.id) {
+            self.unreachable(before);
+        }
+        self.heard[holder] = Heard { id: Some(hello.id), at: now, leaving: false };
+        Ok((holder, hello.id))
+    }
+
+    /// A frame of a connection that was greeted so.
+    pub fn frame(&mut self, now: Time, holder: usize, id: u64, bytes: &[u8]) {
+        self.totals.frames_in += 1;
+        self.totals.bytes_in += bytes.len() as u64;
+        // An earlier start of it, whose words are still under way.
+        if self.heard[holder].id != Some(id) {
+            return;
+        }
+        let Some(said) = wire::decode(bytes) else {
+            self.totals.refused += 1;
+            return;
+        };
+        self.heard[holder].at = now;
+        match said {
+            Said::Hello(_) => self.totals.refused += 1,
+            Said::Pulse(pulse) => self.pulsed(now, holder, id, &pulse),
+            Said::Seek(seek) => self.sought(now, holder, id, seek.group),
+            Said::Here(here) => {
+                if let Some(slot) = self.slots.get_mut(here.group as usize) {
+                    slot.said.insert(holder, (now, here));
+                }
+            }
+            Said::Member(member) => self.member_said(now, holder, &member),
+            Said::Ask(ask) => self.asked(now, holder, id, ask),
+            Said::Done(done) => {
+                if let Some(outcome) = done.result.and_then(crate::command::Result::outcome) {
+                    self.client.done(done.ask, outcome);
+                }
+            }
+            Said::Not(not) => self.client.not(now, id, not.ask, not.busy),
+        }
+        self.collect(now);
+    }
+
+    /// The connection to a holder is gone.
+    pub fn broken(&mut self, now: Time, holder: usize) {
+        if let Some(id) = self.heard[holder].id {
+            self.unreachable(id);
+        }
+        self.collect(now);
+    }
+
+    fn unreachable(&mut self, id: u64) {
+        self.slots.iter_mut().filter_map(|s| s.member.as_mut()).for_each(|m| m.unreachable(id));
+    }
+
+    /// Asks a group; what comes of it is told under the number.
+    pub fn ask(&mut self, now: Time, group: u32, importance: u32, word: Word) -> u64 {
+        let ask = self.client.ask(now, group, importance, word);
+        self.collect(now);
+        ask
+    }
+
+    pub fn forget(&mut self, ask: u64) {
+        self.client.forget(ask);
+    }
+
+    /// The process is told to stop: others take its places.
+    pub fn leave(&mut self, now: Time) {
+        self.leaving = true;
+        self.heard[self.me].leaving = true;
+        self.next_pulse = now;
+    }
+
+    /// It holds no copy and leads nothing any more.
+    pub fn has_left(&self) -> bool {
+        self.leaving
+            && self.slots.iter().all(|s| s.member.as_ref().is_none_or(|m| !m.voters().contains(&m.id)))
+    }
+
+    fn pulsed(&mut self, now: Time, holder: usize, id: u64, pulse: &wire::Pulse) {
+        self.heard[holder].leaving = pulse.leaving;
+        for lead in &pulse.leads {
+            self.led(now, id, lead);
+        }
+    }
+
+    /// A gateway, or this one, says that it leads a group.
+    fn led(&mut self, now: Time, id: u64, lead: &wire::Lead) {
+        let Some(slot) = self.slots.get_mut(lead.group as usize) else { return };
+        if let Some(member) = slot.member.as_ref().filter(|_| id != self.id) {
+            let other = member.ledger != lead.ledger;
+            // Two foundings met: one gives way, by the same rule at both.
+            let gives_way = member.leads() && (lead.ready, lead.ledger) > (member.ready(), member.ledger);
+            let named = lead.members.contains(&member.id);
+            let newer = lead.term >= member.term();
+            if other && member.leads() && !gives_way || !other && (named || !newer) {
+                slot.outside = None;
+            } else {
+                let since = *slot.outside.get_or_insert(now);
+                if gives_way || now - since >= LINGERS {
+                    self.drop_member(lead.group, "its group goes on without it");
+                }
+            }
+        }
+        let leader = Leader { ledger: lead.ledger, term: lead.term, id, ready: lead.ready, heard: now };
+        if self.client.leads(now, lead.group, leader) {
+            self.out.push_back(Out::Ledger { group: lead.group, ledger: lead.ledger });
+        }
+    }
+
+    fn drop_member(&mut self, group: u32, why: &str) {
+        let slot = &mut self.slots[group as usize];
+        let Some(member) = slot.member.take() else { return };
+        ::log::warn!("group {group}: the copy held here is dropped: {why}");
+        slot.outside = None;
+        slot.said.clear();
+        self.totals.dropped += 1;
+        self.ended.insert(member.id);
+        add(&mut self.gone_counts, &member.counts);
+    }
+
+    /// Somebody looks for a group, and may found it if nobody knows it.
+    fn sought(&mut self, now: Time, holder: usize, id: u64, group: u32) {
+        let Some(slot) = self.slots.get_mut(group as usize) else { return };
+        let led = self.client.leader(now, group).map(|l| l.ledger);
+        let ledger = slot.member.as_ref().map(|m| m.ledger).or(led).unwrap_or(0);
+        let free = slot.backs.is_none_or(|(of, until)| of == id || until <= now);
+        let backs = ledger == 0 && free;
+        if backs {
+            slot.backs = Some((id, now + BACKS));
+        }
+        self.send(holder, Said::Here(wire::Here { group, ledger, backs }), false);
+    }
+
+    fn member_said(&mut self, now: Time, holder: usize, said: &wire::Member) {
+        let Some(slot) = self.slots.get_mut(said.group as usize) else { return };
+        if said.to_run != self.id {
+            return;
+        }
+        let called = if slot.member.is_none() { calls(&said.message) } else { None };
+        if let Some(id) = called.filter(|id| self.ended.len() < MOST_ENDED && !self.ended.contains(id)) {
+            let seed = self.rng.random();
+            slot.member = Group::join(&self.file, (said.group, said.ledger), (id, self.id), seed, now);
+            (slot.since, slot.outside) = (now, None);
+            slot.routes.clear();
+            self.totals.joined += 1;
+        }
+        slot.routes.insert(said.from, holder);
+        if let Some(member) = slot.member.as_mut().filter(|m| m.ledger == said.ledger) {
+            member.receive(&said.message);
+        }
+    }
+
+    /// A gateway asks for something that the group's leader has to have agreed on.
+    fn asked(&mut self, now: Time, holder: usize, id: u64, ask: wire::Ask) {
+        let (group, no) = (ask.group, ask.ask);
+        let refused = match ask.command {
+            Some(command) => self.propose(now, id, group, ask.ledger, no, ask.importance, command),
+            None => None,
+        };
+        if let Some(why) = refused {
+            self.send(holder, Said::Not(wire::Not { group, ask: no, busy: why == Refused::Busy }), false);
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "a question's fields, as they came")]
+    fn propose(
+        &mut self,
+        now: Time,
+        run: u64,
+        group: u32,
+        ledger: u64,
+        ask: u64,
+        importance: u32,
+        command: Command,
+    ) -> Option<Refused> {
+        let member = self.slots.get_mut(group as usize).and_then(|s| s.member.as_mut());
+        let Some(member) = member.filter(|m| m.ledger == ledger) else { return Some(Refused::Leads) };
+        member.propose(now, run, ask, importance, command).err()
+    }
+
+    // Time.
+
+    pub fn next_wake(&self) -> Time {
+        let members = self.slots.iter().filter_map(|s| s.member.as_ref()).map(Group::next_wake);
+        let at = self.next_pulse.min(self.next_watch);
+        let at = self.client.next_wake().map_or(at, |asks| asks.min(at));
+        members.fold(at, Time::min)
+    }
+
+    pub fn tick(&mut self, now: Time) {
+        self.heard[self.me].at = now;
+        for slot in &mut self.slots {
+            if let Some(member) = &mut slot.member {
+                member.tick(now, &self.file.holders, &slot.order, &self.heard);
+            }
+        }
+        if now >= self.next_watch {
+            self.next_watch = now + self.pulse;
+            (0..self.file.groups).for_each(|group| self.watch(now, group));
+        }
+        self.client.tick(now);
+        self.collect(now);
+        if now >= self.next_pulse {
+            self.pulse(now);
+        }
+    }
+
+    /// Tells all that this gateway is there and what it leads.
+    fn pulse(&mut self, now: Time) {
+        self.next_pulse = now + self.pulse;
+        let lead = |m: &Group| wire::Lead {
+            group: m.number,
+            ledger: m.ledger,
+            term: m.term(),
+            ready: m.ready(),
+            members: m.members().map(|m| m.id).collect(),
+        };
+        let members = self.slots.iter().filter_map(|s| s.member.as_ref());
+        let leads: Vec<wire::Lead> = members.filter(|m| m.leads()).map(lead).collect();
+        leads.iter().for_each(|l| self.led(now, self.id, l));
+        let pulse = Said::Pulse(wire::Pulse { leads, leaving: self.leaving });
+        self.send_all(&pulse);
+    }
+
+    fn there(&self, now: Time, holder: usize) -> bool {
+        holder == self.me
+            || self.heard[holder].id.is_some() && now - self.heard[holder].at < self.pulse * THERE
+    }
+
+    /// A membership that leads nowhere, and a group that there is not.
+    fn watch(&mut self, now: Time, group: u32) {
+        let slot = &self.slots[group as usize];
+        if let Some(member) = &slot.member {
+            if member.leads() || self.client.leader(now, group).is_some() {
+                return;
+            }
+            // A holder that answers under another id has forgotten what it held.
+            let forgot = |id: &u64| {
+                let Some(one) = member.member(*id) else { return false };
+                let now_runs = self.heard.get(one.holder as usize).and_then(|h| h.id);
+                now_runs.is_some_and(|run| run != one.run)
+            };
+            let voters = member.voters();
+            let left = voters.iter().filter(|v| !forgot(v)).count();
+            if !voters.is_empty() && left <= voters.len() / 2 {
+                self.totals.lost_majorities += 1;
+                self.drop_member(group, "a majority of its group has forgotten what it held");
+            } else if voters.is_empty() && now - slot.since >= NEVER_LET_IN {
+                self.drop_member(group, "it was never let in");
+            }
+            return;
+        }
+        if self.leaving || self.client.leader(now, group).is_some() {
+            return;
+        }
+        let first = slot.order.iter().copied().find(|&h| self.there(now, h));
+        let settled =
+            now - self.started >= self.pulse * THERE || (0..self.heard.len()).all(|h| self.there(now, h));
+        if first != Some(self.me) || !settled {
+            return;
+        }
+        let fresh = |at: Time| now - at < SAID;
+        let said: Vec<wire::Here> = slot.said.values().filter(|s| fresh(s.0)).map(|s| s.1).collect();
+        let known = said.iter().any(|h| h.ledger != 0);
+        let own = slot.backs.is_none_or(|(of, until)| of == self.id || until <= now);
+        let backed = said.iter().filter(|h| h.backs).count() + 1;
+        if !known && own && backed > self.heard.len() / 2 {
+            return self.found(now, group);
+        }
+        if now >= slot.next_seek {
+            let slot = &mut self.slots[group as usize];
+            slot.next_seek = now + SEEKS;
+            if own {
+                slot.backs = Some((self.id, now + BACKS));
+            }
+            let seek = Said::Seek(wire::Seek { group });
+            self.send_all(&seek);
+        }
+    }
+
+    fn found(&mut self, now: Time, group: u32) {
+        let (ledger, seed) = (self.rng.random_range(1..=u64::MAX), self.rng.random());
+        let slot = &mut self.slots[group as usize];
+        slot.member = Group::found(&self.file, group, ledger, self.id, seed, now);
+        (slot.since, slot.outside) = (now, None);
+        slot.said.clear();
+        self.totals.founded += 1;
+        ::log::info!("group {group}: founded here, its ledger is {ledger:016x}");
+    }
+
+    pub fn poll(&mut self) -> Option<Out> {
+        self.out.pop_front()
+    }
+
+    fn send(&mut self, holder: usize, said: Said, image: bool) {
+        self.totals.frames_out += 1;
+        let frame = wire::encode(said);
+        self.totals.bytes_out += frame.len() as u64;
+        self.out.push_back(Out::Send { holder, frame, image });
+    }
+
+    fn send_all(&mut self, said: &Said) {
+        for holder in (0..self.heard.len()).filter(|h| *h != self.me).collect::<Vec<_>>() {
+            self.send(holder, said.clone(), false);
+        }
+    }
+
+    fn send_to(&mut self, id: u64, said: Said, image: bool) {
+        let holder = self.heard.iter().position(|h| h.id == Some(id));
+        match holder {
+            Some(holder) if holder != self.me => self.send(holder, said, image),
+            _ => self.unreachable(id),
+        }
+    }
+
+    /// Carries on what the inputs have made possible, until nothing moves.
+    fn collect(&mut self, now: Time) {
+        loop {
+            let mut moved = false;
+            for send in std::mem::take(&mut self.client.send) {
+                moved = true;
+                let crate::client::Send { to, group, ledger, ask, importance, command } = send;
+                if to == self.id {
+                    let refused = self.propose(now, to, group, ledger, ask, importance, command);
+                    if let Some(why) = refused {
+                        self.client.not(now, to, ask, why == Refused::Busy);
+                    }
+                } else {
+                    let command = Some(command);
+                    self.send_to(to, Said::Ask(wire::Ask { group, ledger, ask, importance, command }), false);
+                }
+            }
+            for group in 0..self.slots.len() {
+                moved |= self.carry(now, group);
+            }
+            if !moved {
+                break;
+            }
+        }
+        for told in std::mem::take(&mut self.client.told) {
+            self.out.push_back(Out::Told(told));
+        }
+    }
+
+    /// One group's part of it.
+    fn carry(&mut self, now: Time, group: usize) -> bool {
+        let Some(member) = &mut self.slots[group].member else { return false };
+        member.drive(now);
+        let (sent, done) = (std::mem::take(&mut member.sent), std::mem::take(&mut member.done));
+        let (number, ledger, ready) = (member.number, member.ledger, member.ready());
+        let moved = !sent.is_empty() || !done.is_empty();
+        for one in sent {
+            // Who has not learnt the members yet answers on the way that it was spoken to.
+            let slot = &self.slots[group];
+            let known =
+                slot.member.as_ref().and_then(|m| m.member(one.to)).map(|m| (m.holder as usize, m.run));
+            let route = || slot.routes.get(&one.to).and_then(|&h| Some((h, self.heard[h].id?)));
+            let Some((holder, to_run)) = known.or_else(route) else { continue };
+            let said = wire::Member { group: number, ledger, message: one.message, to_run, from: one.from };
+            if self.heard.get(holder).is_some_and(|h| h.id == Some(to_run)) && holder != self.me {
+                self.send(holder, Said::Member(said), one.image);
+            } else {
+                self.unreachable(to_run);
+            }
+        }
+        for Done { run, ask, outcome } in done {
+            if run == self.id {
+                self.client.done(ask, outcome);
+            } else {
+                let result = Some((&outcome).into());
+                self.send_to(run, Said::Done(wire::Done { group: number, ask, result }), false);
+            }
+        }
+        // Those who wait for a leader hear of it at once.
+        if std::mem::replace(&mut self.slots[group].was_ready, ready) != ready {
+            self.pulse(now);
+            return true;
+        }
+        moved
+    }
+
+    /// Counters of all memberships, those that ended included.
+    pub fn counts(&self) -> Counts {
+        let mut all = self.gone_counts;
+        self.slots.iter().filter_map(|s| s.member.as_ref()).for_each(|m| add(&mut all, &m.counts));
+        all
+    }
+
+    pub fn sizes(&self) -> [(&'static str, usize); 8] {
+        let members = || self.slots.iter().filter_map(|s| s.member.as_ref());
+        [
+            ("copies held", members().count()),
+            ("copies led", members().filter(|m| m.leads()).count()),
+            ("copies entries", members().map(|m| m.machine().len()).sum()),
+            ("copies bytes", members().map(|m| m.machine().bytes()).sum()),
+            ("copies steps kept", members().map(|m| m.steps().len()).sum()),
+            ("copies steps bytes", members().map(|m| m.steps().bytes()).sum()),
+            ("copies image bytes", members().map(|m| m.steps().image_bytes()).sum()),
+            ("copies questions open", self.client.len()),
+        ]
+    }
+
+    /// Questions that were told off because no majority could be had, and those that were never heard of again.
+    pub fn failed(&self) -> (u64, u64) {
+        (self.client.told_off, self.client.unheard)
+    }
+
+    /// The rules that have to hold after every step; for tests.
+    pub fn check_rules(&self) -> Result<(), String> {
+        let ids: BTreeSet<u64> = self.heard.iter().filter_map(|h| h.id).collect();
+        if ids.len() != self.heard.iter().filter(|h| h.id.is_some()).count() {
+            return Err("two holders under one id".to_owned());
+        }
+        for member in self.slots.iter().filter_map(|s| s.member.as_ref()) {
+            if member.machine().len() > self.file.bounds.entries {
+                return Err(format!("group {}: more entries than it may hold", member.number));
+            }
+            let (steps, most) =
+                (member.steps().len(), self.file.bounds.log + 2 * self.file.bounds.waiting + 1_024);
+            if steps > most {
+                return Err(format!("group {}: {steps} steps kept", member.number));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The membership that a leader's message calls: what only asks for a vote makes nobody a member.
+fn calls(bytes: &[u8]) -> Option<u64> {
+    let leads =
+        |kind| matches!(kind, MessageType::MsgAppend | MessageType::MsgHeartbeat | MessageType::MsgSnapshot);
+    let message = Message::parse_from_bytes(bytes).ok()?;
+    (leads(message.get_msg_type()) && message.to != 0).then_some(message.to)
+}
+
+fn add(all: &mut Counts, more: &Counts) {
+    all.elections += more.elections;
+    all.led += more.led;
+    all.proposed += more.proposed;
+    all.busy += more.busy;
+    all.applied += more.applied;
+    all.images_made += more.images_made;
+    all.images_taken += more.images_taken;
+    all.replaced += more.replaced;
+}
+
+/// A frame's length as it is written before it.
+pub fn framed(frame: &[u8]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(4 + frame.len());
+    out.extend((frame.len() as u32).to_be_bytes());
+    out.extend_from_slice(frame);
+    out
+}
--- /dev/null
+++ b/copies/tests/model.rs
@@ -0,0 +1,170 @@
+//! Holders of copies in simulated time: a group comes to be, loses machines with all they hold, and breaks no rule.
+
+mod common;
+
+use common::{Net, Without, ms};
+use rand::Rng;
+
+#[test]
+fn a_group_comes_to_be_and_serves() {
+    for (copies, n) in [(3, 3), (3, 9), (5, 9)] {
+        let mut net = Net::new(n, copies, 1, 3, 1);
+        net.run(ms(10_000));
+        net.assert_sound();
+        assert!(net.all_led(), "{n} holders, {copies} copies");
+        assert_eq!(net.voters(0).len(), copies);
+        assert!(net.ends.served > 100, "{:?}", net.ends);
+        assert_eq!(net.ends.aborted, 0, "{:?}", net.ends);
+    }
+}
+
+#[test]
+fn a_machine_lost_with_all_it_held_is_replaced_and_nothing_promised_is_lost() {
+    for seed in 0..6 {
+        let mut net = Net::new(6, 3, 1, 4, seed);
+        net.run(ms(8_000));
+        for round in 0..4 {
+            let lost = net.leader(0).unwrap_or(round);
+            net.kill(lost);
+            net.run(ms(3_000));
+            net.start(lost);
+            net.run(ms(6_000));
+        }
+        net.assert_sound();
+        assert!(net.all_led() && net.voters(0).len() == 3, "seed {seed}: {:?}", net.voters(0));
+        assert!(net.ends.served > 500, "{:?}", net.ends);
+    }
+}
+
+/// One random day: kills, stops, cuts, loss and late frames, then quiet.
+fn day(n: usize, copies: usize, seed: u64, without: Without, rounds: usize) -> Net {
+    let mut net = Net::new(n, copies, 2, 6, seed);
+    net.without = without;
+    net.run(ms(6_000));
+    for _ in 0..rounds {
+        let i = net.rng.random_range(0..n);
+        match net.rng.random_range(0..8) {
+            0..=2 => {
+                let lost = if net.rng.random_bool(0.6) { net.leader(0).unwrap_or(i) } else { i };
+                net.kill(lost);
+                let down = net.rng.random_range(1..4_000);
+                net.run(ms(down));
+                net.start(lost);
+            }
+            3 => {
+                let lost = net.leader(0).unwrap_or(i);
+                net.stop(lost, true);
+                let down = net.rng.random_range(200..6_000);
+                net.run(ms(down));
+                net.stop(lost, false);
+            }
+            4 => {
+                let j = net.leader(0).unwrap_or(i);
+                let way = net.rng.random_range(0..3);
+                let of = |a: usize, b: usize| (way != 1 && a == j) || (way != 0 && b == j);
+                net.cut(true, of);
+                // The links of other sites to it break, too, while it may still believe that it leads.
+                let soon = net.rng.random_range(1..400);
+                net.run(ms(soon));
+                net.part(j);
+                let down = net.rng.random_range(200..5_000);
+                net.run(ms(down));
+                net.cut(false, |_, _| true);
+            }
+            5 => {
+                // Two at once, of five a minority, of three a majority.
+                let j = (i + 1) % n;
+                net.kill(i);
+                net.kill(j);
+                net.run(ms(1_500));
+                net.start(i);
+                net.start(j);
+            }
+            6 => {
+                net.loss = 0.1;
+                net.late = 0.01;
+                net.run(ms(2_000));
+                (net.loss, net.late) = (0.0, 0.0);
+            }
+            _ => {
+                let half = net.rng.random_range(1..n);
+                net.cut(true, |a, b| (a < half) != (b < half));
+                net.run(ms(2_500));
+                net.cut(false, |_, _| true);
+            }
+        }
+        let rest = net.rng.random_range(200..4_000);
+        net.run(ms(rest));
+    }
+    net
+}
+
+fn seeds() -> u64 {
+    std::env::var("COPIES_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(6)
+}
+
+#[test]
+fn random_days_break_no_rule() {
+    let (mut steps, mut ends) = (0, common::Ends::default());
+    for seed in 0..seeds() {
+        let (n, copies) = [(5, 3), (7, 3), (9, 5)][seed as usize % 3];
+        let mut net = day(n, copies, 1_000 + seed, Without::default(), 12);
+        assert!(net.broken.is_empty(), "seed {seed}: {:#?}", &net.broken[..net.broken.len().min(5)]);
+        net.run(ms(25_000));
+        net.assert_sound();
+        assert!(net.all_led(), "seed {seed}: all is quiet, and a group has no leader");
+        assert!((0..2).all(|g| net.voters(g).len() == copies), "seed {seed}");
+        steps += net.steps;
+        ends.asked += net.ends.asked;
+        ends.served += net.ends.served;
+        ends.aborted += net.ends.aborted;
+        ends.again += net.ends.again;
+        ends.told_off += net.ends.told_off;
+    }
+    println!("{steps} steps, {ends:?}");
+}
+
+/// Leaders with much in hand are stopped and go on after others have taken over.
+fn stops(seed: u64, without: Without) -> Net {
+    let mut net = Net::new(5, 3, 1, 30, seed);
+    net.without = without;
+    net.run(ms(6_000));
+    for _ in 0..10 {
+        let leader = net.leader(0).unwrap_or(0);
+        net.stop(leader, true);
+        net.run(ms(4_000));
+        net.stop(leader, false);
+        let rest = net.rng.random_range(1_000..2_000);
+        net.run(ms(rest));
+    }
+    net
+}
+
+#[test]
+fn a_leader_stopped_and_continued_sends_nothing_on() {
+    for seed in 0..4 {
+        let net = stops(seed, Without::default());
+        net.assert_sound();
+        assert!(net.ends.served > 1_000, "{:?}", net.ends);
+    }
+}
+
+/// Each remedy taken out is found by the rules.
+#[test]
+fn each_remedy_left_out_is_found() {
+    let all = [
+        Without { copied_first: true, ..Without::default() },
+        Without { ended_first: true, ..Without::default() },
+        Without { new_id: true, ..Without::default() },
+        Without { same_ledger: true, ..Without::default() },
+        Without { given_up: true, ..Without::default() },
+    ];
+    for without in all {
+        // The consensus library itself stops where a member has forgotten what it told its leader that it holds.
+        let play = |seed| if without.given_up { stops(seed, without) } else { day(5, 3, seed, without, 12) };
+        let breaks = |seed| std::panic::catch_unwind(|| !play(seed).broken.is_empty());
+        let found = (0..60).find(|&seed| breaks(seed).unwrap_or(true));
+        println!("{without:?}: found by seed {found:?}");
+        assert!(found.is_some(), "{without:?} is not found");
+    }
+}
--- a/sites/src/ledger.rs
+++ b/sites/src/ledger.rs
@@ -66,6 +66,19 @@
     Fenced,
 }
 
+/// How a txn stands, for copies of the whole ledger.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Stand {
+    Running,
+    Ended(Arc<Answer>),
+    /// It may have run.
+    Lost,
+    Fenced,
+}
+
+/// A txn, since when it stands so, and how.
+pub type Standing = (Key, Time, Stand);
+
 #[derive(Debug)]
 struct Entry {
     state: State,
@@ -324,6 +337,68 @@
         }
     }
 
+    /// Who ran it is gone: it may have run.
+    pub fn lose(&mut self, now: Time, key: Key) {
+        let entry = self.senders.get_mut(&key.sender).and_then(|s| s.entries.get_mut(&key.number));
+        if let Some(entry) = entry.filter(|e| e.state == State::Running) {
+            (entry.state, entry.at) = (State::Lost, now);
+        }
+    }
+
+    pub fn is_running(&self, key: Key) -> bool {
+        let entry = self.senders.get(&key.sender).and_then(|s| s.entries.get(&key.number));
+        entry.is_some_and(|e| e.state == State::Running)
+    }
+
+    /// Whether `expire` would let something go by then.
+    pub fn has_old(&self, now: Time) -> bool {
+        let old = |e: &Entry| e.state != State::Running && now - e.at >= self.bounds.age;
+        self.senders.values().flat_map(|s| s.entries.values()).any(old)
+    }
+
+    /// All that is known: senders with their floors and when they were heard, and each txn.
+    pub fn all(&self) -> (Vec<(u64, u64, Time)>, Vec<Standing>) {
+        let senders = self.senders.iter().map(|(&id, s)| (id, s.floor, s.heard)).collect();
+        let of = |(&sender, s): (&u64, &Sender)| -> Vec<Standing> {
+            let stands = |(&number, e): (&u64, &Entry)| {
+                let stand = match &e.state {
+                    State::Running => Stand::Running,
+                    State::Ended(answer) => Stand::Ended(Arc::clone(answer)),
+                    State::Lost => Stand::Lost,
+                    State::Fenced => Stand::Fenced,
+                };
+                (Key { sender, number }, e.at, stand)
+            };
+            s.entries.iter().map(stands).collect()
+        };
+        (senders, self.senders.iter().flat_map(of).collect())
+    }
+
+    /// A ledger that knows what another one told by `all`.
+    pub fn from_all(
+        bounds: Bounds,
+        senders: impl Iterator<Item = (u64, u64, Time)>,
+        txns: impl IntoIterator<Item = Standing>,
+    ) -> Ledger {
+        let mut ledger = Ledger::new(bounds, false);
+        let sender = |(id, floor, heard)| (id, Sender { floor, entries: BTreeMap::new(), heard });
+        ledger.senders = senders.map(sender).collect();
+        for (key, at, stand) in txns {
+            let state = match stand {
+                Stand::Running => State::Running,
+                Stand::Ended(answer) => State::Ended(answer),
+                Stand::Lost => State::Lost,
+                Stand::Fenced => State::Fenced,
+            };
+            let entry = Entry { state, at };
+            let Some(sender) = ledger.senders.get_mut(&key.sender) else { continue };
+            ledger.bytes += size(&entry);
+            ledger.entries += 1;
+            sender.entries.insert(key.number, entry);
+        }
+        ledger
+    }
+
     pub fn len(&self) -> usize {
         self.entries
     }
