--- a/copies/src/command.rs
+++ b/copies/src/command.rs
@@ -23,7 +23,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Command {
-    #[prost(oneof = "Word", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Word", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub word: Option<Word>,
 }
 
@@ -39,7 +39,7 @@
     End(End),
     /// What became of it? One that was not taken never will be.
     #[prost(message, tag = "4")]
-    Find(Number),
+    Find(Find),
     /// The sender needs no number below.
     #[prost(message, tag = "5")]
     Settle(Number),
@@ -49,6 +49,9 @@
     /// What has been kept for its time is let go.
     #[prost(bool, tag = "7")]
     Expire(bool),
+    /// What is known of a ledger that lost its majority.
+    #[prost(message, tag = "8")]
+    Recall(Recall),
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
@@ -67,12 +70,39 @@
     pub number: u64,
 }
 
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Find {
+    #[prost(message, optional, tag = "1")]
+    pub key: Option<Number>,
+    /// The ledger that it was sent to, where that is another one.
+    #[prost(fixed64, tag = "2")]
+    pub of: u64,
+}
+
+/// How a txn ended that another ledger had taken.
+#[derive(Clone, PartialEq, Message)]
+pub struct Note {
+    #[prost(fixed64, tag = "1")]
+    pub ledger: u64,
+    #[prost(message, optional, tag = "2")]
+    pub end: Option<End>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Recall {
+    #[prost(message, repeated, tag = "1")]
+    pub notes: Vec<Note>,
+}
+
 #[derive(Clone, PartialEq, Message)]
 pub struct End {
     #[prost(message, optional, tag = "1")]
     pub key: Option<Number>,
     #[prost(message, optional, tag = "2")]
     pub answer: Option<Kept>,
+    /// The ledger that had taken it; 0: the one that is told.
+    #[prost(fixed64, tag = "3")]
+    pub of: u64,
 }
 
 /// How a txn ended, with the bytes of its answer.
@@ -137,17 +167,30 @@
     }
 }
 
+impl End {
+    pub fn of(key: Key, answer: &Answer) -> End {
+        End { key: Some(key.into()), answer: Some(answer.into()), of: 0 }
+    }
+
+    /// `None`: it does not say what ended, or how.
+    pub fn read(&self) -> Option<(Key, Answer)> {
+        Some((self.key?.into(), self.answer.clone()?.answer()?))
+    }
+}
+
 impl Word {
     pub fn take(key: Key) -> Word {
         Word::Take(key.into())
     }
 
-    pub fn find(key: Key) -> Word {
-        Word::Find(key.into())
+    /// `of`: the ledger that it was sent to, 0 where that is the one asked.
+    pub fn find(key: Key, of: u64) -> Word {
+        Word::Find(Find { key: Some(key.into()), of })
     }
 
-    pub fn end(key: Key, answer: &Answer) -> Word {
-        Word::End(End { key: Some(key.into()), answer: Some(answer.into()) })
+    /// `of`: the ledger that had taken it.
+    pub fn end(key: Key, answer: &Answer, of: u64) -> Word {
+        Word::End(End { of, ..End::of(key, answer) })
     }
 }
 
--- a/copies/src/group.rs
+++ b/copies/src/group.rs
@@ -2,7 +2,7 @@
 //! one set of inputs. Must never tell what came of a command before a majority holds it, nor take part under an id that
 //! an earlier start had: what was forgotten must not vote.
 
-use crate::command::{Command, Outcome, Step, Word};
+use crate::command::{Command, Note, Outcome, Step, Word};
 use crate::heal::{self, Healer, Heard, Seen};
 use crate::machine::{self, Machine, Member};
 use crate::settings::{Copies, Holder};
@@ -95,6 +95,12 @@
     pub counts: Counts,
     pub sent: VecDeque<Sent>,
     pub done: VecDeque<Done>,
+    /// Endings go to a disk before this member says that it holds them.
+    disk: bool,
+    /// What waits for that: the library's numbers with what may be said after each, in order.
+    unwritten: VecDeque<(u64, bool, Vec<Message>)>,
+    /// Endings to be written, and the number that they belong to.
+    pub write: VecDeque<(u64, Vec<Note>)>,
 }
 
 fn config(id: u64) -> Config {
@@ -149,7 +155,7 @@
             id,
             run,
             raft,
-            machine: Machine::new(machine::bounds(b)),
+            machine: Machine::new(machine::bounds(b), ledger),
             seed,
             step,
             next_step: now + step,
@@ -172,6 +178,9 @@
             counts: Counts::default(),
             sent: VecDeque::new(),
             done: VecDeque::new(),
+            disk: file.disk.is_some(),
+            unwritten: VecDeque::new(),
+            write: VecDeque::new(),
         })
     }
 
@@ -407,21 +416,20 @@
             }
             self.apply(ready.take_committed_entries());
             let steps = ready.take_entries();
+            let notes = if self.disk { self.notes(&steps) } else { Vec::new() };
             if !steps.is_empty() {
                 self.raft.mut_store().append(steps);
             }
             if let Some(hard) = ready.hs() {
                 self.raft.mut_store().hard = hard.clone();
             }
-            let held = ready.take_persisted_messages();
-            self.post(now, held);
-            let mut light = self.raft.advance(ready);
-            if let Some(commit) = light.commit_index() {
-                self.raft.mut_store().hard.commit = commit;
+            let (number, held) = (ready.number(), ready.take_persisted_messages());
+            self.raft.advance_append_async(ready);
+            self.unwritten.push_back((number, notes.is_empty(), held));
+            if !notes.is_empty() {
+                self.write.push_back((number, notes));
             }
-            self.post(now, light.take_messages());
-            self.apply(light.take_committed_entries());
-            self.raft.advance_apply();
+            self.hold(now);
         }
         self.changed(now);
         if let Some(index) = self.raft.store().wanted()
@@ -443,6 +451,37 @@
         }
     }
 
+    /// Endings among new steps: whatever becomes of the steps, these txns ended so.
+    fn notes(&self, steps: &[Entry]) -> Vec<Note> {
+        let end = |step: &Entry| match Step::decode(&step.data[..]).ok()?.command?.word? {
+            Word::End(end) => {
+                let ledger = if end.of == 0 { self.ledger } else { end.of };
+                Some(Note { ledger, end: Some(end) })
+            }
+            _ => None,
+        };
+        steps.iter().filter(|s| s.get_entry_type() == EntryType::EntryNormal).filter_map(end).collect()
+    }
+
+    /// The disk has what was to be written with this number, and all before.
+    pub fn written(&mut self, now: Time, number: u64) {
+        self.unwritten.iter_mut().filter(|u| u.0 <= number).for_each(|u| u.1 = true);
+        self.hold(now);
+    }
+
+    /// Says what may be said: what is held, in order.
+    fn hold(&mut self, now: Time) {
+        while let Some((number, true, _)) = self.unwritten.front() {
+            self.raft.on_persist_ready(*number);
+            let said = self.unwritten.pop_front().map(|u| u.2).unwrap_or_default();
+            self.post(now, said);
+        }
+        // Behind an image that waits for earlier writes the library holds less than is applied here.
+        if self.unwritten.is_empty() {
+            self.raft.advance_apply_to(self.applied);
+        }
+    }
+
     fn changed(&mut self, now: Time) {
         // In place of what the library draws from the process's own chance: by the seed, anew in each term.
         let drawn = ELECTION + Pcg64Mcg::seed_from_u64(self.seed ^ self.term()).random_range(0..ELECTION);
--- a/copies/src/lib.rs
+++ b/copies/src/lib.rs
@@ -1,6 +1,6 @@
 //! Copies of what a gateway holds for other sites. Gateways of one site keep replicated ledgers in groups, so that a
-//! machine that is lost with all it holds loses nothing that was promised. Without I/O and clock: the host hands in
-//! frames and times and pulls what is to be done. Must never let a txn that must not run twice be sent on before a
+//! machine that is lost with all it holds loses nothing that was promised. Without I/O and clock, but for `notes`: the
+//! host hands in frames and times and pulls what is to be done. Must never let a txn that must not run twice be sent on before a
 //! majority holds that it was taken, nor call one never taken before a majority holds that it will not be.
 
 pub mod client;
@@ -9,6 +9,7 @@
 pub mod heal;
 pub mod machine;
 pub mod node;
+pub mod notes;
 pub mod place;
 pub mod settings;
 pub mod steps;
--- a/copies/src/machine.rs
+++ b/copies/src/machine.rs
@@ -1,10 +1,11 @@
 //! The replicated ledger: what each member of a group makes of the same steps. Holds the ledger of `kelpcart-sites`,
-//! which gateway runs what, and the names behind the members' ids. Must give the same from the same steps in every
+//! which gateway runs what, the names behind the members' ids, and what is known of ledgers that lost their majority: of
+//! those it tells only how something ended, never that it was not taken. Must give the same from the same steps in every
 //! process: no clock, no chance, no order of a hash map.
 
-use crate::command::{Kept, Outcome, Word};
+use crate::command::{End, Find, Kept, Note, Outcome, Word};
 use kelpcart::{Span, Time};
-use kelpcart_sites::ledger::{Bounds, Found, Intake, Key, Ledger, Stand, Standing};
+use kelpcart_sites::ledger::{Answer, Bounds, Found, Intake, Key, Ledger, Stand, Standing};
 use prost::Message;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -19,8 +20,20 @@
     runs: BTreeMap<Key, u64>,
     /// Each member by its id: the start of a holder that it is.
     pub members: BTreeMap<u64, Member>,
+    /// This ledger's own number.
+    number: u64,
+    /// By ledger: endings of txns that others had taken, since when they are known here; none where one was asked about
+    /// and not known, which stays so.
+    recalled: BTreeMap<(u64, Key), Known>,
+    recalled_bytes: usize,
 }
 
+/// Since when, and how it ended.
+type Known = (Time, Option<Arc<Answer>>);
+
+/// A ledger younger than this may still hear what others knew: so long it does not say that something is unknown.
+const YOUNG: Span = Span::from_millis(2_000);
+
 /// All of it, as it goes to a member that is too far behind for the steps.
 #[derive(Clone, PartialEq, Message)]
 struct Image {
@@ -32,6 +45,16 @@
     entries: Vec<Entry>,
     #[prost(message, repeated, tag = "4")]
     members: Vec<Member>,
+    #[prost(message, repeated, tag = "5")]
+    recalled: Vec<Recalled>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct Recalled {
+    #[prost(uint64, tag = "1")]
+    at_us: u64,
+    #[prost(message, optional, tag = "2")]
+    note: Option<Note>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -81,9 +104,18 @@
 }
 
 impl Machine {
-    pub fn new(bounds: Bounds) -> Machine {
-        let ledger = Ledger::new(bounds, false);
-        Machine { bounds, at: Time::default(), ledger, runs: BTreeMap::new(), members: BTreeMap::new() }
+    /// `number`: of the ledger, new with each founding.
+    pub fn new(bounds: Bounds, number: u64) -> Machine {
+        Machine {
+            bounds,
+            at: Time::default(),
+            ledger: Ledger::new(bounds, false),
+            runs: BTreeMap::new(),
+            members: BTreeMap::new(),
+            number,
+            recalled: BTreeMap::new(),
+            recalled_bytes: 0,
+        }
     }
 
     pub fn at(&self) -> Time {
@@ -99,17 +131,21 @@
             Word::Greet(g) => Outcome::Greeted(self.ledger.greet(now, g.sender, g.fresh)),
             Word::Take(n) => self.take(now, run, (*n).into()),
             Word::End(end) => {
-                let (Some(key), Some(answer)) = (end.key, end.answer.clone().and_then(Kept::answer)) else {
-                    return Outcome::Unknown;
-                };
-                self.end(now, run, key.into(), Arc::new(answer))
+                let Some((key, answer)) = end.read() else { return Outcome::Unknown };
+                if end.of != 0 && end.of != self.number {
+                    return self.recall(now, end.of, key, answer);
+                }
+                self.end(now, run, key, Arc::new(answer))
+            }
+            Word::Find(find) => self.find(now, find),
+            Word::Recall(recall) => {
+                for note in &recall.notes {
+                    if let Some((key, answer)) = note.end.as_ref().and_then(End::read) {
+                        self.recall(now, note.ledger, key, answer);
+                    }
+                }
+                Outcome::Noted
             }
-            Word::Find(n) => match self.ledger.find(now, (*n).into()) {
-                Found::NeverTaken => Outcome::NeverTaken,
-                Found::Running => Outcome::Running,
-                Found::Ended(answer) => Outcome::Ended(answer),
-                Found::Unknown => Outcome::Unknown,
-            },
             Word::Settle(n) => {
                 self.ledger.settle(n.sender, n.number);
                 self.drop_runs();
@@ -125,11 +161,76 @@
             }
             Word::Expire(_) => {
                 self.ledger.expire(now);
+                let old = |at: Time| now - at >= self.bounds.age;
+                let gone: usize = self
+                    .recalled
+                    .values()
+                    .filter(|r| old(r.0))
+                    .map(|r| r.1.as_ref().map_or(0, |a| a.body.len()))
+                    .sum();
+                self.recalled_bytes -= gone;
+                self.recalled.retain(|_, r| now - r.0 < self.bounds.age);
                 Outcome::Noted
             }
         }
     }
 
+    fn find(&mut self, now: Time, find: &Find) -> Outcome {
+        let Some(key) = find.key.map(Key::from) else { return Outcome::Unknown };
+        if find.of != 0 && find.of != self.number {
+            // That it was not taken by a ledger that is gone nobody can say.
+            let known = self.recalled.get(&(find.of, key)).map(|r| r.1.clone());
+            return match known {
+                Some(Some(answer)) => Outcome::Ended(answer),
+                None if now - Time::default() < YOUNG => Outcome::Running,
+                _ => {
+                    if self.recalled.len() < self.bounds.entries {
+                        self.recalled.entry((find.of, key)).or_insert((now, None));
+                    }
+                    Outcome::Unknown
+                }
+            };
+        }
+        match self.ledger.find(now, key) {
+            Found::NeverTaken => Outcome::NeverTaken,
+            Found::Running => Outcome::Running,
+            Found::Ended(answer) => Outcome::Ended(answer),
+            Found::Unknown => Outcome::Unknown,
+        }
+    }
+
+    /// How a txn ended that another ledger had taken.
+    fn recall(&mut self, now: Time, ledger: u64, key: Key, answer: Answer) -> Outcome {
+        if ledger == self.number {
+            return Outcome::TooLate;
+        }
+        if let Some((_, known)) = self.recalled.get(&(ledger, key)) {
+            let same = known.as_deref() == Some(&answer);
+            return if same { Outcome::Noted } else { Outcome::TooLate };
+        }
+        let bytes = self.recalled_bytes + answer.body.len();
+        if self.recalled.len() >= self.bounds.entries || bytes > self.bounds.bytes {
+            return Outcome::TooLate;
+        }
+        self.recalled_bytes = bytes;
+        self.recalled.insert((ledger, key), (now, Some(Arc::new(answer))));
+        Outcome::Noted
+    }
+
+    /// All endings known here, for a ledger that follows this one.
+    pub fn endings(&self) -> Vec<Note> {
+        let (_, entries) = self.ledger.all();
+        let own = entries.into_iter().filter_map(|(key, _, stand)| match stand {
+            Stand::Ended(answer) => Some(Note { ledger: self.number, end: Some(End::of(key, &answer)) }),
+            _ => None,
+        });
+        let others = self.recalled.iter();
+        let others = others.filter_map(|((ledger, key), (_, answer))| {
+            Some(Note { ledger: *ledger, end: Some(End::of(*key, answer.as_ref()?)) })
+        });
+        own.chain(others).collect()
+    }
+
     fn take(&mut self, now: Time, run: u64, key: Key) -> Outcome {
         match self.ledger.take(now, key) {
             Intake::New => {
@@ -147,7 +248,7 @@
     }
 
     /// Only who runs it can end it, and only once.
-    fn end(&mut self, now: Time, run: u64, key: Key, answer: Arc<kelpcart_sites::ledger::Answer>) -> Outcome {
+    fn end(&mut self, now: Time, run: u64, key: Key, answer: Arc<Answer>) -> Outcome {
         if self.runs.get(&key) == Some(&run) {
             self.runs.remove(&key);
             self.ledger.end(now, key, &answer);
@@ -174,7 +275,7 @@
 
     /// Whether `Expire` would let something go by then.
     pub fn has_old(&self, at: Time) -> bool {
-        self.ledger.has_old(at)
+        self.ledger.has_old(at) || self.recalled.values().any(|r| at - r.0 >= self.bounds.age)
     }
 
     pub fn image(&self) -> Vec<u8> {
@@ -196,17 +297,25 @@
                 answer,
             }
         };
+        let recalled = |((ledger, key), (at, answer)): (&(u64, Key), &Known)| {
+            // Without an answer: only the key.
+            let end = answer
+                .as_ref()
+                .map_or(End { key: Some((*key).into()), ..End::default() }, |a| End::of(*key, a));
+            Recalled { at_us: at.as_micros(), note: Some(Note { ledger: *ledger, end: Some(end) }) }
+        };
         let image = Image {
             at_us: self.at.as_micros(),
             senders: senders.into_iter().map(sender).collect(),
             entries: entries.into_iter().map(entry).collect(),
             members: self.members.values().copied().collect(),
+            recalled: self.recalled.iter().map(recalled).collect(),
         };
         image.encode_to_vec()
     }
 
     /// `None`: it is no image of ours, and nothing of it was taken in.
-    pub fn from_image(bounds: Bounds, bytes: &[u8]) -> Option<Machine> {
+    pub fn from_image(bounds: Bounds, number: u64, bytes: &[u8]) -> Option<Machine> {
         let image = Image::decode(bytes).ok()?;
         let mut runs = BTreeMap::new();
         let mut entries: Vec<Standing> = Vec::with_capacity(image.entries.len());
@@ -223,6 +332,14 @@
             };
             entries.push((key, Time::from_micros(e.at_us), stand));
         }
+        let (mut recalled, mut recalled_bytes) = (BTreeMap::new(), 0);
+        for one in image.recalled {
+            let note = one.note?;
+            let end = note.end?;
+            let answer = end.read().map(|(_, answer)| Arc::new(answer));
+            recalled_bytes += answer.as_ref().map_or(0, |a| a.body.len());
+            recalled.insert((note.ledger, end.key?.into()), (Time::from_micros(one.at_us), answer));
+        }
         let senders = image.senders.iter().map(|s| (s.sender, s.floor, Time::from_micros(s.heard_us)));
         Some(Machine {
             bounds,
@@ -230,12 +347,15 @@
             ledger: Ledger::from_all(bounds, senders, entries),
             runs,
             members: image.members.iter().map(|m| (m.id, *m)).collect(),
+            number,
+            recalled,
+            recalled_bytes,
         })
     }
 
     /// Takes an image's place, or stays as it is where that can't be read.
     pub fn restore(&mut self, bytes: &[u8]) -> bool {
-        let read = Machine::from_image(self.bounds, bytes);
+        let read = Machine::from_image(self.bounds, self.number, bytes);
         read.map(|machine| *self = machine).is_some()
     }
 
@@ -254,6 +374,11 @@
     pub fn running(&self) -> usize {
         self.runs.len()
     }
+
+    /// Endings known of ledgers that lost their majority.
+    pub fn recalled(&self) -> usize {
+        self.recalled.len()
+    }
 }
 
 pub fn bounds(b: &crate::settings::Bounds) -> Bounds {
--- a/copies/src/node.rs
+++ b/copies/src/node.rs
@@ -4,7 +4,7 @@
 //! forgotten what it held the place that it had.
 
 use crate::client::{Client, Leader, Told};
-use crate::command::{Command, Word};
+use crate::command::{Command, Note, Outcome, Recall, Word};
 use crate::group::{Counts, Done, Group, Refused};
 use crate::heal::Heard;
 use crate::place;
@@ -28,6 +28,9 @@
 /// A member that its group does not name any more, or that was never let in, goes after this time.
 const LINGERS: Span = Span::from_millis(3_000);
 const NEVER_LET_IN: Span = Span::from_millis(15_000);
+/// Endings in one step that tells a group of them, and their bytes.
+const RECALLS: usize = 128;
+const RECALL_BYTES: usize = 128 * 1024;
 /// Memberships that ended and are remembered; one that was let in so often is let in no more.
 const MOST_ENDED: usize = 65_536;
 
@@ -40,6 +43,11 @@
         image: bool,
     },
     Told(Told),
+    /// Bring these to the disk, then call `written` with the mark; they follow those before.
+    Write {
+        mark: u64,
+        notes: Vec<Note>,
+    },
     /// The group has another ledger than before, or one is known for the first time: what was asked of the one before
     /// is not known there.
     Ledger {
@@ -75,6 +83,8 @@
     pub frames_out: u64,
     pub bytes_out: u64,
     pub refused: u64,
+    /// Endings told to ledgers that follow.
+    pub recalled: u64,
 }
 
 pub struct Node {
@@ -87,6 +97,15 @@
     client: Client,
     /// Memberships that ended: what still comes for them is nobody's.
     ended: BTreeSet<u64>,
+    /// By group: endings that were known of a ledger that lost its majority, or were on the disk at the start.
+    recalls: BTreeMap<u32, VecDeque<Note>>,
+    /// Questions of this one itself.
+    own: BTreeMap<u64, u32>,
+    /// Marks of what goes to the disk: the group and its number there.
+    marks: VecDeque<(u64, u32, u64)>,
+    mark: u64,
+    /// The disk can't be written: no copy is held here any more.
+    disk_failed: bool,
     leaving: bool,
     started: Time,
     pulse: Span,
@@ -124,6 +143,11 @@
             slots: (0..file.groups).map(slot).collect(),
             client: Client::new(Span::from_millis(file.times.wait_ms), pulse * 5.0),
             ended: BTreeSet::new(),
+            recalls: BTreeMap::new(),
+            own: BTreeMap::new(),
+            marks: VecDeque::new(),
+            mark: 0,
+            disk_failed: false,
             leaving: false,
             started: now,
             pulse,
@@ -269,6 +293,57 @@
         self.client.forget(ask);
     }
 
+    /// What the disk held at the start.
+    pub fn recover(&mut self, notes: Vec<Note>) {
+        for note in notes {
+            let sender = note.end.as_ref().and_then(|e| e.key).map_or(0, |k| k.sender);
+            let group = self.group_of(sender);
+            self.remember(group, note);
+        }
+    }
+
+    fn remember_endings(&mut self, group: u32) {
+        let member = self.slots[group as usize].member.as_ref();
+        let known = member.map(|m| m.machine().endings()).unwrap_or_default();
+        known.into_iter().for_each(|note| self.remember(group, note));
+    }
+
+    fn remember(&mut self, group: u32, note: Note) {
+        let all = self.recalls.entry(group).or_default();
+        if all.len() >= self.file.bounds.entries {
+            all.pop_front();
+        }
+        all.push_back(note);
+    }
+
+    /// The disk has all up to the mark.
+    pub fn written(&mut self, now: Time, mark: u64) {
+        while let Some((at, group, number)) = self.marks.pop_front_if(|m| m.0 <= mark) {
+            debug_assert!(at <= mark);
+            if let Some(member) = self.slots[group as usize].member.as_mut() {
+                member.written(now, number);
+            }
+        }
+        self.collect(now);
+    }
+
+    /// The disk does not take what it was given: who holds a copy without it would promise too much.
+    pub fn unwritten(&mut self, now: Time) {
+        self.disk_failed = true;
+        self.marks.clear();
+        (0..self.file.groups).for_each(|group| self.drop_member(group, "the disk can't be written"));
+        self.collect(now);
+    }
+
+    /// The file was read again: these holders are gone for good.
+    pub fn lost(&mut self, names: &BTreeSet<String>) {
+        self.file.lost.clone_from(names);
+    }
+
+    fn is_lost(&self, holder: usize) -> bool {
+        self.file.lost.contains(&self.file.holders[holder].name)
+    }
+
     /// The process is told to stop: others take its places.
     pub fn leave(&mut self, now: Time) {
         self.leaving = true;
@@ -308,6 +383,9 @@
             } else {
                 let since = *slot.outside.get_or_insert(now);
                 if gives_way || now - since >= LINGERS {
+                    if other {
+                        self.remember_endings(lead.group);
+                    }
                     self.drop_member(lead.group, "its group goes on without it");
                 }
             }
@@ -326,6 +404,7 @@
         slot.said.clear();
         self.totals.dropped += 1;
         self.ended.insert(member.id);
+        self.marks.retain(|m| m.1 != group);
         add(&mut self.gone_counts, &member.counts);
     }
 
@@ -347,7 +426,8 @@
         if said.to_run != self.id {
             return;
         }
-        let called = if slot.member.is_none() { calls(&said.message) } else { None };
+        let free = slot.member.is_none() && !self.disk_failed;
+        let called = if free { calls(&said.message) } else { None };
         if let Some(id) = called.filter(|id| self.ended.len() < MOST_ENDED && !self.ended.contains(id)) {
             let seed = self.rng.random();
             slot.member = Group::join(&self.file, (said.group, said.ledger), (id, self.id), seed, now);
@@ -445,11 +525,17 @@
     fn watch(&mut self, now: Time, group: u32) {
         let slot = &self.slots[group as usize];
         if let Some(member) = &slot.member {
-            if member.leads() || self.client.leader(now, group).is_some() {
+            if self.client.leader(now, group).is_some() {
+                return self.tell_recalls(now, group);
+            }
+            if member.leads() {
                 return;
             }
             let forgot = |id: &u64| {
                 let Some(one) = member.member(*id) else { return false };
+                if self.is_lost(one.holder as usize) {
+                    return true;
+                }
                 let heard = self.heard.get(one.holder as usize);
                 one.id != member.id && heard.is_some_and(|h| h.forgot(group, one.run, one.id))
             };
@@ -462,18 +548,23 @@
             let called = !members.voters.is_empty();
             if halved(&members.voters) || halved(&members.voters_outgoing) {
                 self.totals.lost_majorities += 1;
+                // What is known here of how txns ended goes into the ledger that follows.
+                self.remember_endings(group);
                 self.drop_member(group, "a majority of its group has forgotten what it held");
             } else if !called && now - slot.since >= NEVER_LET_IN {
                 self.drop_member(group, "it was never let in");
             }
             return;
         }
-        if self.leaving || self.client.leader(now, group).is_some() {
+        if self.client.leader(now, group).is_some() {
+            return self.tell_recalls(now, group);
+        }
+        if self.leaving || self.disk_failed {
             return;
         }
         let first = slot.order.iter().copied().find(|&h| self.there(now, h));
-        let settled =
-            now - self.started >= self.pulse * THERE || (0..self.heard.len()).all(|h| self.there(now, h));
+        let settled = now - self.started >= self.pulse * THERE
+            || (0..self.heard.len()).all(|h| self.there(now, h) || self.is_lost(h));
         if first != Some(self.me) || !settled {
             return;
         }
@@ -482,7 +573,8 @@
         let known = said.iter().any(|h| h.ledger != 0);
         let own = slot.backs.is_none_or(|(of, until)| of == self.id || until <= now);
         let backed = said.iter().filter(|h| h.backs).count() + 1;
-        if !known && own && backed > self.heard.len() / 2 {
+        let all = (0..self.heard.len()).filter(|&h| !self.is_lost(h)).count();
+        if !known && own && backed > all / 2 {
             return self.found(now, group);
         }
         if now >= slot.next_seek {
@@ -496,6 +588,30 @@
         }
     }
 
+    /// Tells the group what is known of ledgers before it, some at a time.
+    fn tell_recalls(&mut self, now: Time, group: u32) {
+        let Some(ledger) = self.client.ledger(group) else { return };
+        if self.own.values().any(|g| *g == group) {
+            return;
+        }
+        let Some(all) = self.recalls.get_mut(&group) else { return };
+        let (mut notes, mut bytes) = (Vec::new(), 0);
+        while let Some(note) = all.pop_front_if(|_| notes.len() < RECALLS && bytes < RECALL_BYTES) {
+            bytes += note.end.as_ref().and_then(|e| e.answer.as_ref()).map_or(0, |a| a.body.len());
+            if note.ledger != ledger {
+                notes.push(note);
+            }
+        }
+        if all.is_empty() {
+            self.recalls.remove(&group);
+        }
+        if !notes.is_empty() {
+            self.totals.recalled += notes.len() as u64;
+            let ask = self.client.ask(now, group, 9, Word::Recall(Recall { notes }));
+            self.own.insert(ask, group);
+        }
+    }
+
     fn found(&mut self, now: Time, group: u32) {
         let (ledger, seed) = (self.rng.random_range(1..=u64::MAX), self.rng.random());
         let slot = &mut self.slots[group as usize];
@@ -556,7 +672,15 @@
             }
         }
         for told in std::mem::take(&mut self.client.told) {
-            self.out.push_back(Out::Told(told));
+            match self.own.remove(&told.ask) {
+                // Those of a ledger that went meanwhile are told by those that hold them.
+                Some(group) => {
+                    if told.result == Ok(Outcome::Noted) {
+                        self.tell_recalls(now, group);
+                    }
+                }
+                None => self.out.push_back(Out::Told(told)),
+            }
         }
     }
 
@@ -565,6 +689,11 @@
         let Some(member) = &mut self.slots[group].member else { return false };
         member.drive(now);
         let (sent, done) = (std::mem::take(&mut member.sent), std::mem::take(&mut member.done));
+        for (number, notes) in std::mem::take(&mut member.write) {
+            self.mark += 1;
+            self.marks.push_back((self.mark, group as u32, number));
+            self.out.push_back(Out::Write { mark: self.mark, notes });
+        }
         let (number, ledger, ready) = (member.number, member.ledger, member.ready());
         let moved = !sent.is_empty() || !done.is_empty();
         for one in sent {
@@ -605,7 +734,7 @@
         all
     }
 
-    pub fn sizes(&self) -> [(&'static str, usize); 9] {
+    pub fn sizes(&self) -> [(&'static str, usize); 11] {
         let members = || self.slots.iter().filter_map(|s| s.member.as_ref());
         [
             ("copies held", members().count()),
@@ -617,6 +746,8 @@
             ("copies steps bytes", members().map(|m| m.steps().bytes()).sum()),
             ("copies image bytes", members().map(|m| m.steps().image_bytes()).sum()),
             ("copies questions open", self.client.len()),
+            ("copies writes waiting", self.marks.len()),
+            ("copies endings of ledgers before", members().map(|m| m.machine().recalled()).sum()),
         ]
     }
 
--- a/copies/src/settings.rs
+++ b/copies/src/settings.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 pub const MOST_HOLDERS: usize = 64;
 
@@ -24,6 +25,14 @@
     /// Ledgers that the senders are spread over.
     #[serde(default = "one")]
     pub groups: u32,
+    /// How txns ended is kept in this folder, too, so that it outlives the loss of all processes at once; absent: in
+    /// memory only.
+    #[serde(default)]
+    pub disk: Option<PathBuf>,
+    /// Holders that are gone for good, by name; read again on SIGHUP. Their word is not waited for any more: what only
+    /// they knew is unknown from then on.
+    #[serde(default)]
+    pub lost: BTreeSet<String>,
     #[serde(default)]
     pub times: Times,
     #[serde(default)]
@@ -139,6 +148,9 @@
             need(h.address.port() != 0, &at("address"), "a port is wanted")?;
             need(!h.zone.is_empty() && h.zone.len() <= 64, &at("zone"), "1 to 64 characters")?;
         }
+        let known = self.lost.iter().all(|l| names.contains(l));
+        need(known, "lost", "names somebody who is not among the holders")?;
+        need(!self.lost.contains(&self.gateway), "lost", "names this very gateway")?;
         let t = &self.times;
         need((100..=10_000).contains(&t.election_ms), "times.election_ms", "100 to 10,000")?;
         need(t.wait_ms >= t.election_ms, "times.wait_ms", "election_ms at the least")?;
--- /dev/null
+++ b/copies/tests/notes.rs
@@ -0,0 +1,104 @@
+//! Endings on a disk: what is whole comes back, what is torn, damaged or old harms nobody.
+
+use kelpcart_copies::command::{End, Note};
+use kelpcart_copies::notes::{Notes, Writer};
+use kelpcart_sites::ledger::{Answer, Ending, Key};
+use quickcheck::quickcheck;
+use std::fs;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+static NEXT: AtomicU64 = AtomicU64::new(0);
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Folder {
+        let no = NEXT.fetch_add(1, Ordering::SeqCst);
+        Folder(PathBuf::from(format!("{}/notes-{}-{no}", env!("CARGO_TARGET_TMPDIR"), std::process::id())))
+    }
+
+    fn files(&self) -> Vec<PathBuf> {
+        let mut all: Vec<PathBuf> = fs::read_dir(&self.0).unwrap().map(|e| e.unwrap().path()).collect();
+        all.sort();
+        all
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn note(number: u64, len: usize) -> Note {
+    let answer = Answer { ending: Ending::Served, body: vec![number as u8; len] };
+    Note { ledger: 7, end: Some(End::of(Key { sender: 5, number }, &answer)) }
+}
+
+fn written(folder: &Folder, n: u64) {
+    let (mut notes, _) = Notes::open(&folder.0).unwrap();
+    for number in 1..=n {
+        notes.write([note(number, 20)].iter()).unwrap();
+    }
+}
+
+#[test]
+fn what_was_written_comes_back_after_each_start() {
+    let folder = Folder::new();
+    written(&folder, 30);
+    let (mut notes, found) = Notes::open(&folder.0).unwrap();
+    assert_eq!((found.notes.len(), found.damaged), (30, 0));
+    notes.write([note(31, 20), note(32, 20)].iter()).unwrap();
+    let (_, found) = Notes::open(&folder.0).unwrap();
+    assert_eq!(found.notes, (1..=32).map(|n| note(n, 20)).collect::<Vec<_>>());
+}
+
+#[test]
+fn files_are_bounded_and_the_oldest_go_first() {
+    let folder = Folder::new();
+    let (mut notes, _) = Notes::open(&folder.0).unwrap();
+    for number in 1..=200 {
+        notes.write([note(number, 200_000)].iter()).unwrap();
+    }
+    assert!(folder.files().len() <= 3);
+    let (_, found) = Notes::open(&folder.0).unwrap();
+    let last = found.notes.last().and_then(|n| n.end.clone()?.key).unwrap().number;
+    assert!(last == 200 && found.notes.len() < 150 && found.damaged == 0);
+}
+
+#[test]
+fn a_disk_that_takes_no_more_is_told_and_nothing_is_called_written() {
+    // Every write to it fails as on a full disk.
+    let folder = Folder::new();
+    let full = fs::OpenOptions::new().append(true).open("/dev/full").unwrap();
+    let writer = Writer::start(Notes::on(full, &folder.0)).unwrap();
+    assert!(writer.write(1, vec![note(1, 20)]));
+    assert_eq!(writer.done.recv_blocking(), Ok((1, false)));
+    assert!(writer.done.recv_blocking().is_err(), "nothing is written after a failure");
+}
+
+quickcheck! {
+    /// Cut short, changed or filled anywhere: what comes back was written, and what lies before the harm is whole.
+    fn harm_can_only_make_notes_missing(at: usize, bytes: Vec<u8>, cut: bool) -> bool {
+        let folder = Folder::new();
+        written(&folder, 12);
+        let file = folder.files().into_iter().find(|f| fs::metadata(f).unwrap().len() > 0).unwrap();
+        let mut all = fs::read(&file).unwrap();
+        let whole = all.clone();
+        let at = at % all.len();
+        if cut {
+            all.truncate(at);
+        } else {
+            for (b, new) in all[at..].iter_mut().zip(&bytes) {
+                *b = *new;
+            }
+        }
+        let before = all.iter().zip(&whole).take_while(|(a, b)| a == b).count() * 12 / whole.len();
+        fs::write(&file, &all).unwrap();
+        let (_, found) = Notes::open(&folder.0).unwrap();
+        let good: Vec<Note> = (1..=12).map(|n| note(n, 20)).collect();
+        let known = found.notes.iter().all(|n| good.contains(n));
+        known && found.notes.len() >= before.min(12) && found.notes[..before] == good[..before]
+    }
+}
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -162,7 +162,8 @@
                         Ok(address) => _ = moved.try_send(address),
                         Err(why) => log::warn!("{why}; the bulletin stays where it was"),
                     }
-                    rekeys.iter().for_each(|between| between.rekey());
+                    let copies = files.copies.as_ref().map(|of| read(of, whole));
+                    rekeys.iter().for_each(|between| between.reread(copies.clone()));
                     if let Some((fleet, of)) = fleet.as_ref().zip(files.fleet.as_ref()) {
                         fleet.rekey(read(of, whole));
                     }
--- a/gateway/src/sites.rs
+++ b/gateway/src/sites.rs
@@ -110,13 +110,20 @@
         Ok((Rc::new(Between { means, file, endpoint, keys, ways, door, copies: kept }), members))
     }
 
-    /// Reads certificates and keys again. Connections that stand go on; with files that can't be used, all stays.
-    pub fn rekey(&self) {
+    /// Reads certificates and keys again, and takes in the copies' file as it is now. Connections that stand go on; with
+    /// files that can't be used, all stays.
+    pub fn reread(&self, copies: Option<Result<String, String>>) {
+        self.rekey();
+        if let Some((copies, text)) = self.copies.as_ref().zip(copies) {
+            copies.reread(text);
+        }
+    }
+
+    fn rekey(&self) {
         match quic::Keys::read(&self.file.keys, self.file.congestion) {
             Ok(keys) => {
                 self.endpoint.rekey(&keys, self.file.listen.is_some());
                 *self.keys.borrow_mut() = keys;
-                self.copies.iter().for_each(|copies| copies.rekey());
                 self.means.counters.add("link keys read again");
                 log::info!("links made from now on go by the keys as they are now");
             }
--- a/gateway/src/sites/copies.rs
+++ b/gateway/src/sites/copies.rs
@@ -10,6 +10,7 @@
 use kelpcart_copies::client::Failed;
 use kelpcart_copies::command::{Outcome, Word};
 use kelpcart_copies::node::{Node, Out, framed};
+use kelpcart_copies::notes::{Notes, Writer};
 use kelpcart_copies::settings::Copies as File;
 use kelpcart_copies::wire::{MOST_FRAME, MOST_IMAGE};
 use kelpcart_sites::quic::{self, Connection, Endpoint, Incoming, RecvStream};
@@ -61,6 +62,8 @@
     moved: Woken,
     sleeps_until: Cell<Time>,
     words: Sender<Heard>,
+    /// To the disk, where endings are kept there, too.
+    writer: Option<Writer>,
 }
 
 impl Copies {
@@ -80,7 +83,18 @@
                 .to_owned());
         }
         let now = means.clock.now();
-        let node = Node::new(&file, fresh_number(), rand::rng().random(), now).ok_or("gateway: no holder")?;
+        let mut node =
+            Node::new(&file, fresh_number(), rand::rng().random(), now).ok_or("gateway: no holder")?;
+        let mut writer = None;
+        if let Some(folder) = &file.disk {
+            let (notes, found) = Notes::open(folder).map_err(|e| format!("disk: {e}"))?;
+            if found.damaged > 0 {
+                log::warn!("{} notes of endings are torn or damaged and not taken in", found.damaged);
+            }
+            log::info!("the disk holds {} notes of endings", found.notes.len());
+            node.recover(found.notes);
+            writer = Some(Writer::start(notes).map_err(|e| format!("disk: {e}"))?);
+        }
         let endpoint =
             Endpoint::start(Some(file.listen), &keys.borrow()).map_err(|e| format!("listen: {e}"))?;
         let (words, told) = async_channel::unbounded();
@@ -95,12 +109,16 @@
             moved: Woken::new(),
             sleeps_until: Cell::new(now),
             words,
+            writer,
             file,
         });
         let driven = copies.endpoint.clone();
         means.tasks.spawn(async move { driven.drive().await }).detach();
         means.tasks.spawn(Rc::clone(&copies).keep_time()).detach();
         means.tasks.spawn(Rc::clone(&copies).accept()).detach();
+        if copies.writer.is_some() {
+            means.tasks.spawn(Rc::clone(&copies).hear_disk()).detach();
+        }
         let me = copies.file.me();
         for holder in (0..copies.file.holders.len()).filter(|h| Some(*h) != me) {
             means.tasks.spawn(Rc::clone(&copies).reach(holder)).detach();
@@ -110,8 +128,18 @@
         Ok((copies, told))
     }
 
-    pub fn rekey(&self) {
+    /// Takes keys and the holders that are lost for good from the file as it is now.
+    pub fn reread(&self, text: Result<String, String>) {
         self.endpoint.rekey(&self.keys.borrow(), true);
+        match text.and_then(|text| File::read(&text).map_err(|e| e.to_string())) {
+            Ok(file) => {
+                if !file.lost.is_empty() {
+                    log::warn!("{:?} are lost for good: what only they knew is unknown", file.lost);
+                }
+                self.node.borrow_mut().lost(&file.lost);
+            }
+            Err(why) => log::warn!("the copies' file: {why}; all stays"),
+        }
     }
 
     pub fn group_of(&self, sender: u64) -> u32 {
@@ -172,6 +200,7 @@
                 ("copies images taken", c.images_taken),
                 ("copies questions told off", told_off),
                 ("copies questions unheard", unheard),
+                ("copies endings recalled", t.recalled),
                 ("copies frames in", t.frames_in),
                 ("copies bytes in", t.bytes_in),
                 ("copies frames out", t.frames_out),
@@ -195,6 +224,13 @@
         }
     }
 
+    async fn hear_disk(self: Rc<Self>) {
+        let Some(writer) = &self.writer else { return };
+        while let Ok((mark, written)) = writer.done.recv().await {
+            self.tell(|node, now| if written { node.written(now, mark) } else { node.unwritten(now) });
+        }
+    }
+
     /// Has the core called sooner where what came asks for it.
     fn hurry(&self, now: Time) {
         if self.node.borrow().next_wake().max(now) < self.sleeps_until.get() {
@@ -214,6 +250,14 @@
                         self.means.counters.add("copies frames not sent");
                     }
                 }
+                Out::Write { mark, notes } => {
+                    let waits = self.writer.as_ref().is_some_and(|w| w.write(mark, notes));
+                    if !waits {
+                        self.means.counters.add("copies writes without room");
+                        let now = self.means.clock.now();
+                        self.node.borrow_mut().unwritten(now);
+                    }
+                }
                 // Both fail only when the process ends.
                 Out::Told(told) => _ = self.words.try_send(Heard::Told(told.ask, told.result)),
                 Out::Ledger { group, ledger } => _ = self.words.try_send(Heard::Ledger(group, ledger)),
--- a/gateway/src/sites/far.rs
+++ b/gateway/src/sites/far.rs
@@ -52,7 +52,7 @@
     Greet(SessionId, u32),
     Take(Call, Time),
     End(Option<Call>),
-    Find(SessionId, Key),
+    Find(SessionId, (Key, u64)),
     Settle,
 }
 
@@ -200,7 +200,7 @@
                 let held = result == Ok(Outcome::Noted);
                 self.tell(|core, now| core.copied(now, call, held));
             }
-            Why::Find(session, key) => {
+            Why::Find(session, what) => {
                 let found = match result {
                     Ok(Outcome::NeverTaken) => Some(Found::NeverTaken),
                     Ok(Outcome::Running) => Some(Found::Running),
@@ -208,7 +208,7 @@
                     Ok(_) => Some(Found::Unknown),
                     Err(_) => None,
                 };
-                self.tell(|core, now| core.found(now, session, key, found));
+                self.tell(|core, now| core.found(now, session, what, found));
             }
             Why::End(None) | Why::Settle => {}
         }
@@ -242,7 +242,8 @@
                 Do::Welcome { session, credit, leaving, ledger } => {
                     let (site, gateway) = (self.file.site.clone(), self.file.gateway.clone());
                     let (version, ledger) = (wire::VERSION, ledger.unwrap_or(self.ledger));
-                    let welcome = wire::Welcome { version, site, gateway, ledger, credit, leaving };
+                    let recalls = self.copies.is_some();
+                    let welcome = wire::Welcome { version, site, gateway, ledger, credit, leaving, recalls };
                     if let Some(of) = self.sessions.borrow().get(&session) {
                         of.greeted.set(true);
                     }
@@ -307,18 +308,18 @@
                 Do::Take { call, key, importance } => {
                     self.question(key.sender, importance, Command::take(key), |_| Why::Take(call, now));
                 }
-                Do::End { call, key, answer } => {
+                Do::End { call, key, answer, of } => {
                     let most = self.copies.as_ref().map_or(0, |copies| copies.most_answer());
                     let word = if answer.body.len() > most {
                         self.means.counters.add("far answers too long to be kept");
-                        Command::end(key, &Answer { ending: Ending::Aborted, body: Vec::new() })
+                        Command::end(key, &Answer { ending: Ending::Aborted, body: Vec::new() }, of)
                     } else {
-                        Command::end(key, &answer)
+                        Command::end(key, &answer, of)
                     };
                     self.question(key.sender, 9, word, |_| Why::End(call));
                 }
-                Do::Find { session, key } => {
-                    self.question(key.sender, 9, Command::find(key), |_| Why::Find(session, key));
+                Do::Find { session, key, of } => {
+                    self.question(key.sender, 9, Command::find(key, of), |_| Why::Find(session, (key, of)));
                 }
                 Do::Settle { sender, below } => {
                     let word = Command::Settle(Number { sender, number: below });
@@ -504,7 +505,9 @@
     fn hear(&self, session: SessionId, said: Said, reply: Option<Sender<Frame>>) -> bool {
         match said {
             Said::Request(request) => self.request(session, request, reply),
-            Said::Ask(ask) => self.tell(|core, now| core.ask(now, session, &ask.numbers)),
+            Said::Ask(ask) => {
+                self.tell(|core, now| core.ask(now, session, ask.ledger, &ask.numbers));
+            }
             Said::Settle(below) => self.tell(|core, _| core.settle(session, below)),
             Said::GiveUp(number) => {
                 self.replies.borrow_mut().remove(&(session, number));
--- a/gateway/src/sites/near.rs
+++ b/gateway/src/sites/near.rs
@@ -10,7 +10,7 @@
 use futures_lite::future;
 use kelpcart::interface::MemberId;
 use kelpcart::{Span, Time};
-use kelpcart_sites::near::{Act, End, Near, Want};
+use kelpcart_sites::near::{Act, End, Near, Want, Welcome};
 use kelpcart_sites::quic::{self, Connection, Endpoint, RecvStream};
 use kelpcart_sites::settings::{Carrier, Sites};
 use kelpcart_sites::wire::{self, Fate, Said, Word};
@@ -159,9 +159,9 @@
                 Act::Drop { link } => self.close(link, "silent"),
                 Act::Send { link, number, left } => self.send(link, number, left),
                 Act::GiveUp { link, number } => self.say(link, Said::GiveUp(number)),
-                Act::Ask { link, numbers } => {
+                Act::Ask { link, ledger, numbers } => {
                     self.means.counters.add("questions about hops in doubt");
-                    self.say(link, Said::Ask(wire::Ask { numbers }));
+                    self.say(link, Said::Ask(wire::Ask { numbers, ledger }));
                 }
                 Act::Ping { link, number } => self.say(link, Said::Ping(number)),
                 Act::Back { link } => {
@@ -419,7 +419,8 @@
         }
         log::info!("the link to {} ({}) stands", peer.name, welcome.gateway);
         self.means.counters.add("links made");
-        self.tell(|core, now| core.connected(now, link, welcome.ledger, welcome.credit, welcome.leaving));
+        let wire::Welcome { ledger, credit, leaving, recalls, .. } = welcome;
+        self.tell(|core, now| core.connected(now, link, &Welcome { ledger, credit, leaving, recalls }));
         let clock = self.means.clock;
         let write = async {
             write_frames(clock, &mut send, &frames).await;
--- a/sites/src/far.rs
+++ b/sites/src/far.rs
@@ -59,10 +59,14 @@
         call: Option<Call>,
         key: Key,
         answer: Arc<Answer>,
+        /// The ledger that had taken it.
+        of: u64,
     },
     Find {
         session: SessionId,
         key: Key,
+        /// The ledger that it was sent to.
+        of: u64,
     },
     Settle {
         sender: u64,
@@ -132,8 +136,8 @@
     told: Option<u64>,
     /// When it is introduced to those who keep copies again.
     greet_at: Option<Time>,
-    /// Numbers that others run and it asked about, and when that is looked up again.
-    watches: BTreeMap<u64, Time>,
+    /// Numbers that others run and it asked about, when that is looked up again, and the ledger that they were sent to.
+    watches: BTreeMap<u64, (Time, u64)>,
 }
 
 /// What those who keep copies say of a txn that is to run.
@@ -162,6 +166,8 @@
     dropped: bool,
     /// How it ended, while that is brought to those who keep copies; it is told without them by then.
     ending: Option<(Arc<Answer>, Time)>,
+    /// The ledger that takes it.
+    of: u64,
 }
 
 /// What a request has to say for itself.
@@ -377,11 +383,12 @@
         let call = self.next;
         let once = asked.once.then_some(key);
         let waits = asked.once && (self.durable || self.copied);
+        let of = self.sessions.get(&session).and_then(|s| s.kept_by).unwrap_or(0);
         if let Some(from) = self.sessions.get_mut(&session) {
             from.open.insert(number, call);
         }
         let running =
-            Running { number, once, session: Some(session), runs: !waits, dropped: false, ending: None };
+            Running { number, once, session: Some(session), runs: !waits, dropped: false, ending: None, of };
         self.calls.insert(call, running);
         if let Some(key) = once {
             self.once.insert(key, call);
@@ -428,7 +435,7 @@
     /// What those who keep copies say of a call that waits for their word.
     pub fn taken(&mut self, now: Time, call: Call, taken: Taken) {
         let Some(running) = self.calls.get_mut(&call) else { return };
-        let (number, session, once) = (running.number, running.session, running.once);
+        let (number, session, once, of) = (running.number, running.session, running.once, running.of);
         match taken {
             Taken::Go if running.dropped => self.refuse(now, call),
             Taken::Go => {
@@ -439,7 +446,7 @@
                 self.let_go(now, call, Ending::Aborted);
                 if let (Some(session), Some(key)) = (session, once) {
                     self.todo.push_back(Do::Joined { session, number });
-                    self.watch(now, session, key);
+                    self.watch(now, session, key, of);
                 }
             }
             Taken::Ended(answer) => {
@@ -455,7 +462,7 @@
                 if let Some(key) = once.filter(|_| never) {
                     // Its taking may still come to be: then it ended as not run.
                     let answer = Arc::new(Answer { ending, body: Vec::new() });
-                    self.todo.push_back(Do::End { call: None, key, answer });
+                    self.todo.push_back(Do::End { call: None, key, answer, of });
                 }
             }
         }
@@ -474,9 +481,9 @@
         }
     }
 
-    fn watch(&mut self, now: Time, session: SessionId, key: Key) {
+    fn watch(&mut self, now: Time, session: SessionId, key: Key, of: u64) {
         if let Some(one) = self.sessions.get_mut(&session) {
-            one.watches.insert(key.number, now + LOOKS);
+            one.watches.insert(key.number, (now + LOOKS, of));
         }
     }
 
@@ -497,7 +504,7 @@
     }
 
     /// What those who keep copies know of a number; `None`: they don't say.
-    pub fn found(&mut self, now: Time, session: SessionId, key: Key, found: Option<Found>) {
+    pub fn found(&mut self, now: Time, session: SessionId, (key, of): (Key, u64), found: Option<Found>) {
         let number = key.number;
         let fate = match found {
             Some(Found::NeverTaken) => {
@@ -506,7 +513,7 @@
             }
             Some(Found::Running) => {
                 let first = self.sessions.get(&session).is_some_and(|s| !s.watches.contains_key(&number));
-                self.watch(now, session, key);
+                self.watch(now, session, key, of);
                 if !first {
                     return;
                 }
@@ -574,7 +581,8 @@
             // It is told once those who keep copies hold it.
             if let Some(running) = self.calls.get_mut(&call).filter(|r| r.ending.is_none()) {
                 running.ending = Some((Arc::clone(answer), now + COPIED));
-                self.todo.push_back(Do::End { call: Some(call), key, answer: Arc::clone(answer) });
+                let (call, answer, of) = (Some(call), Arc::clone(answer), running.of);
+                self.todo.push_back(Do::End { call, key, answer, of });
             }
             return None;
         }
@@ -593,7 +601,7 @@
         Some((session, running.number))
     }
 
-    pub fn ask(&mut self, now: Time, session: SessionId, numbers: &[u64]) {
+    pub fn ask(&mut self, now: Time, session: SessionId, of: u64, numbers: &[u64]) {
         let Some(sender) = self.sessions.get(&session).map(|s| s.sender) else { return };
         for &number in numbers {
             let key = Key { sender, number };
@@ -603,7 +611,7 @@
                     self.attach(session, key);
                     self.todo.push_back(Do::Say { session, number, fate: wire::Fate::Running });
                 } else {
-                    self.todo.push_back(Do::Find { session, key });
+                    self.todo.push_back(Do::Find { session, key, of });
                 }
                 continue;
             }
@@ -696,9 +704,9 @@
                 let (sender, fresh) = (one.sender, one.fresh);
                 self.todo.push_back(Do::Greet { session, sender, fresh });
             }
-            for (&number, at) in one.watches.iter_mut().filter(|(_, at)| **at <= now) {
+            for (&number, (at, of)) in one.watches.iter_mut().filter(|(_, w)| w.0 <= now) {
                 *at = now + LOOKS;
-                self.todo.push_back(Do::Find { session, key: Key { sender: one.sender, number } });
+                self.todo.push_back(Do::Find { session, key: Key { sender: one.sender, number }, of: *of });
             }
         }
         let late = |r: &Running| r.ending.as_ref().is_some_and(|(_, by)| *by <= now);
@@ -711,7 +719,7 @@
             return self.next_expiry;
         }
         let greets = self.sessions.values().filter_map(|s| s.greet_at);
-        let watches = self.sessions.values().flat_map(|s| s.watches.values().copied());
+        let watches = self.sessions.values().flat_map(|s| s.watches.values().map(|w| w.0));
         let endings = self.calls.values().filter_map(|r| r.ending.as_ref().map(|(_, by)| *by));
         greets.chain(watches).chain(endings).fold(self.next_expiry, Time::min)
     }
--- a/sites/src/near.rs
+++ b/sites/src/near.rs
@@ -82,6 +82,8 @@
     },
     Ask {
         link: usize,
+        /// The ledger that they were sent to.
+        ledger: u64,
         numbers: Vec<u64>,
     },
     Ping {
@@ -102,6 +104,17 @@
     },
 }
 
+/// What a far end says of itself when a connection stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Welcome {
+    /// Whose answers to questions about earlier hops are worth something.
+    pub ledger: u64,
+    pub credit: u32,
+    pub leaving: bool,
+    /// It may be asked about what earlier ledgers had taken, too.
+    pub recalls: bool,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Phase {
     /// No connection; the next try at the time.
@@ -168,6 +181,8 @@
     pace: Pace,
     queue: Queue,
     ledger: Option<u64>,
+    /// The far end may know what earlier ledgers had taken.
+    recalls: bool,
     credit: u32,
     leaving: bool,
     part: f64,
@@ -252,6 +267,7 @@
             pace: Pace::default(),
             queue: Queue::new(l.queue, (l.queue_kb * 1024) as f64),
             ledger: None,
+            recalls: false,
             credit: 0,
             leaving: false,
             part: 1.0,
@@ -530,7 +546,8 @@
     }
 
     /// A connection stands, and the far end has said who it is.
-    pub fn connected(&mut self, now: Time, link: usize, ledger: u64, credit: u32, leaving: bool) {
+    pub fn connected(&mut self, now: Time, link: usize, welcome: &Welcome) {
+        let Welcome { ledger, credit, leaving, recalls } = *welcome;
         let l = &mut self.links[link];
         if !matches!(l.phase, Phase::Dialling(_)) {
             return;
@@ -542,7 +559,7 @@
             l.tries = 0;
             self.acts.push_back(Act::Back { link });
         }
-        (l.ledger, l.credit, l.leaving) = (Some(ledger), credit.max(1), leaving);
+        (l.ledger, l.credit, l.leaving, l.recalls) = (Some(ledger), credit.max(1), leaving, recalls);
         (l.owed, l.next_ping, l.settled) = (None, now, 1);
         l.pings.clear();
         l.pace.reconnected();
@@ -552,8 +569,12 @@
     /// Asks about what is in doubt and this gateway can know; a gateway that started anew knows nothing.
     fn resolve(&mut self, link: usize, ledger: u64) {
         self.ask_about(link, ledger);
-        let lost = |h: &Hop| h.state == State::Doubt && h.link == link;
-        let lost: Vec<u64> = self.hops.iter().filter(|(_, h)| lost(h)).map(|(n, _)| *n).collect();
+        let left = |h: &Hop| h.state == State::Doubt && h.link == link;
+        if self.links[link].recalls {
+            let ledgers: BTreeSet<u64> = self.hops.values().filter(|h| left(h)).map(|h| h.ledger).collect();
+            return ledgers.into_iter().for_each(|ledger| self.ask_about(link, ledger));
+        }
+        let lost: Vec<u64> = self.hops.iter().filter(|(_, h)| left(h)).map(|(n, _)| *n).collect();
         lost.into_iter().for_each(|number| self.end(number, End::Lost));
     }
 
@@ -565,7 +586,7 @@
             asked.push(number);
         }
         for numbers in asked.chunks(MOST_ASKED) {
-            self.acts.push_back(Act::Ask { link, numbers: numbers.to_vec() });
+            self.acts.push_back(Act::Ask { link, ledger, numbers: numbers.to_vec() });
         }
     }
 
@@ -575,7 +596,14 @@
         let l = &mut self.links[link];
         if l.connected() && l.ledger != Some(ledger) {
             l.ledger = Some(ledger);
+            let recalls = l.recalls;
             self.ask_about(link, ledger);
+            // What ledgers had taken that no link leads to any more is asked here.
+            let of = |h: &&Hop| h.state == State::Doubt;
+            let ledgers: BTreeSet<u64> = self.hops.values().filter(of).map(|h| h.ledger).collect();
+            let known = |ledger: &u64| self.links.iter().any(|l| l.connected() && l.ledger == Some(*ledger));
+            let gone: Vec<u64> = ledgers.into_iter().filter(|l| recalls && !known(l)).collect();
+            gone.into_iter().for_each(|ledger| self.ask_about(link, ledger));
         }
     }
 
--- a/sites/src/wire.rs
+++ b/sites/src/wire.rs
@@ -93,6 +93,9 @@
     pub credit: u32,
     #[prost(bool, tag = "6")]
     pub leaving: bool,
+    /// It may be asked about what earlier ledgers had taken, too.
+    #[prost(bool, tag = "7")]
+    pub recalls: bool,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -172,6 +175,9 @@
 pub struct Ask {
     #[prost(uint64, repeated, tag = "1")]
     pub numbers: Vec<u64>,
+    /// The ledger that they were sent to.
+    #[prost(fixed64, tag = "2")]
+    pub ledger: u64,
 }
 
 /// For one number; what has ended comes as an answer instead.
