--- a/copies/examples/measure.rs
+++ b/copies/examples/measure.rs
@@ -1,1 +1,212 @@
-fn main() {}
+//! What copies cost, on this machine: the core alone over frames handed on at once, no sockets; disks by writes that are
+//! brought there. Prints a table; `--json FILE` gives the same figures, `--seed N` another run.
+
+use kelpcart::{Span, Time};
+use kelpcart_copies::command::{End, Greet, Note, Outcome, Word};
+use kelpcart_copies::machine::Machine;
+use kelpcart_copies::node::{Node, Out};
+use kelpcart_copies::notes::Notes;
+use kelpcart_copies::settings::Copies;
+use kelpcart_sites::ledger::{Answer, Bounds, Change, Ending, Key};
+use kelpcart_sites::store::Store;
+use serde_json::{Value, json};
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Instant;
+
+fn file(i: usize, n: usize, copies: usize, groups: u32) -> Copies {
+    let holder = |i: usize| json!({"name": format!("g{i}"), "address": format!("127.0.0.1:{}", 7_000 + i), "zone": format!("z{}", i % 3)});
+    let all = json!({
+        "gateway": format!("g{i}"), "listen": format!("127.0.0.1:{}", 7_000 + i), "copies": copies, "groups": groups,
+        "holders": (0..n).map(holder).collect::<Vec<_>>(), "bounds": {"entries": 1_000_000, "age_ms": 600_000},
+    });
+    Copies::read(&all.to_string()).expect("a file that fits")
+}
+
+/// Holders that hear each other at once, on one thread.
+struct World {
+    now: Time,
+    all: Vec<Node>,
+    frames: VecDeque<(usize, usize, Vec<u8>)>,
+    done: u64,
+    bytes: u64,
+}
+
+impl World {
+    fn new(n: usize, copies: usize, groups: u32, seed: u64) -> World {
+        let now = Time::from_micros(1_000_000);
+        let node = |i| Node::new(&file(i, n, copies, groups), 1_000 + i as u64, seed + i as u64, now);
+        let all = (0..n).filter_map(node).collect();
+        let mut world = World { now, all, frames: VecDeque::new(), done: 0, bytes: 0 };
+        let greetings: Vec<Vec<u8>> = world.all.iter().map(Node::greeting).collect();
+        for (i, node) in world.all.iter_mut().enumerate() {
+            for (_, greeting) in greetings.iter().enumerate().filter(|(j, _)| *j != i) {
+                node.greeted(now, greeting).expect("a holder");
+            }
+        }
+        world.pass(Span::from_millis(20_000));
+        world
+    }
+
+    fn pull(&mut self, i: usize) {
+        while let Some(out) = self.all[i].poll() {
+            match out {
+                Out::Send { holder, frame, .. } => {
+                    self.bytes += frame.len() as u64;
+                    self.frames.push_back((i, holder, frame));
+                }
+                Out::Told(told) => self.done += u64::from(told.result != Ok(Outcome::Running)),
+                Out::Ledger { .. } | Out::Write { .. } => {}
+            }
+        }
+    }
+
+    fn settle(&mut self) {
+        (0..self.all.len()).for_each(|i| self.pull(i));
+        while let Some((from, to, frame)) = self.frames.pop_front() {
+            let (now, id) = (self.now, self.all[from].id());
+            self.all[to].frame(now, from, id, &frame);
+            self.pull(to);
+        }
+    }
+
+    fn pass(&mut self, span: Span) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += Span::from_millis(10);
+            for i in 0..self.all.len() {
+                self.all[i].tick(self.now);
+            }
+            self.settle();
+        }
+    }
+}
+
+fn answer(n: u64) -> Answer {
+    Answer { ending: Ending::Served, body: n.to_be_bytes().repeat(2) }
+}
+
+/// Books taken and ended one after the other and so many at a time; what one costs.
+fn books(copies: usize, groups: u32, at_once: u64, seed: u64) -> Value {
+    let n = 9.max(copies);
+    let mut world = World::new(n, copies, groups, seed);
+    let senders: Vec<u64> = (1..=64).collect();
+    for &sender in &senders {
+        let group = world.all[0].group_of(sender);
+        world.all[0].ask(world.now, group, 9, Word::Greet(Greet { sender, fresh: 1 }));
+    }
+    world.settle();
+    let (total, began, bytes, done) = (20_000u64, Instant::now(), world.bytes, world.done);
+    let mut number = 0;
+    while number < total {
+        let batch: Vec<u64> = (0..at_once).map(|i| number + i + 1).collect();
+        number += at_once;
+        for end in [false, true] {
+            for &one in &batch {
+                let key = Key { sender: senders[one as usize % senders.len()], number: one };
+                let at = one as usize % n;
+                let group = world.all[at].group_of(key.sender);
+                let word = if end { Word::end(key, &answer(one), 0) } else { Word::take(key) };
+                world.all[at].ask(world.now, group, 9, word);
+            }
+            world.settle();
+        }
+        if number.is_multiple_of(1_024) {
+            world.pass(Span::from_millis(10));
+        }
+    }
+    let took = began.elapsed().as_secs_f64();
+    let told = world.done - done;
+    assert!(told >= 2 * number, "{told} of {} told", 2 * number);
+    json!({
+        "copies": copies, "groups": groups, "at_once": at_once, "books_per_s": (number as f64 / took) as u64,
+        "us_a_book": took / number as f64 * 1e6, "bytes_a_book": (world.bytes - bytes) / number,
+    })
+}
+
+/// A ledger with so many txns: what its whole takes.
+fn image(entries: u64) -> Value {
+    let age = Span::from_millis(60_000);
+    let bounds = Bounds { entries: 1_000_000, bytes: 64 << 20, age, senders: 256 };
+    let mut machine = Machine::new(bounds, 1);
+    machine.apply(Time::from_micros(1), 5, &Word::Greet(Greet { sender: 1, fresh: 1 }));
+    let began = Instant::now();
+    for number in 1..=entries {
+        let key = Key { sender: 1, number };
+        machine.apply(Time::from_micros(number), 5, &Word::take(key));
+        machine.apply(Time::from_micros(number), 5, &Word::end(key, &answer(number), 0));
+    }
+    let filled = began.elapsed().as_secs_f64();
+    let began = Instant::now();
+    let bytes = machine.image();
+    let made = began.elapsed().as_secs_f64();
+    let began = Instant::now();
+    let again = Machine::from_image(bounds, 1, &bytes).map(|m| m.len());
+    let read = began.elapsed().as_secs_f64();
+    assert_eq!(again, Some(entries as usize));
+    json!({"entries": entries, "us_an_entry": filled / entries as f64 * 1e6, "image_kb": bytes.len() / 1024,
+        "made_ms": made * 1e3, "read_ms": read * 1e3})
+}
+
+/// Endings brought to the disk, some at a time: a file of records, and the embedded store.
+fn disk(at_once: u64) -> Value {
+    let folder = std::env::temp_dir().join(format!("kelpcart-copies-{}", std::process::id()));
+    let (mut notes, _) = Notes::open(&folder).expect("a folder");
+    let rounds = 100;
+    let one = |n: u64| (Key { sender: 1, number: n }, Arc::new(answer(n)));
+    let p = |mut all: Vec<f64>, q: f64| {
+        all.sort_by(f64::total_cmp);
+        all[((all.len() - 1) as f64 * q) as usize] * 1e3
+    };
+    let (mut log, mut store) = (Vec::new(), Vec::new());
+    let (mut kept, _) = Store::open(&folder.join("store"), 1).expect("a file");
+    for round in 0..rounds {
+        let all: Vec<_> = (0..at_once).map(|i| one(round * at_once + i)).collect();
+        let began = Instant::now();
+        let records: Vec<Note> =
+            all.iter().map(|(key, a)| Note { ledger: 1, end: Some(End::of(*key, a)) }).collect();
+        notes.write(records.iter()).expect("room on the disk");
+        log.push(began.elapsed().as_secs_f64());
+        let began = Instant::now();
+        let changes: Vec<Change> = all.into_iter().map(|(key, a)| Change::Ended(key, a)).collect();
+        kept.apply(changes.iter()).expect("room on the disk");
+        store.push(began.elapsed().as_secs_f64());
+    }
+    _ = std::fs::remove_dir_all(&folder);
+    json!({"at_once": at_once, "records_p50_ms": p(log.clone(), 0.5), "records_p99_ms": p(log, 0.99),
+        "store_p50_ms": p(store.clone(), 0.5), "store_p99_ms": p(store, 0.99)})
+}
+
+fn table(title: &str, rows: &[Value]) {
+    println!("{title}");
+    let Some(first) = rows.first().and_then(Value::as_object) else { return };
+    println!("{}", first.keys().map(|k| format!("{k:>16}")).collect::<String>());
+    for row in rows.iter().filter_map(Value::as_object) {
+        let cell = |v: &Value| match v.as_f64() {
+            Some(f) if v.is_f64() => format!("{f:>16.2}"),
+            _ => format!("{:>16}", v.to_string()),
+        };
+        println!("{}", row.values().map(cell).collect::<String>());
+    }
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().collect();
+    let after = |name: &str| args.iter().position(|a| a == name).and_then(|i| args.get(i + 1));
+    let seed = after("--seed").and_then(|s| s.parse().ok()).unwrap_or(1);
+    let mut all = Vec::new();
+    for copies in [3, 5] {
+        for (groups, at_once) in [(1, 1), (1, 64), (4, 64), (16, 64)] {
+            all.push(books(copies, groups, at_once, seed));
+        }
+    }
+    table("books, nine holders on one thread, no sockets", &all);
+    let images: Vec<Value> = [1_000, 10_000, 100_000].map(image).to_vec();
+    table("the whole ledger", &images);
+    let disks: Vec<Value> = [1, 16, 64].map(disk).to_vec();
+    table("endings brought to the disk", &disks);
+    if let Some(path) = after("--json") {
+        let value = json!({"seed": seed, "books": all, "images": images, "disks": disks});
+        std::fs::write(path, value.to_string()).expect("the file can be written");
+    }
+}
--- a/copies/tests/common/mod.rs
+++ b/copies/tests/common/mod.rs
@@ -96,6 +96,7 @@
 pub struct Place {
     pub node: Option<Node>,
     pub stopped: bool,
+    leaving: bool,
     starts: u64,
     waits: BTreeMap<u64, (Why, Time)>,
     /// Books that it runs, for a sender that waits for it, and the ledger that took each.
@@ -181,6 +182,7 @@
         let place = || Place {
             node: None,
             stopped: false,
+            leaving: false,
             starts: 0,
             waits: BTreeMap::new(),
             runs: BTreeMap::new(),
@@ -235,7 +237,7 @@
         place.node = Node::new(&self.files[i], id, seed, self.now);
         let notes = place.disk.clone();
         place.node.as_mut().expect("it is among the holders").recover(notes);
-        (place.stopped, place.wake) = (false, self.now);
+        (place.stopped, place.leaving, place.wake) = (false, false, self.now);
         self.known.retain(|(a, b), _| *a != i && *b != i);
         for j in (0..self.all.len()).filter(|j| *j != i) {
             self.at(ms(2), Do::Meet { a: i.min(j), b: i.max(j) });
@@ -258,6 +260,16 @@
         self.part(i);
     }
 
+    /// It is told to stop: it takes no more, and what it runs ends.
+    pub fn leave(&mut self, i: usize) {
+        self.tell(i, |node, now| node.leave(now));
+        for sender in &mut self.senders {
+            let idle = sender.book.is_none() && sender.greeted.is_some_and(|(_, at)| at == i);
+            sender.greeted = sender.greeted.filter(|_| !idle);
+        }
+        self.all[i].leaving = true;
+    }
+
     pub fn stop(&mut self, i: usize, is: bool) {
         self.all[i].stopped = is;
         if is {
@@ -492,10 +504,13 @@
 
     /// A sender of another site: greets a gateway, has a book run, asks another one when its link broke.
     fn sender(&mut self, s: usize) {
-        let live: Vec<usize> = (0..self.all.len()).filter(|&i| self.up(i)).collect();
+        let live: Vec<usize> = (0..self.all.len()).filter(|&i| self.up(i) && !self.all[i].leaving).collect();
         if live.is_empty() {
             return self.at(ms(200), Do::Sender { sender: s });
         }
+        let sender = &mut self.senders[s];
+        let leaves = sender.greeted.is_some_and(|(_, at)| self.all[at].leaving);
+        sender.greeted = sender.greeted.filter(|_| !leaves || sender.book.is_some());
         let at = live[self.rng.random_range(0..live.len())];
         let sender = &self.senders[s];
         let (run, number) = (sender.run, sender.next);
--- /dev/null
+++ b/copies/tests/composed.rs
@@ -0,0 +1,723 @@
+//! Links over copies: the near and far ends of links with the ledger kept by several far gateways, in simulated time, a
+//! tick of five milliseconds after the other. Machines are lost with all they held, stopped and cut off, links stall and
+//! break, and each book is watched from its client to the central store: none runs twice, none runs though it was
+//! rejected, and each has its one answer in time.
+
+use kelpcart::{Span, Time};
+use kelpcart_copies::client::Failed;
+use kelpcart_copies::command::{Greet, Number, Outcome, Word};
+use kelpcart_copies::node::{Node, Out};
+use kelpcart_copies::settings::Copies;
+use kelpcart_sites::far::{Asked, Call, Do, Far, SessionId, Taken, Turned};
+use kelpcart_sites::ledger::{Answer, Ending, Found, Key};
+use kelpcart_sites::near::{Act, End, Near, Want, Welcome};
+use kelpcart_sites::settings::Sites;
+use kelpcart_sites::wire::{self, Fate};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+const TICK: Span = Span::from_millis(5);
+const LIMIT: Span = Span::from_millis(3_000);
+/// What the answer needs to its client, and the tick in which it is seen.
+const GRACE: Span = Span::from_millis(50);
+
+fn sites(text: serde_json::Value) -> Sites {
+    let mut all = json!({"keys": {"certificate": "c", "key": "k", "roots": "r"}});
+    all.as_object_mut().unwrap().extend(text.as_object().unwrap().clone());
+    Sites::read(&all.to_string()).unwrap()
+}
+
+fn copies(i: usize, n: usize) -> Copies {
+    let holder = |i: usize| json!({"name": format!("f{i}"), "address": format!("127.0.0.1:{}", 7_000 + i), "zone": format!("z{}", i % 3)});
+    let all = json!({
+        "gateway": format!("f{i}"), "listen": format!("127.0.0.1:{}", 7_000 + i), "groups": 2,
+        "holders": (0..n).map(holder).collect::<Vec<_>>(), "times": {"absent_ms": 4_000},
+    });
+    Copies::read(&all.to_string()).unwrap()
+}
+
+/// What crosses a link.
+#[derive(Clone, Debug)]
+enum Msg {
+    Hello(wire::Hello),
+    Request { number: u64 },
+    Ask(u64, Vec<u64>),
+    Settle(u64),
+    GiveUp(u64),
+    Ping(u64),
+    Welcome(Welcome),
+    Taken(u64),
+    Answer(u64, Ending),
+    Turned(u64, Turned),
+    Found(u64, Fate),
+    Pong(u64, u32, bool),
+    Ledger(u64),
+}
+
+/// What a question to the holders of copies was for.
+enum Why {
+    Greet(SessionId, u32),
+    Take(Call, Time),
+    End(Option<Call>),
+    Find(SessionId, (Key, u64)),
+    Settle,
+}
+
+struct FarEnd {
+    core: Far,
+    node: Node,
+    asks: BTreeMap<u64, Why>,
+    /// The book behind a call: the near end and its number.
+    requests: BTreeMap<Call, (usize, u64)>,
+    /// Calls at the store, and when it answers.
+    runs: BTreeMap<Call, (Time, bool)>,
+    stopped: bool,
+}
+
+struct Session {
+    near: usize,
+    link: usize,
+    there: VecDeque<(Time, Msg)>,
+    back: VecDeque<(Time, Msg)>,
+}
+
+struct Book {
+    until: Time,
+    tries: usize,
+    runs: u32,
+    rejected: bool,
+    done: bool,
+}
+
+#[derive(Debug, Default)]
+struct Ends {
+    asked: u64,
+    served: u64,
+    rejected: u64,
+    aborted: u64,
+    again: u64,
+}
+
+struct World {
+    now: Time,
+    rng: Pcg64Mcg,
+    nears: Vec<(Near, u64)>,
+    fars: Vec<Option<FarEnd>>,
+    starts: u64,
+    sessions: BTreeMap<SessionId, Session>,
+    /// The session on each near end's link.
+    of_link: BTreeMap<(usize, usize), SessionId>,
+    next_session: SessionId,
+    frames: VecDeque<(Time, usize, u64, usize, Vec<u8>)>,
+    /// Until when a link stalls, and a far gateway is cut off from the others.
+    stalls: BTreeMap<(usize, usize), Time>,
+    cut: BTreeMap<usize, Time>,
+    books: Vec<Book>,
+    /// The book behind a number of a near end, open hops, hops that ended as never run, and books without an answer.
+    origin: BTreeMap<(usize, u64), usize>,
+    hops: BTreeSet<(usize, u64)>,
+    not_run: BTreeSet<(usize, u64)>,
+    open: BTreeSet<usize>,
+    ends: Ends,
+    broken: Vec<String>,
+    busy: bool,
+}
+
+impl World {
+    fn new(nears: usize, fars: usize, seed: u64) -> World {
+        let now = Time::from_micros(1_000_000_000);
+        let peers: Vec<_> = (0..fars)
+            .map(|i| json!({"name": format!("f{i}"), "site": "far", "address": "127.0.0.1:9", "as": ["origin"], "size": 1.0}))
+            .collect();
+        let near = |i: usize| {
+            let file = sites(json!({"site": "near", "gateway": format!("n{i}"), "peers": peers}));
+            (Near::new(&file, seed + i as u64, now), 500 + i as u64)
+        };
+        let mut world = World {
+            now,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            nears: (0..nears).map(near).collect(),
+            fars: (0..fars).map(|_| None).collect(),
+            starts: 0,
+            sessions: BTreeMap::new(),
+            of_link: BTreeMap::new(),
+            next_session: 0,
+            frames: VecDeque::new(),
+            stalls: BTreeMap::new(),
+            cut: BTreeMap::new(),
+            books: Vec::new(),
+            origin: BTreeMap::new(),
+            hops: BTreeSet::new(),
+            not_run: BTreeSet::new(),
+            open: BTreeSet::new(),
+            ends: Ends::default(),
+            broken: Vec::new(),
+            busy: true,
+        };
+        (0..fars).for_each(|i| world.start(i));
+        world
+    }
+
+    fn start(&mut self, i: usize) {
+        self.starts += 1;
+        let file = sites(
+            json!({"site": "far", "gateway": format!("f{i}"), "listen": "127.0.0.1:9", "accept": ["near"]}),
+        );
+        let mut core = Far::new(&file, self.now);
+        core.keep_copies();
+        let node =
+            Node::new(&copies(i, self.fars.len()), 10_000 + self.starts, self.starts, self.now).unwrap();
+        let (asks, requests, runs) = Default::default();
+        self.fars[i] = Some(FarEnd { core, node, asks, requests, runs, stopped: false });
+    }
+
+    /// The machine is lost with all it held; near ends are not told.
+    fn kill(&mut self, i: usize) {
+        self.fars[i] = None;
+        let gone: Vec<SessionId> =
+            self.sessions.iter().filter(|(_, s)| s.link == i).map(|(id, _)| *id).collect();
+        gone.iter().for_each(|id| _ = self.sessions.remove(id));
+    }
+
+    fn stalled(&self, near: usize, link: usize) -> bool {
+        self.stalls.get(&(near, link)).is_some_and(|until| self.now < *until)
+    }
+
+    fn is_cut(&self, i: usize) -> bool {
+        self.cut.get(&i).is_some_and(|until| self.now < *until)
+    }
+
+    fn run(&mut self, span: Span) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += TICK;
+            self.meet();
+            self.deliver_frames();
+            self.deliver_links();
+            for i in 0..self.fars.len() {
+                self.far_tick(i);
+            }
+            for i in 0..self.nears.len() {
+                self.near_pull(i);
+                if self.busy && self.rng.random_bool(0.1) {
+                    self.ask(i);
+                }
+            }
+            self.check();
+        }
+    }
+
+    /// Holders that do not know each other find together.
+    fn meet(&mut self) {
+        let greetings: Vec<Option<Vec<u8>>> =
+            self.fars.iter().map(|f| f.as_ref().filter(|f| !f.stopped).map(|f| f.node.greeting())).collect();
+        if !self.now.as_micros().is_multiple_of(100_000) {
+            return;
+        }
+        for a in 0..self.fars.len() {
+            let cut: Vec<bool> = (0..self.fars.len()).map(|i| self.is_cut(i)).collect();
+            for b in (0..self.fars.len()).filter(|b| *b != a && !cut[a] && !cut[*b]) {
+                let now = self.now;
+                if let (Some(greeting), Some(end)) =
+                    (&greetings[b], self.fars[a].as_mut().filter(|f| !f.stopped))
+                {
+                    end.node.greeted(now, greeting).unwrap();
+                }
+            }
+        }
+    }
+
+    fn deliver_frames(&mut self) {
+        for _ in 0..self.frames.len() {
+            let Some((at, from, id, to, frame)) = self.frames.pop_front() else { return };
+            let stopped = self.fars[to].as_ref().is_some_and(|f| f.stopped);
+            if at > self.now || stopped {
+                self.frames.push_back((at, from, id, to, frame));
+            } else if let Some(end) = self.fars[to].as_mut() {
+                end.node.frame(self.now, from, id, &frame);
+            }
+        }
+    }
+
+    fn deliver_links(&mut self) {
+        for id in self.sessions.keys().copied().collect::<Vec<_>>() {
+            while let Some(msg) = self.due(id, true) {
+                self.far_hears(id, msg);
+            }
+            while let Some(msg) = self.due(id, false) {
+                self.near_hears(id, msg);
+            }
+        }
+    }
+
+    fn due(&mut self, id: SessionId, there: bool) -> Option<Msg> {
+        let session = self.sessions.get(&id)?;
+        if self.stalled(session.near, session.link)
+            || self.fars[session.link].as_ref().is_none_or(|f| f.stopped)
+        {
+            return None;
+        }
+        let now = self.now;
+        let session = self.sessions.get_mut(&id)?;
+        let queue = if there { &mut session.there } else { &mut session.back };
+        queue.pop_front_if(|(at, _)| *at <= now).map(|(_, msg)| msg)
+    }
+
+    fn post(&mut self, id: SessionId, there: bool, msg: Msg) {
+        let delay = Span::from_millis(self.rng.random_range(10..25));
+        let at = self.now + delay;
+        if let Some(session) = self.sessions.get_mut(&id) {
+            let queue = if there { &mut session.there } else { &mut session.back };
+            // In order, as on a stream.
+            let at = queue.back().map_or(at, |(last, _)| at.max(*last));
+            queue.push_back((at, msg));
+        }
+    }
+
+    fn far_hears(&mut self, id: SessionId, msg: Msg) {
+        let now = self.now;
+        let Some(session) = self.sessions.get(&id) else { return };
+        let (near, link) = (session.near, session.link);
+        let Some(end) = self.fars[link].as_mut() else { return };
+        match msg {
+            Msg::Hello(hello) => end.core.hello(now, id, &hello, true),
+            Msg::Request { number } => {
+                let path = ["near".to_owned()];
+                let asked = Asked { number, once: true, importance: 9, path: &path };
+                if let Some(call) = end.core.request(now, id, &asked) {
+                    end.requests.insert(call, (near, number));
+                }
+            }
+            Msg::Ask(ledger, numbers) => end.core.ask(now, id, ledger, &numbers),
+            Msg::Settle(below) => end.core.settle(id, below),
+            Msg::GiveUp(number) => end.core.gave_up(id, number),
+            Msg::Ping(number) => {
+                let (credit, leaving) = end.core.state();
+                self.post(id, false, Msg::Pong(number, credit, leaving));
+            }
+            _ => unreachable!("a near end does not say that"),
+        }
+    }
+
+    fn near_hears(&mut self, id: SessionId, msg: Msg) {
+        let now = self.now;
+        let Some(session) = self.sessions.get(&id) else { return };
+        let (n, link) = (session.near, session.link);
+        if self.of_link.get(&(n, link)) != Some(&id) {
+            return;
+        }
+        let near = &mut self.nears[n].0;
+        match msg {
+            Msg::Welcome(welcome) => near.connected(now, link, &welcome),
+            Msg::Taken(number) => _ = near.taken(now, number),
+            Msg::Answer(number, ending) => {
+                // What comes twice, or for one that is over, finds no hop.
+                if self.hops.contains(&(n, number)) {
+                    near.answered(now, link, number, 100.0);
+                    self.near_pull_with(n, Some((number, ending)));
+                }
+            }
+            Msg::Turned(number, why) => {
+                let end = if why == Turned::Forgotten { End::Lost } else { End::Turned };
+                near.turned(now, link, number, end);
+            }
+            Msg::Found(number, fate) => near.found(now, link, number, fate),
+            Msg::Pong(number, credit, leaving) => near.ponged(now, link, number, credit, leaving),
+            Msg::Ledger(ledger) => near.renamed(now, link, ledger),
+            _ => unreachable!("a far end does not say that"),
+        }
+        self.near_pull(n);
+    }
+
+    fn near_pull(&mut self, n: usize) {
+        self.near_pull_with(n, None);
+    }
+
+    fn near_pull_with(&mut self, n: usize, answer: Option<(u64, Ending)>) {
+        while let Some(act) = self.nears[n].0.poll(self.now) {
+            let on = |link: usize, of: &BTreeMap<(usize, usize), SessionId>| of.get(&(n, link)).copied();
+            match act {
+                Act::Dial { link } => self.dial(n, link),
+                Act::Drop { link } => {
+                    if let Some(id) = self.of_link.remove(&(n, link))
+                        && self.sessions.remove(&id).is_some()
+                        && let Some(end) = self.fars[link].as_mut()
+                    {
+                        end.core.broken(id);
+                    }
+                }
+                Act::Send { link, number, .. } => {
+                    if let Some(id) = on(link, &self.of_link) {
+                        self.post(id, true, Msg::Request { number });
+                    }
+                }
+                Act::GiveUp { link, number } => {
+                    if let Some(id) = on(link, &self.of_link) {
+                        self.post(id, true, Msg::GiveUp(number));
+                    }
+                }
+                Act::Ask { link, ledger, numbers } => {
+                    if let Some(id) = on(link, &self.of_link) {
+                        self.post(id, true, Msg::Ask(ledger, numbers));
+                    }
+                }
+                Act::Ping { link, number } => {
+                    if let Some(id) = on(link, &self.of_link) {
+                        self.post(id, true, Msg::Ping(number));
+                    }
+                }
+                Act::Settle { link, below } => {
+                    if let Some(id) = on(link, &self.of_link) {
+                        self.post(id, true, Msg::Settle(below));
+                    }
+                }
+                Act::Back { .. } => {}
+                Act::End { number, end } => {
+                    let ending = answer.filter(|a| a.0 == number).map(|a| a.1);
+                    self.hop_ended(n, number, end, ending);
+                }
+            }
+        }
+    }
+
+    fn dial(&mut self, near: usize, link: usize) {
+        if self.fars[link].as_ref().is_none_or(|f| f.stopped) || self.stalled(near, link) {
+            return;
+        }
+        self.next_session += 1;
+        let id = self.next_session;
+        let (there, back) = Default::default();
+        self.sessions.insert(id, Session { near, link, there, back });
+        self.of_link.insert((near, link), id);
+        let (core, run) = &self.nears[near];
+        let hello = wire::Hello {
+            version: wire::VERSION,
+            site: "near".to_owned(),
+            gateway: format!("n{near}"),
+            run: *run,
+            fresh: core.fresh(),
+        };
+        self.post(id, true, Msg::Hello(hello));
+    }
+
+    /// A client wants a book.
+    fn ask(&mut self, near: usize) {
+        self.ends.asked += 1;
+        self.books.push(Book { until: self.now + LIMIT, tries: 0, runs: 0, rejected: false, done: false });
+        self.hop(near, self.books.len() - 1);
+    }
+
+    fn hop(&mut self, near: usize, book: usize) {
+        let link = self.rng.random_range(0..self.fars.len());
+        let until = self.books[book].until;
+        self.books[book].tries += 1;
+        let want = Want { importance: 9, once: true, need: None, body: 10, until, wanted: until, path: &[] };
+        let number = self.nears[near].0.hop(self.now, link, &want);
+        self.origin.insert((near, number), book);
+        self.hops.insert((near, number));
+        self.open.insert(book);
+        self.near_pull(near);
+    }
+
+    /// The module's part: another hop where the one before has not run, and time is left.
+    fn hop_ended(&mut self, near: usize, number: u64, end: End, ending: Option<Ending>) {
+        if !self.hops.remove(&(near, number)) {
+            return;
+        }
+        let book = self.origin[&(near, number)];
+        let not_run = matches!(end, End::Down | End::Full | End::Loop | End::Turned | End::NeverTaken)
+            || end == End::Answered && matches!(ending, Some(Ending::Rejected { .. }));
+        if not_run {
+            self.not_run.insert((near, number));
+        }
+        if not_run && self.books[book].tries < 6 && self.now + Span::from_millis(300) < self.books[book].until
+        {
+            self.ends.again += 1;
+            return self.hop(near, book);
+        }
+        let one = &mut self.books[book];
+        if one.done {
+            self.broken.push(format!("book {book} is answered twice"));
+        }
+        (one.done, one.rejected) = (true, not_run);
+        self.open.remove(&book);
+        if self.now > one.until + GRACE {
+            self.broken.push(format!("book {book} is answered late"));
+        }
+        match ending {
+            _ if not_run => {
+                self.ends.rejected += 1;
+                if self.books[book].runs > 0 {
+                    self.broken.push(format!("book {book} is rejected by {end:?} and ran"));
+                }
+            }
+            Some(Ending::Served) => {
+                self.ends.served += 1;
+                if self.books[book].runs != 1 {
+                    self.broken
+                        .push(format!("book {book} is served and ran {} times", self.books[book].runs));
+                }
+            }
+            _ => self.ends.aborted += 1,
+        }
+    }
+
+    fn far_tick(&mut self, i: usize) {
+        let now = self.now;
+        let Some(end) = self.fars[i].as_mut().filter(|f| !f.stopped) else { return };
+        end.node.tick(now);
+        let over: Vec<(Call, bool)> =
+            end.runs.iter().filter(|(_, r)| r.0 <= now).map(|(c, r)| (*c, r.1)).collect();
+        for (call, ran) in over {
+            end.runs.remove(&call);
+            let ending = if ran { Ending::Served } else { Ending::Rejected { come_back: None } };
+            let told = end.core.ended(now, call, &Arc::new(Answer { ending, body: Vec::new() }));
+            assert!(told.is_none(), "nothing is told before it is copied");
+        }
+        self.node_pull(i);
+        self.far_pull(i);
+    }
+
+    fn node_pull(&mut self, i: usize) {
+        let now = self.now;
+        loop {
+            let Some(end) = self.fars[i].as_mut() else { return };
+            let id = end.node.id();
+            match end.node.poll() {
+                None => return,
+                Some(Out::Send { holder, frame, .. }) => {
+                    let lost = self.is_cut(i) || self.is_cut(holder);
+                    if !lost && !self.rng.random_bool(0.002) {
+                        let late = self.rng.random_bool(0.001);
+                        let delay = if late { self.rng.random_range(1_000..30_000) } else { 1 };
+                        self.frames.push_back((now + Span::from_millis(delay), i, id, holder, frame));
+                    }
+                }
+                Some(Out::Ledger { group, ledger }) => {
+                    let node = &end.node;
+                    end.core.kept_by(now, ledger, |sender| node.group_of(sender) == group);
+                }
+                Some(Out::Told(told)) => self.told(i, told.ask, told.result),
+                Some(Out::Write { .. }) => unreachable!("no disk here"),
+            }
+        }
+    }
+
+    fn told(&mut self, i: usize, ask: u64, result: Result<Outcome, Failed>) {
+        let now = self.now;
+        let Some(end) = self.fars[i].as_mut() else { return };
+        let Some(why) = end.asks.remove(&ask) else { return };
+        match why {
+            Why::Greet(session, group) => {
+                let known = result == Ok(Outcome::Greeted(true));
+                let ledger = end.node.ledger(group).filter(|_| known);
+                end.core.greeted(now, session, ledger);
+            }
+            Why::Take(call, asked) => {
+                let taken = match result {
+                    Ok(Outcome::Go) if now - asked < Span::from_millis(1_000) => Taken::Go,
+                    Ok(Outcome::Running) => Taken::Running,
+                    Ok(Outcome::Ended(answer)) => Taken::Ended(answer),
+                    Ok(Outcome::Unknown) => Taken::Unknown,
+                    _ => Taken::Never,
+                };
+                end.core.taken(now, call, taken);
+            }
+            Why::End(Some(call)) => end.core.copied(now, call, result == Ok(Outcome::Noted)),
+            Why::Find(session, what) => {
+                let found = match result {
+                    Ok(Outcome::NeverTaken) => Some(Found::NeverTaken),
+                    Ok(Outcome::Running) => Some(Found::Running),
+                    Ok(Outcome::Ended(answer)) => Some(Found::Ended(answer)),
+                    Ok(_) => Some(Found::Unknown),
+                    Err(_) => None,
+                };
+                end.core.found(now, session, what, found);
+            }
+            Why::End(None) | Why::Settle => {}
+        }
+    }
+
+    fn question(&mut self, i: usize, sender: u64, word: Word, why: impl FnOnce(u32) -> Why) {
+        let now = self.now;
+        let Some(end) = self.fars[i].as_mut() else { return };
+        let group = end.node.group_of(sender);
+        let ask = end.node.ask(now, group, 9, word);
+        end.asks.insert(ask, why(group));
+    }
+
+    fn far_pull(&mut self, i: usize) {
+        let now = self.now;
+        while let Some(todo) = self.fars[i].as_mut().and_then(|f| f.core.poll(now)) {
+            match todo {
+                Do::Welcome { session, credit, leaving, ledger } => {
+                    let ledger = ledger.unwrap_or(1 + i as u64);
+                    let welcome = Welcome { ledger, credit, leaving, recalls: true };
+                    self.post(session, false, Msg::Welcome(welcome));
+                }
+                Do::Refuse { session, why } => panic!("{session} is refused: {why}"),
+                Do::Run { call, session, number } => {
+                    self.send_on(i, call);
+                    if let Some(session) = session {
+                        self.post(session, false, Msg::Taken(number));
+                    }
+                }
+                Do::Joined { session, number } => self.post(session, false, Msg::Taken(number)),
+                Do::Tell { session, number, answer } => {
+                    self.post(session, false, Msg::Answer(number, answer.ending));
+                }
+                Do::Turn { session, number, why } => self.post(session, false, Msg::Turned(number, why)),
+                Do::Say { session, number, fate } => self.post(session, false, Msg::Found(number, fate)),
+                Do::Forget { call } => {
+                    if let Some(end) = self.fars[i].as_mut() {
+                        end.requests.remove(&call);
+                    }
+                }
+                Do::HangUp { call } => {
+                    // What is at the store runs there all the same.
+                    let Some(end) = self.fars[i].as_mut() else { return };
+                    end.runs.remove(&call);
+                    end.core.ended(
+                        now,
+                        call,
+                        &Arc::new(Answer { ending: Ending::Aborted, body: Vec::new() }),
+                    );
+                }
+                Do::Leaving { .. } | Do::Write { .. } => {}
+                Do::Renamed { session, ledger } => self.post(session, false, Msg::Ledger(ledger)),
+                Do::Greet { session, sender, fresh } => {
+                    let word = Word::Greet(Greet { sender, fresh });
+                    self.question(i, sender, word, |group| Why::Greet(session, group));
+                }
+                Do::Take { call, key, .. } => {
+                    self.question(i, key.sender, Word::take(key), |_| Why::Take(call, now));
+                }
+                Do::End { call, key, answer, of } => {
+                    self.question(i, key.sender, Word::end(key, &answer, of), |_| Why::End(call));
+                }
+                Do::Find { session, key, of } => {
+                    self.question(i, key.sender, Word::find(key, of), |_| Why::Find(session, (key, of)));
+                }
+                Do::Settle { sender, below } => {
+                    let word = Word::Settle(Number { sender, number: below });
+                    self.question(i, sender, word, |_| Why::Settle);
+                }
+            }
+            self.node_pull(i);
+        }
+    }
+
+    /// A far gateway sends a book on to the store, where it runs; a few are turned away before that.
+    fn send_on(&mut self, i: usize, call: Call) {
+        let (ran, took) = (self.rng.random_bool(0.97), Span::from_millis(self.rng.random_range(20..90)));
+        let at = self.now + took;
+        let Some(end) = self.fars[i].as_mut() else { return };
+        let Some(of) = end.requests.remove(&call) else { return };
+        end.runs.insert(call, (at, ran));
+        if !ran {
+            return;
+        }
+        let Some(&book) = self.origin.get(&of) else { return };
+        let one = &mut self.books[book];
+        one.runs += 1;
+        if one.runs > 1 {
+            self.broken.push(format!("book {book} runs again"));
+        }
+        if one.rejected || self.not_run.contains(&of) {
+            self.broken.push(format!("book {book} runs after it was called not run"));
+        }
+    }
+
+    fn check(&mut self) {
+        let late = |book: &usize| self.now > self.books[*book].until + GRACE;
+        for book in self.open.iter().filter(|b| late(b)) {
+            self.broken.push(format!("book {book} has no answer at its limit"));
+        }
+        assert!(self.broken.is_empty(), "{:#?}", &self.broken[..self.broken.len().min(4)]);
+    }
+
+    fn leader(&self) -> Option<usize> {
+        let leads = |f: &FarEnd| (0..2).any(|g| f.node.member(g).is_some_and(|m| m.ready()));
+        self.fars.iter().position(|f| f.as_ref().is_some_and(leads))
+    }
+}
+
+/// A day of one trouble after the other; with how many books ended how.
+fn day(seed: u64, rounds: usize) -> Ends {
+    let (nears, fars) = (2, 5);
+    let mut world = World::new(nears, fars, seed);
+    world.busy = false;
+    world.run(Span::from_millis(6_000));
+    world.busy = true;
+    for _ in 0..rounds {
+        let any = world.rng.random_range(0..fars);
+        let one = if world.rng.random_bool(0.5) { world.leader().unwrap_or(any) } else { any };
+        let lasts = Span::from_millis(world.rng.random_range(100..5_000));
+        let until = world.now + lasts;
+        match world.rng.random_range(0..7) {
+            0 | 1 => {
+                world.kill(one);
+                world.run(lasts);
+                world.start(one);
+            }
+            2 => {
+                world.fars[one].iter_mut().for_each(|f| f.stopped = true);
+                world.run(lasts);
+                world.fars[one].iter_mut().for_each(|f| f.stopped = false);
+            }
+            3 => _ = world.cut.insert(one, until),
+            4 => {
+                // A link stalls, and the machine behind it is lost meanwhile.
+                let near = world.rng.random_range(0..nears);
+                world.stalls.insert((near, one), until);
+                world.run(lasts * 0.3);
+                world.kill(one);
+                world.run(lasts * 0.3);
+                world.start(one);
+            }
+            5 => {
+                (0..nears).for_each(|near| _ = world.stalls.insert((near, one), until));
+                world.run(lasts);
+            }
+            _ => {
+                let other = (one + 1) % fars;
+                world.kill(one);
+                world.kill(other);
+                world.run(lasts * 0.5);
+                world.start(one);
+                world.start(other);
+            }
+        }
+        let rest = Span::from_millis(world.rng.random_range(200..3_000));
+        world.run(rest);
+    }
+    world.busy = false;
+    world.run(Span::from_millis(12_000));
+    world.ends
+}
+
+#[test]
+fn books_over_links_and_copies_run_once_at_most_and_each_has_its_answer() {
+    let seeds = std::env::var("COPIES_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(8);
+    let first = std::env::var("COPIES_FIRST").ok().and_then(|n| n.parse().ok()).unwrap_or(0);
+    let mut all = Ends::default();
+    for seed in first..first + seeds {
+        println!("seed {seed}");
+        let ends = day(seed, 12);
+        assert_eq!(ends.asked, ends.served + ends.rejected + ends.aborted);
+        for (sum, n) in [
+            (&mut all.asked, ends.asked),
+            (&mut all.served, ends.served),
+            (&mut all.rejected, ends.rejected),
+            (&mut all.aborted, ends.aborted),
+            (&mut all.again, ends.again),
+        ] {
+            *sum += n;
+        }
+    }
+    println!("{all:?}");
+    assert!(all.served as f64 > all.asked as f64 * 0.8, "{all:?}");
+}
--- a/copies/tests/model.rs
+++ b/copies/tests/model.rs
@@ -100,6 +100,30 @@
     net.assert_sound();
 }
 
+/// A planned end: the leader hands over before it goes, and nobody is without one for longer than a word takes.
+#[test]
+fn a_leader_that_leaves_hands_over_first_and_is_replaced() {
+    let mut net = Net::new(6, 3, 1, 6, 5);
+    net.run(ms(10_000));
+    for _ in 0..3 {
+        let leader = net.leader(0).unwrap();
+        net.leaderless.clear();
+        net.leave(leader);
+        net.run(ms(700));
+        assert_ne!(net.leader(0), Some(leader), "{}", net.state());
+        net.end(leader);
+        net.run(ms(3_000));
+        assert!(net.all_led(), "{}", net.state());
+        let gap = net.leaderless.iter().max().copied().unwrap_or_default();
+        assert!(gap < ms(50), "{gap:?}");
+        net.start(leader);
+        net.run(ms(6_000));
+        assert_eq!(net.voters(0).len(), 3);
+    }
+    assert_eq!(net.ends.aborted, 0, "{:?}", net.ends);
+    net.assert_sound();
+}
+
 /// Two halves that know nothing of each other have each a ledger: what one has taken the other never calls never taken,
 /// and when they meet one gives way.
 #[test]
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -160,6 +160,9 @@
     groups: u32,
     #[arg(long, default_value_t = 3)]
     zones: usize,
+    /// Copies bring endings to a disk, too.
+    #[arg(long)]
+    disk: bool,
     /// A far machine is lost with its disk about each so many seconds, for so long; 0: none.
     #[arg(long, default_value_t = 20.0)]
     lose_every: f64,
@@ -218,7 +221,9 @@
         KeptBy::None => Ledger::None,
         KeptBy::Memory => Ledger::Memory,
         KeptBy::Disk => Ledger::Disk,
-        KeptBy::Copies => Ledger::Copies { copies: day.copies, groups: day.groups, zones: day.zones },
+        KeptBy::Copies => {
+            Ledger::Copies { copies: day.copies, groups: day.groups, zones: day.zones, disk: day.disk }
+        }
     };
     let options = Options {
         nears,
--- a/rig/src/sites.rs
+++ b/rig/src/sites.rs
@@ -51,6 +51,7 @@
         copies: usize,
         groups: u32,
         zones: usize,
+        disk: bool,
     },
 }
 
@@ -436,12 +437,18 @@
     all
 }
 
+/// Where a far gateway that keeps copies has its notes.
+fn notes(o: &Options, i: usize) -> PathBuf {
+    o.folder.join(format!("far-{i}-notes"))
+}
+
 fn copies_file(o: &Options, i: usize) -> Option<Value> {
-    let Ledger::Copies { copies, groups, zones } = o.ledger else { return None };
+    let Ledger::Copies { copies, groups, zones, disk } = o.ledger else { return None };
+    let disk = disk.then(|| notes(o, i));
     let holder = |i: usize| json!({"name": format!("far-{i}"), "address": switch::reached(i).to_string(), "zone": format!("z{}", i % zones.max(1))});
     Some(json!({
         "gateway": format!("far-{i}"), "listen": switch::own(i).to_string(), "copies": copies, "groups": groups,
-        "holders": (0..o.fars).map(holder).collect::<Vec<_>>(),
+        "holders": (0..o.fars).map(holder).collect::<Vec<_>>(), "disk": disk,
     }))
 }
 
@@ -594,7 +601,9 @@
                     far.kill();
                     if *what != What::KillFar {
                         self.wiped += 1;
+                        // There is none where the ledger is not kept on a disk.
                         far.disk.iter().for_each(|disk| _ = std::fs::remove_file(disk));
+                        _ = std::fs::remove_dir_all(notes(o, i));
                     }
                 }
                 What::KillFar | What::WipeFar | What::WipeLeader(_) => {
