--- a/copies/tests/common/mod.rs
+++ b/copies/tests/common/mod.rs
@@ -97,6 +97,8 @@
     pub node: Option<Node>,
     pub stopped: bool,
     leaving: bool,
+    /// Its clock is that much ahead of the others'.
+    pub ahead: Span,
     starts: u64,
     waits: BTreeMap<u64, (Why, Time)>,
     /// Books that it runs, for a sender that waits for it, and the ledger that took each.
@@ -183,6 +185,7 @@
             node: None,
             stopped: false,
             leaving: false,
+            ahead: Span::ZERO,
             starts: 0,
             waits: BTreeMap::new(),
             runs: BTreeMap::new(),
@@ -234,7 +237,7 @@
         place.starts += 1;
         let id = 1_000 * (i as u64 + 1) + if self.without.new_id { 0 } else { place.starts };
         let seed = self.rng.random();
-        place.node = Node::new(&self.files[i], id, seed, self.now);
+        place.node = Node::new(&self.files[i], id, seed, self.now + place.ahead);
         let notes = place.disk.clone();
         place.node.as_mut().expect("it is among the holders").recover(notes);
         (place.stopped, place.leaving, place.wake) = (false, false, self.now);
@@ -357,9 +360,9 @@
     }
 
     fn tell<T>(&mut self, i: usize, what: impl FnOnce(&mut Node, Time) -> T) -> Option<T> {
-        let now = self.now;
+        let (now, ahead) = (self.now, self.all[i].ahead);
         let node = self.all[i].node.as_mut()?;
-        let given = what(node, now);
+        let given = what(node, now + ahead);
         self.steps += 1;
         let (mut outs, id) = (Vec::new(), node.id());
         while let Some(out) = node.poll() {
@@ -368,7 +371,8 @@
         if let Err(why) = node.check_rules() {
             self.broken.push(why);
         }
-        self.all[i].wake = self.all[i].node.as_ref().map_or(now, |n| n.next_wake()).max(now + ms(1));
+        let wake = self.all[i].node.as_ref().map_or(now, |n| n.next_wake().back(ahead));
+        self.all[i].wake = wake.max(now + ms(1));
         for out in outs {
             match out {
                 Out::Send { holder, frame, image } => self.send(i, id, holder, frame, image),
@@ -490,11 +494,11 @@
     }
 
     fn ask(&mut self, at: usize, sender: u64, importance: u32, word: Word, why: Why) {
-        let now = self.now;
+        let (now, ahead) = (self.now, self.all[at].ahead);
         // The number is known before anything can come of it.
         let asked = self.all[at].node.as_mut().map(|node| {
             let group = node.group_of(sender);
-            node.ask(now, group, importance, word)
+            node.ask(now + ahead, group, importance, word)
         });
         if let Some(ask) = asked {
             self.all[at].waits.insert(ask, (why, now));
@@ -687,6 +691,10 @@
         let waits = self.senders[s].book.is_some_and(|b| b.number == key.number && b.at == i && !b.asking);
         match result {
             Ok(Outcome::Go) => {
+                let group = self.all[i].node.as_ref().map_or(0, |n| n.group_of(key.sender));
+                if self.leader(group).is_some() && self.voters(group).len() < 2 {
+                    self.broken.push(format!("{key:?} is promised by one alone"));
+                }
                 let in_time = self.now - asked < ms(1_000);
                 if self.without.copied_first {
                     return;
@@ -738,9 +746,10 @@
 
     /// Groups that a leader says are ready, as every live gateway sees it.
     pub fn all_led(&self) -> bool {
-        let live = || self.all.iter().filter(|p| !p.stopped).filter_map(|p| p.node.as_ref());
+        let mut live =
+            self.all.iter().filter(|p| !p.stopped).filter_map(|p| Some((p.node.as_ref()?, p.ahead)));
         let groups = self.files[0].groups;
-        live().all(|n| (0..groups).all(|g| n.has_majority(self.now, g)))
+        live.all(|(n, ahead)| (0..groups).all(|g| n.has_majority(self.now + ahead, g)))
     }
 
     /// How many vote in a group, by its leader.
@@ -759,7 +768,8 @@
         let mut out = String::new();
         for (i, place) in self.all.iter().enumerate() {
             let Some(node) = &place.node else { continue };
-            let sees: Vec<bool> = (0..self.files[0].groups).map(|g| node.has_majority(self.now, g)).collect();
+            let sees: Vec<bool> =
+                (0..self.files[0].groups).map(|g| node.has_majority(self.now + place.ahead, g)).collect();
             out += &format!(
                 "g{i} run {} stopped {} sees {sees:?} {:?}\n",
                 node.id(),
--- a/copies/tests/composed.rs
+++ b/copies/tests/composed.rs
@@ -111,6 +111,8 @@
     /// The session on each near end's link.
     of_link: BTreeMap<(usize, usize), SessionId>,
     next_session: SessionId,
+    /// Sessions that their near ends have left, and when the far ones see it.
+    left: Vec<(Time, SessionId)>,
     frames: VecDeque<(Time, usize, u64, usize, Vec<u8>)>,
     /// Until when a link stalls, and a far gateway is cut off from the others.
     stalls: BTreeMap<(usize, usize), Time>,
@@ -145,6 +147,7 @@
             sessions: BTreeMap::new(),
             of_link: BTreeMap::new(),
             next_session: 0,
+            left: Vec::new(),
             frames: VecDeque::new(),
             stalls: BTreeMap::new(),
             cut: BTreeMap::new(),
@@ -243,6 +246,16 @@
     }
 
     fn deliver_links(&mut self) {
+        let now = self.now;
+        for (_, id) in self.left.extract_if(.., |(at, _)| *at <= now).collect::<Vec<_>>() {
+            let link = self.sessions.get(&id).map(|s| s.link);
+            let up = link.is_some_and(|l| self.fars[l].as_ref().is_some_and(|f| !f.stopped));
+            if link.is_some() && !up {
+                self.left.push((now + TICK, id));
+            } else if let Some(end) = self.sessions.remove(&id).and_then(|s| self.fars[s.link].as_mut()) {
+                end.core.broken(id);
+            }
+        }
         for id in self.sessions.keys().copied().collect::<Vec<_>>() {
             while let Some(msg) = self.due(id, true) {
                 self.far_hears(id, msg);
@@ -342,11 +355,10 @@
             match act {
                 Act::Dial { link } => self.dial(n, link),
                 Act::Drop { link } => {
-                    if let Some(id) = self.of_link.remove(&(n, link))
-                        && self.sessions.remove(&id).is_some()
-                        && let Some(end) = self.fars[link].as_mut()
-                    {
-                        end.core.broken(id);
+                    // What is on its way, or lies at a stopped machine, is heard there all the same.
+                    if let Some(id) = self.of_link.remove(&(n, link)) {
+                        let lasts = Span::from_millis(self.rng.random_range(50..6_000));
+                        self.left.push((self.now + lasts, id));
                     }
                 }
                 Act::Send { link, number, .. } => {
--- a/copies/tests/model.rs
+++ b/copies/tests/model.rs
@@ -100,6 +100,31 @@
     net.assert_sound();
 }
 
+/// Clocks an hour apart, and the leader lost again and again: the group's time goes on, and what is kept is kept.
+#[test]
+fn gateways_an_hour_apart_agree() {
+    let mut net = Net::new(5, 3, 1, 4, 6);
+    (0..5).for_each(|i| net.kill(i));
+    for i in 0..5 {
+        net.all[i].ahead = ms(3_600_000 * (i as u64 % 3));
+        net.start(i);
+    }
+    net.run(ms(8_000));
+    for _ in 0..4 {
+        let leader = net.leader(0).unwrap();
+        net.kill(leader);
+        net.run(ms(2_000));
+        net.start(leader);
+        net.run(ms(5_000));
+    }
+    net.busy = false;
+    net.run(ms(1_000));
+    let (found, all) = net.probe();
+    assert!(found == all && all > 3, "{found} of {all}");
+    assert!(net.ends.served > 500, "{:?}", net.ends);
+    net.assert_sound();
+}
+
 /// A planned end: the leader hands over before it goes, and nobody is without one for longer than a word takes.
 #[test]
 fn a_leader_that_leaves_hands_over_first_and_is_replaced() {
--- a/rig/src/report.rs
+++ b/rig/src/report.rs
@@ -88,8 +88,13 @@
     writes: BTreeMap<u64, End>,
     pub broken: Broken,
     pub bytes: u64,
+    /// The first txns without an answer at their limit: when they were asked, their rule, and how long that took.
+    over: Vec<(f64, &'static str, f64)>,
 }
 
+/// So many of those are named.
+const MOST_NAMED: usize = 200;
+
 impl Report {
     pub fn new(rules: &[Rule]) -> Report {
         let count = |_: &Rule| Count {
@@ -109,12 +114,16 @@
             writes: BTreeMap::new(),
             broken: Broken::default(),
             bytes: 0,
+            over: Vec::new(),
         }
     }
 
     /// A txn asked at a second of the run, its end, and how long that took from its last byte. `sla` in seconds.
     pub fn ended(&mut self, rule: usize, trace: u64, at: f64, sla: f64, end: End, took: f64) {
         let (r, count) = (self.rules[rule], &mut self.counts[rule]);
+        if took > r.limit && self.over.len() < MOST_NAMED {
+            self.over.push((at, r.name, took));
+        }
         count.asked += 1;
         let micros = ((took * 1e6) as u64).clamp(1, 120_000_000);
         let in_time = end == End::Served && took <= sla;
@@ -187,7 +196,7 @@
         json!({
             "rules": rules, "broken": self.broken, "served_in_time": self.share(0, self.seconds.len()),
             "goodput_kb_per_s": self.bytes as f64 / 1024.0 / (self.seconds.len().max(1) as f64),
-            "seconds": self.seconds,
+            "seconds": self.seconds, "over_their_limit": self.over,
         })
     }
 
