Near ends of links: a link on trial no longer makes the core ask to be called without end

Seen: in two minutes with 3 near and 6 far gateways a near gateway stopped answering: 14 txns without an answer, no counters on SIGUSR1, all its links given up as silent. A stack taken while it ran a whole core stood in keep_time's sleep. Ruled out: the machine's load (three idle cores), the copies (the run kept its ledgers in memory). At fault: Near::next_wake in sites/src/near.rs gave the time of the next step for a link on trial, too, which only a link that is up takes; its time lay in the past, the sleep was over at once, and the task never gave way to the one that reads. Mended there; hosts also sleep for a millisecond at the least. A case fails without it, and the model checks the rule.

--- a/gateway/src/sites.rs
+++ b/gateway/src/sites.rs
@@ -15,8 +15,8 @@
 use async_channel::{Receiver, Sender};
 use copies::Copies;
 use far::Door;
-use kelpcart::Time;
 use kelpcart::interface::{Member, MemberId, MemberState};
+use kelpcart::{Span, Time};
 use kelpcart_sites::quic::{self, Endpoint, SendStream};
 use kelpcart_sites::settings::{Sites, Stands};
 use near::Ways;
@@ -26,6 +26,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+/// Between two calls of a core by its clock.
+const LEAST_SLEEP: Span = Span::from_millis(1);
+
 /// What the fronts and carriers of the process share.
 #[derive(Clone)]
 pub struct Means {
--- a/gateway/src/sites/copies.rs
+++ b/gateway/src/sites/copies.rs
@@ -2,7 +2,7 @@
 //! directions, and questions of the far end to groups. Owns no decision: who keeps what, who leads and what may be
 //! promised is decided by the core in `kelpcart-copies`. Nothing of it runs unless `KELPCART_COPIES` names a file.
 
-use super::{Means, fresh_number};
+use super::{LEAST_SLEEP, Means, fresh_number};
 use async_channel::{Receiver, Sender};
 use event_listener::Event as Woken;
 use futures_lite::future;
@@ -31,7 +31,6 @@
 const SLICE: usize = 64 * 1024;
 /// Frames in one write.
 const AT_ONCE: usize = 64;
-const LEAST_SLEEP: Span = Span::from_millis(1);
 /// Images on their way to one holder.
 const MOST_IMAGES: usize = 2;
 
--- a/gateway/src/sites/far.rs
+++ b/gateway/src/sites/far.rs
@@ -3,7 +3,7 @@
 //! answer one twice.
 
 use super::copies::{Copies, Heard};
-use super::{Frame, Means, fresh_number, write_frames};
+use super::{Frame, LEAST_SLEEP, Means, fresh_number, write_frames};
 use crate::buffers::Body;
 use crate::counters::Held;
 use crate::seam::{Ask, Caller, Event};
@@ -145,7 +145,7 @@
         loop {
             self.tell(|_, _| ());
             let poked = self.poke.listen();
-            let wake = self.core.borrow().next_wake();
+            let wake = self.core.borrow().next_wake().max(self.means.clock.now() + LEAST_SLEEP);
             self.means.clock.by(wake, poked).await;
         }
     }
--- a/gateway/src/sites/near.rs
+++ b/gateway/src/sites/near.rs
@@ -1,7 +1,7 @@
 //! The near end of links on sockets: dials, writes requests, reads answers and tells the core what happens. Must never
 //! end a hop by itself: each ends by the core's word, once.
 
-use super::{Frame, Means, fresh_number, write_frames};
+use super::{Frame, LEAST_SLEEP, Means, fresh_number, write_frames};
 use crate::end::End as Ends;
 use crate::seam::{Ended, Event, Job};
 use async_channel::Sender;
@@ -111,7 +111,8 @@
         loop {
             self.pull();
             let poked = self.poke.listen();
-            let wake = self.core.borrow().next_wake();
+            // Whatever the core asks for, the others of the process have their turn.
+            let wake = self.core.borrow().next_wake().max(self.means.clock.now() + LEAST_SLEEP);
             _ = self.means.clock.by(wake, poked).await;
         }
     }
--- a/sites/src/near.rs
+++ b/sites/src/near.rs
@@ -788,7 +788,10 @@
                 if let Phase::Suspected(since) = phase {
                     at = at.min(since + self.limits.dark_after());
                 } else {
-                    at = at.min(l.next_step);
+                    // Only a link that is up takes steps: a trial has nothing to wait for there.
+                    if phase == Phase::Up {
+                        at = at.min(l.next_step);
+                    }
                     let owed = l.owed.map(|since| since + l.rtt.timeout() * SUSPECTED_AFTER);
                     at = owed.map_or(at, |owed| at.min(owed));
                 }
--- a/sites/tests/cases.rs
+++ b/sites/tests/cases.rs
@@ -209,6 +209,28 @@
     assert!(last > 0.95, "{last}");
 }
 
+/// A host that calls the core whenever it asks for that would do nothing else.
+#[test]
+fn a_link_on_trial_does_not_ask_to_be_called_at_once() {
+    let mut near = near();
+    let mut now = 0;
+    // Owed a sign of life until it is suspected, then one comes in time.
+    while near.view(0).phase == Phase::Up {
+        now += 10;
+        acts(&mut near, now);
+    }
+    while !matches!(near.view(0).phase, Phase::Trial(_)) {
+        now += 10;
+        pong(&mut near, now, now + 5);
+        assert!(now < 60_000, "{:?}", near.view(0));
+    }
+    now += 3_000;
+    near.heard(at(now), 0);
+    acts(&mut near, now);
+    assert!(matches!(near.view(0).phase, Phase::Trial(_)), "{:?}", near.view(0));
+    assert!(near.next_wake() > at(now), "{:?}", near.next_wake());
+}
+
 #[test]
 fn gateways_do_not_come_back_at_one_moment() {
     let first_try = |seed| {
--- a/sites/tests/model.rs
+++ b/sites/tests/model.rs
@@ -608,6 +608,7 @@
 
     fn check(&mut self) {
         for near in &self.nears {
+            assert!(near.core.next_wake() > self.now, "it has been called, and asks to be called at once");
             for link in 0..FARS {
                 let view = near.core.view(link);
                 assert!(view.queued <= QUEUE && (0.0..=1.0).contains(&view.part));
