--- a/copies/src/heal.rs
+++ b/copies/src/heal.rs
@@ -176,11 +176,12 @@
         up > all / 2
     };
     // A learner that is gone, or whose place was lost meanwhile, stands in the way.
-    if let Some(gone) = learners.iter().find(|l| standing(l) >= Standing::Absent) {
+    let no_use = |s: Standing| s >= Standing::Absent || s == Standing::Leaving;
+    if let Some(gone) = learners.iter().find(|l| no_use(standing(l))) {
         return Some(Step::Remove { id: gone.id });
     }
     let worst = voters.iter().filter(|v| v.id != me).max_by_key(|v| (standing(v), v.id));
-    let replaced = worst.filter(|v| standing(v) >= Standing::Absent || standing(v) == Standing::Leaving);
+    let replaced = worst.filter(|v| no_use(standing(v)));
     let usable = |i: usize| {
         let h = &heard[i];
         h.id.is_some() && !h.leaving && now - h.at < limits.silent
@@ -205,6 +206,12 @@
         }
         return safe(instead_of, 1).then_some(Step::Promote { id: ready.id, instead_of });
     }
+    if voters.len() > limits.copies && learners.is_empty() {
+        // More than are wanted, since the file says less than it did.
+        let others = voters.iter().filter(|v| v.id != me);
+        let spare = others.max_by_key(|v| (standing(v), !wanted.contains(&v.holder), v.id));
+        return spare.filter(|v| safe(Some(v.id), 0)).map(|v| Step::Remove { id: v.id });
+    }
     if learners.is_empty() {
         let candidate = wanted.iter().copied().find(|&i| usable(i) && !has(i));
         let missing = voters.len() < limits.copies || replaced.is_some();
@@ -234,3 +241,161 @@
     let better = leads_best.filter(|v| leaving || settled && place(v.holder) < place(mine.holder));
     better.map(|v| Step::Lead { id: v.id })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use quickcheck::{Arbitrary, Gen, quickcheck};
+    use std::collections::BTreeSet;
+
+    /// Nine holders in three zones, some members of a group among them, in any state.
+    #[derive(Clone, Debug)]
+    struct Case {
+        five: bool,
+        /// By holder: whether it is a voter, a learner or none, and how it is heard.
+        holders: Vec<(u8, u8, bool)>,
+        me: usize,
+    }
+
+    impl Arbitrary for Case {
+        fn arbitrary(g: &mut Gen) -> Case {
+            let holder = |g: &mut Gen| (u8::arbitrary(g) % 4, u8::arbitrary(g) % 8, bool::arbitrary(g));
+            Case {
+                five: bool::arbitrary(g),
+                holders: (0..9).map(|_| holder(g)).collect(),
+                me: usize::arbitrary(g) % 9,
+            }
+        }
+    }
+
+    const NOW: Time = Time::from_micros(100_000_000);
+
+    /// The states of a holder: 0 to 4 sound, 5 leaving, 6 silent for long, 7 started anew.
+    fn view(case: &Case) -> (Vec<Holder>, Vec<Seen>, Vec<Heard>) {
+        let (mut holders, mut members, mut heard) = (Vec::new(), Vec::new(), Vec::new());
+        for (i, &(role, state, close)) in case.holders.iter().enumerate() {
+            let address = ([127, 0, 0, 1], 1_000 + i as u16).into();
+            holders.push(Holder { name: format!("g{i}"), address, zone: format!("z{}", i % 3) });
+            let me = i == case.me;
+            let (run, id) = (100 + i as u64, 200 + i as u64);
+            if me || role < 2 {
+                members.push(Seen { id, run, holder: i, voter: me || role == 0, close: me || close });
+            }
+            let quiet = if state == 6 && !me { 60_000 } else { 0 };
+            let mut one = Heard::new(
+                Some(if state == 7 && !me { run + 50 } else { run }),
+                NOW.back(Span::from_millis(quiet)),
+            );
+            one.leaving = state == 5;
+            heard.push(one);
+        }
+        (holders, members, heard)
+    }
+
+    fn step(case: &Case) -> (Vec<Seen>, Option<Step>) {
+        let (holders, members, heard) = view(case);
+        let order = place::order(&holders, 1);
+        let limits = Limits {
+            copies: if case.five { 5 } else { 3 },
+            absent: Span::from_millis(8_000),
+            between: Span::from_millis(1_000),
+            silent: Span::from_millis(1_500),
+        };
+        let mut healer = Healer::default();
+        healer.leads(NOW.back(Span::from_millis(90_000)));
+        let (now, group, me) = (NOW, 1, 200 + case.me as u64);
+        let view = View {
+            now,
+            group,
+            me,
+            limits: &limits,
+            holders: &holders,
+            order: &order,
+            members: &members,
+            heard: &heard,
+        };
+        let first = healer.next(&view);
+        assert!(first.is_none() || healer.next(&view).is_none(), "one step at a time");
+        (members, first)
+    }
+
+    fn lost(case: &Case, m: &Seen) -> bool {
+        m.holder != case.me && matches!(case.holders[m.holder].1, 6 | 7)
+    }
+
+    quickcheck! {
+        fn a_majority_is_heard_after_each_step(case: Case) -> bool {
+            let (mut members, step) = step(&case);
+            let voters = |all: &[Seen]| all.iter().filter(|m| m.voter).count();
+            let before = voters(&members);
+            match step {
+                Some(Step::Promote { id, instead_of }) => {
+                    members.iter_mut().filter(|m| m.id == id).for_each(|m| m.voter = true);
+                    members.retain(|m| Some(m.id) != instead_of);
+                }
+                Some(Step::Remove { id }) => members.retain(|m| m.id != id),
+                _ => return true,
+            }
+            let up = members.iter().filter(|m| m.voter && !lost(&case, m)).count();
+            // A step that leaves the voters as they are harms nothing; another one needs a majority that is heard.
+            let same = matches!(step, Some(Step::Remove { .. })) && voters(&members) == before;
+            same || up > voters(&members) / 2
+        }
+
+        fn the_leader_stays_a_member_and_nobody_lost_is_let_in_or_made_to_lead(case: Case) -> bool {
+            let (members, step) = step(&case);
+            let me = 200 + case.me as u64;
+            let sound = |id: u64| members.iter().any(|m| m.id == id && !lost(&case, m));
+            match step {
+                None => true,
+                Some(Step::Learn { run, holder }) => {
+                    run == 100 + holder as u64 + if case.holders[holder].1 == 7 { 50 } else { 0 }
+                        && case.holders[holder].1 != 6
+                }
+                Some(Step::Promote { id, instead_of }) => sound(id) && instead_of != Some(me),
+                Some(Step::Remove { id }) => id != me,
+                Some(Step::Lead { id }) => id != me && sound(id) && members.iter().any(|m| m.id == id && m.voter),
+            }
+        }
+
+        /// Followed step by step, a group with a majority comes to its wanted size on holders that are sound.
+        fn a_group_heals(case: Case) -> bool {
+            let mut case = case;
+            case.holders[case.me].1 %= 5;
+            let copies = if case.five { 5 } else { 3 };
+            let (members, _) = step(&case);
+            let voters: Vec<&Seen> = members.iter().filter(|m| m.voter).collect();
+            let up = voters.iter().filter(|m| !lost(&case, m)).count();
+            let sound = (0..9).filter(|&i| i == case.me || case.holders[i].1 < 5).count();
+            if up <= voters.len() / 2 || sound < copies {
+                return true;
+            }
+            case.holders[case.me].0 = 0;
+            // Who learns catches up.
+            case.holders.iter_mut().for_each(|h| h.2 = true);
+            for _ in 0..80 {
+                let (members, step) = step(&case);
+                let of = |id: u64| members.iter().find(|m| m.id == id).map(|m| m.holder);
+                match step {
+                    None => break,
+                    // It has caught up by the next step; one that started anew holds a copy again.
+                    Some(Step::Learn { holder, .. }) => case.holders[holder] = (1, case.holders[holder].1 % 5, true),
+                    Some(Step::Promote { id, instead_of }) => {
+                        let new = of(id).unwrap();
+                        instead_of.and_then(of).filter(|h| *h != new).into_iter().for_each(|h| case.holders[h].0 = 2);
+                        case.holders[new].0 = 0;
+                    }
+                    Some(Step::Remove { id }) => case.holders[of(id).unwrap()].0 = 2,
+                    Some(Step::Lead { id }) => case.me = of(id).unwrap(),
+                }
+            }
+            let (members, _) = step(&case);
+            let voters: BTreeSet<usize> = members.iter().filter(|m| m.voter).map(|m| m.holder).collect();
+            let healed = voters.len() == copies && members.iter().filter(|m| m.voter).all(|m| !lost(&case, m));
+            if !healed {
+                println!("{copies} wanted: {members:?}\n{case:?}");
+            }
+            healed
+        }
+    }
+}
--- a/copies/tests/composed.rs
+++ b/copies/tests/composed.rs
@@ -39,6 +39,12 @@
     Copies::read(&all.to_string()).unwrap()
 }
 
+fn near(i: usize, fars: usize, seed: u64, now: Time) -> Near {
+    let peer = |i| json!({"name": format!("f{i}"), "site": "far", "address": "127.0.0.1:9", "as": ["origin"], "size": 1.0});
+    let peers: Vec<_> = (0..fars).map(peer).collect();
+    Near::new(&sites(json!({"site": "near", "gateway": format!("n{i}"), "peers": peers})), seed, now)
+}
+
 /// What crosses a link.
 #[derive(Clone, Debug)]
 enum Msg {
@@ -131,13 +137,7 @@
 impl World {
     fn new(nears: usize, fars: usize, seed: u64) -> World {
         let now = Time::from_micros(1_000_000_000);
-        let peers: Vec<_> = (0..fars)
-            .map(|i| json!({"name": format!("f{i}"), "site": "far", "address": "127.0.0.1:9", "as": ["origin"], "size": 1.0}))
-            .collect();
-        let near = |i: usize| {
-            let file = sites(json!({"site": "near", "gateway": format!("n{i}"), "peers": peers}));
-            (Near::new(&file, seed + i as u64, now), 500 + i as u64)
-        };
+        let near = |i: usize| (near(i, fars, seed + i as u64, now), 500 + i as u64);
         let mut world = World {
             now,
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -185,6 +185,28 @@
         gone.iter().for_each(|id| _ = self.sessions.remove(id));
     }
 
+    /// A near gateway is lost and starts anew: its clients have no answer, and nobody asks about what it had sent.
+    fn lose_near(&mut self, n: usize) {
+        let fars = self.fars.len();
+        for link in 0..fars {
+            if let Some(id) = self.of_link.remove(&(n, link)) {
+                self.left.push((self.now + Span::from_millis(2_000), id));
+            }
+        }
+        let gone: Vec<(usize, u64)> = self.hops.iter().filter(|h| h.0 == n).copied().collect();
+        for hop in gone {
+            self.hops.remove(&hop);
+            let book = self.origin[&hop];
+            self.open.remove(&book);
+            self.books[book].done = true;
+            self.ends.aborted += 1;
+        }
+        self.starts += 1;
+        self.origin.retain(|(of, _), _| *of != n);
+        self.not_run.retain(|(of, _)| *of != n);
+        self.nears[n] = (near(n, fars, self.starts, self.now), 9_000 + self.starts);
+    }
+
     fn stalled(&self, near: usize, link: usize) -> bool {
         self.stalls.get(&(near, link)).is_some_and(|until| self.now < *until)
     }
@@ -669,7 +691,7 @@
         let one = if world.rng.random_bool(0.5) { world.leader().unwrap_or(any) } else { any };
         let lasts = Span::from_millis(world.rng.random_range(100..5_000));
         let until = world.now + lasts;
-        match world.rng.random_range(0..7) {
+        match world.rng.random_range(0..8) {
             0 | 1 => {
                 world.kill(one);
                 world.run(lasts);
@@ -694,6 +716,14 @@
                 (0..nears).for_each(|near| _ = world.stalls.insert((near, one), until));
                 world.run(lasts);
             }
+            6 => {
+                // Both sites lose a machine in the same moment.
+                let near = world.rng.random_range(0..nears);
+                world.lose_near(near);
+                world.kill(one);
+                world.run(lasts);
+                world.start(one);
+            }
             _ => {
                 let other = (one + 1) % fars;
                 world.kill(one);
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! A client of a near gateway, for tests between sites. No test depends on how fast the machine is: all limits are long,
+//! A client of a near gateway, and what a process holds, for tests of several processes. No test depends on how fast the machine is: all limits are long,
 //! and each step waits for its sign.
 #![allow(dead_code, reason = "each test file uses its part")]
 
@@ -115,3 +115,17 @@
         }
     }
 }
+
+/// What a process holds: its threads, and its sockets of UDP.
+pub fn held(id: u32) -> (usize, usize) {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+    let threads = status.lines().find_map(|l| l.strip_prefix("Threads:")?.trim().parse().ok()).unwrap();
+    let udp = std::fs::read_to_string("/proc/net/udp").unwrap();
+    let inodes: Vec<&str> = udp.lines().skip(1).filter_map(|l| l.split_whitespace().nth(9)).collect();
+    let links = std::fs::read_dir(format!("/proc/{id}/fd")).unwrap().flatten();
+    let sockets = links.filter_map(|f| std::fs::read_link(f.path()).ok()).filter(|to| {
+        let to = to.to_string_lossy();
+        to.strip_prefix("socket:[").and_then(|t| t.strip_suffix(']')).is_some_and(|n| inodes.contains(&n))
+    });
+    (threads, sockets.count())
+}
--- a/gateway/tests/copies.rs
+++ b/gateway/tests/copies.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{Client, PATIENCE, len, program, wait_for};
+use common::{Client, PATIENCE, held, len, program, wait_for};
 use kelpcart_rig::bulletin::Bulletin;
 use kelpcart_rig::caches::{Place, Site, Times};
 use kelpcart_rig::client::Word;
@@ -253,6 +253,23 @@
     assert_eq!(world.ran(trace), 1);
 }
 
+#[test]
+fn off_there_is_no_thread_socket_or_table_of_it() {
+    let mut world = World::new("off", 3);
+    world.settle(3);
+    let on = held(world.fars[0].as_ref().unwrap().id());
+    world.lose(0);
+    let rest = json!({"listen": world.listens[0].to_string(), "accept": ["near"]});
+    let config = world.config("far-0", &world.bulletins[1], &world.places);
+    let sites = world.sites("far", "far-0", rest);
+    let far = Gateway::start(program(), &world.folder, &config, Some(&sites)).unwrap();
+    // The links' own socket, and no other thread than it has with copies in memory.
+    let off = held(far.id());
+    assert_eq!((off, off.1 + 1), ((on.0, 1), on.1));
+    let counters = far.counters();
+    assert!(!counters.is_empty() && !counters.contains("copies"), "{counters}");
+}
+
 #[test]
 fn a_file_that_does_not_fit_is_told_and_ends_the_start() {
     let mut world = World::new("unfit", 3);
--- a/gateway/tests/fleet.rs
+++ b/gateway/tests/fleet.rs
@@ -1,6 +1,9 @@
 //! Fleets of the program on loopback, between stand-ins that can be swamped and with faults between every pair. All
 //! servers are simulated. Runs follow one another, since each uses the same part of loopback.
 
+mod common;
+
+use common::held;
 use kelpcart_fleet::node::{Node as Member, Out};
 use kelpcart_fleet::settings::Fleet;
 use kelpcart_fleet::wire::{Record, Said, Standing, place};
@@ -175,20 +178,6 @@
     );
 }
 
-/// What a process holds: its threads, and its sockets of UDP.
-fn held(id: u32) -> (usize, usize) {
-    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
-    let threads = status.lines().find_map(|l| l.strip_prefix("Threads:")?.trim().parse().ok()).unwrap();
-    let udp = std::fs::read_to_string("/proc/net/udp").unwrap();
-    let inodes: Vec<&str> = udp.lines().skip(1).filter_map(|l| l.split_whitespace().nth(9)).collect();
-    let links = std::fs::read_dir(format!("/proc/{id}/fd")).unwrap().flatten();
-    let sockets = links.filter_map(|f| std::fs::read_link(f.path()).ok()).filter(|to| {
-        let to = to.to_string_lossy();
-        to.strip_prefix("socket:[").and_then(|t| t.strip_suffix(']')).is_some_and(|n| inodes.contains(&n))
-    });
-    (threads, sockets.count())
-}
-
 #[test]
 fn off_there_is_no_thread_socket_or_table_of_it_and_on_one_socket() {
     let _alone = alone();
--- a/rig/src/plan.rs
+++ b/rig/src/plan.rs
@@ -21,6 +21,8 @@
     WipeFar,
     /// So many far gateways at once, the one that leads among them, with their disks.
     WipeLeader(usize),
+    /// All far gateways of the zone of the one that leads, with their disks.
+    WipeZone,
     /// The one that leads is stopped, and goes on at the end.
     StopLeader,
     /// It is cut off from the others that keep copies: both ways, or what it says, or what it hears.
--- a/rig/src/sites.rs
+++ b/rig/src/sites.rs
@@ -587,7 +587,7 @@
             between.weather(|w| w.loss = if on { *part } else { o.between.loss });
         }
         let meant = if on {
-            let meant = who(what, &of, fars);
+            let meant = who(o, what, &of, fars);
             self.meant.push((moment.event.clone(), meant.clone()));
             meant
         } else {
@@ -597,7 +597,7 @@
         for i in meant {
             let far = &mut fars[i];
             match what {
-                What::KillFar | What::WipeFar | What::WipeLeader(_) if on => {
+                What::KillFar | What::WipeFar | What::WipeLeader(_) | What::WipeZone if on => {
                     far.kill();
                     if *what != What::KillFar {
                         self.wiped += 1;
@@ -606,7 +606,7 @@
                         _ = std::fs::remove_dir_all(notes(o, i));
                     }
                 }
-                What::KillFar | What::WipeFar | What::WipeLeader(_) => {
+                What::KillFar | What::WipeFar | What::WipeLeader(_) | What::WipeZone => {
                     if let Err(why) = far.start(o) {
                         eprintln!("{why}");
                         far.crashed = true;
@@ -631,7 +631,7 @@
 }
 
 /// The far gateways that an event means: by number, or the one that leads the most groups.
-fn who(what: &What, of: &impl Fn(usize) -> bool, fars: &[Far]) -> Vec<usize> {
+fn who(o: &Options, what: &What, of: &impl Fn(usize) -> bool, fars: &[Far]) -> Vec<usize> {
     let live = |i: &usize| fars[*i].gateway.is_some();
     let leader = || {
         let leads = |i: &usize| (fars[*i].leads() * 1e3) as u64;
@@ -644,6 +644,11 @@
             let others = (0..fars.len()).filter(live).filter(|i| Some(*i) != first);
             first.into_iter().chain(others).take(*n).collect()
         }
+        What::WipeZone => {
+            let zones = if let Ledger::Copies { zones, .. } = o.ledger { zones.max(1) } else { 1 };
+            let zone = leader().map(|i| i % zones);
+            (0..fars.len()).filter(live).filter(|i| Some(i % zones) == zone).collect()
+        }
         What::StopLeader | What::CutLeader | What::MuteLeader | What::DeafLeader => {
             leader().into_iter().collect()
         }
