Copies: a group goes on once machines that are gone for good are named in the file

With a majority gone for good nobody can prove it; operators name the machines and send SIGHUP. A model case and one of processes: books are served again, and what survivors knew is found.

--- a/copies/tests/common/mod.rs
+++ b/copies/tests/common/mod.rs
@@ -263,6 +263,15 @@
         self.part(i);
     }
 
+    /// Each file names these as lost, and is read again.
+    pub fn lose_for_good(&mut self, gone: &[usize]) {
+        let names: BTreeSet<String> = gone.iter().map(|i| format!("g{i}")).collect();
+        self.files.iter_mut().for_each(|f| f.lost.clone_from(&names));
+        for i in 0..self.all.len() {
+            self.tell(i, |node, _| node.lost(&names));
+        }
+    }
+
     /// It is told to stop: it takes no more, and what it runs ends.
     pub fn leave(&mut self, i: usize) {
         self.tell(i, |node, now| node.leave(now));
--- a/copies/tests/model.rs
+++ b/copies/tests/model.rs
@@ -100,6 +100,28 @@
     net.assert_sound();
 }
 
+/// Two of three members are gone for good, and nobody comes in their places under their names: the operators say so.
+#[test]
+fn a_group_goes_on_once_those_lost_for_good_are_named() {
+    let mut net = Net::new(5, 3, 1, 6, 8);
+    net.run(ms(8_000));
+    net.busy = false;
+    net.run(ms(1_000));
+    let members = net.member_holders(0);
+    let gone = [members[0], members[1]];
+    gone.iter().for_each(|&i| net.kill(i));
+    net.run(ms(20_000));
+    assert!(!net.all_led(), "nobody has proof that they are gone for good");
+    net.lose_for_good(&gone);
+    net.run(ms(8_000));
+    assert!(net.all_led() && net.voters(0).len() == 3, "{}", net.state());
+    let (found, all) = net.probe();
+    assert!(found == all && all > 3, "{found} of {all}");
+    net.busy = true;
+    net.run(ms(2_000));
+    net.assert_sound();
+}
+
 /// Clocks an hour apart, and the leader lost again and again: the group's time goes on, and what is kept is kept.
 #[test]
 fn gateways_an_hour_apart_agree() {
--- a/gateway/tests/copies.rs
+++ b/gateway/tests/copies.rs
@@ -226,6 +226,31 @@
     wait_for(world.fars[2].as_ref().unwrap(), "a majority of its group has forgotten", 1);
 }
 
+#[test]
+fn once_machines_that_are_gone_for_good_are_named_in_the_file_books_are_served_again() {
+    let mut world = World::new("for-good", 4);
+    world.settle(3);
+    let near = world.near();
+    let mut client = Client::of(&near);
+    client.served("book", 1);
+    let voting: Vec<usize> = (0..4).filter(|&i| world.count(i, "copies voting") > 0.0).take(2).collect();
+    voting.iter().for_each(|&i| world.lose(i));
+    let live: Vec<usize> = (0..4).filter(|i| !voting.contains(i)).collect();
+    let began = Instant::now();
+    while live.iter().any(|&i| world.count(i, "copies groups with a leader") > 0.0) {
+        assert!(began.elapsed() < PATIENCE);
+    }
+    for &i in &live {
+        let path = world.folder.join(format!("far-{i}.copies.json"));
+        let mut file: Value = serde_json::from_str(&std::fs::read_to_string(&path).unwrap()).unwrap();
+        file["lost"] = voting.iter().map(|i| format!("far-{i}")).collect();
+        std::fs::write(&path, file.to_string()).unwrap();
+        world.fars[i].as_ref().unwrap().signal("HUP").unwrap();
+    }
+    let (trace, _) = client.served("book", 7);
+    assert_eq!(world.ran(trace), 1);
+}
+
 #[test]
 fn a_leader_that_was_stopped_with_a_book_in_hand_sends_nothing_on_when_it_goes_on() {
     let world = World::new("stopped", 4);
