--- /dev/null
+++ b/copies/tests/exhaustive.rs
@@ -0,0 +1,293 @@
+//! All schedules of a small configuration to a depth: three holders, one book taken at one gateway and asked about at
+//! another, with each frame delivered next or not, each machine lost, each stopped for a while and the time passing, in
+//! every order. After each schedule all is delivered and the one truth is looked for at every gateway that is left.
+
+use kelpcart::{Span, Time};
+use kelpcart_copies::command::{Greet, Outcome, Word};
+use kelpcart_copies::node::{Node, Out};
+use kelpcart_copies::settings::Copies;
+use kelpcart_sites::ledger::{Answer, Ending, Key};
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const N: usize = 3;
+const KEY: Key = Key { sender: 7, number: 3 };
+
+fn file(i: usize) -> Copies {
+    let holder = |i: usize| json!({"name": format!("g{i}"), "address": format!("127.0.0.1:{}", 7_000 + i), "zone": format!("z{i}")});
+    let all = json!({
+        "gateway": format!("g{i}"), "listen": format!("127.0.0.1:{}", 7_000 + i),
+        "holders": (0..N).map(holder).collect::<Vec<_>>(),
+    });
+    Copies::read(&all.to_string()).unwrap()
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Choice {
+    Deliver(usize, usize),
+    Kill(usize),
+    Wait,
+    Find(usize),
+    /// The store answers who runs the book.
+    Answer,
+}
+
+/// Frames on their way, with the start of the gateway that they are from.
+type Link = VecDeque<(u64, Vec<u8>)>;
+
+struct World {
+    now: Time,
+    all: Vec<Option<Node>>,
+    links: BTreeMap<(usize, usize), Link>,
+    asks: BTreeMap<(usize, u64), &'static str>,
+    killed: bool,
+    waits: usize,
+    found: bool,
+    /// Who runs it, and whether the store has answered.
+    runs: Option<usize>,
+    ran: bool,
+    ended: bool,
+    promised: bool,
+    words: BTreeSet<&'static str>,
+}
+
+impl World {
+    /// A group that serves, its sender greeted, the book's taking asked for and nothing of that delivered.
+    fn new(taker: usize) -> World {
+        let now = Time::from_micros(1_000_000);
+        let all = (0..N).map(|i| Node::new(&file(i), 100 + i as u64, i as u64, now)).collect();
+        let mut world = World {
+            now,
+            all,
+            links: BTreeMap::new(),
+            asks: BTreeMap::new(),
+            killed: false,
+            waits: 0,
+            found: false,
+            runs: None,
+            ran: false,
+            ended: false,
+            promised: false,
+            words: BTreeSet::new(),
+        };
+        for i in 0..N {
+            for j in (0..N).filter(|j| *j != i) {
+                world.meet(i, j);
+            }
+        }
+        world.pass(8_000);
+        world.ask(taker, "greet", Word::Greet(Greet { sender: KEY.sender, fresh: 1 }));
+        world.pass(500);
+        world.ask(taker, "take", Word::take(KEY));
+        world
+    }
+
+    fn meet(&mut self, i: usize, j: usize) {
+        let Some(greeting) = self.all[j].as_ref().map(Node::greeting) else { return };
+        if let Some(node) = &mut self.all[i] {
+            node.greeted(self.now, &greeting).unwrap();
+        }
+    }
+
+    fn ask(&mut self, at: usize, why: &'static str, word: Word) {
+        let now = self.now;
+        let Some(node) = &mut self.all[at] else { return };
+        let group = node.group_of(KEY.sender);
+        let ask = node.ask(now, group, 9, word);
+        self.asks.insert((at, ask), why);
+        self.pull(at);
+    }
+
+    fn pull(&mut self, i: usize) {
+        while let Some((out, id)) = self.all[i].as_mut().and_then(|n| Some((n.poll()?, n.id()))) {
+            match out {
+                Out::Send { holder, frame, .. } => {
+                    self.links.entry((i, holder)).or_default().push_back((id, frame));
+                }
+                Out::Told(told) => {
+                    let why = self.asks.remove(&(i, told.ask));
+                    self.told(i, why.unwrap_or("late"), told.result.ok());
+                }
+                Out::Write { .. } | Out::Ledger { .. } => {}
+            }
+        }
+    }
+
+    fn told(&mut self, i: usize, why: &'static str, outcome: Option<Outcome>) {
+        match (why, outcome) {
+            ("take", Some(Outcome::Go)) => {
+                assert!(self.words.is_empty(), "it is sent on though it was called {:?}", self.words);
+                (self.runs, self.ran) = (Some(i), true);
+            }
+            // Nobody but the taker could run it, and it does not: should its taking come to be, it ended so.
+            ("take", None) => {
+                let answer = Answer { ending: Ending::Rejected { come_back: None }, body: Vec::new() };
+                self.ask(i, "cancel", Word::end(KEY, &answer, 0));
+            }
+            ("end", Some(Outcome::Noted)) => self.promised = true,
+            ("find", Some(outcome)) => {
+                let word = match outcome {
+                    Outcome::NeverTaken => "never",
+                    Outcome::Ended(answer) if answer.ending == Ending::Served => "ended",
+                    Outcome::Ended(_) => "given up",
+                    Outcome::Unknown => "unknown",
+                    _ => return,
+                };
+                let not_run = word == "never" || word == "given up";
+                assert!(!not_run || !self.ran, "it ran and is called {word}");
+                assert!(word != "ended" || self.ended, "it is called ended and did not");
+                assert!(
+                    !self.promised || word == "ended",
+                    "it had ended for its sender, and is called {word}"
+                );
+                self.words.insert(word);
+                assert!(self.words.len() == 1, "{:?}", self.words);
+            }
+            _ => {}
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize) {
+        let Some((id, frame)) = self.links.get_mut(&(from, to)).and_then(VecDeque::pop_front) else { return };
+        let now = self.now;
+        if let Some(node) = &mut self.all[to] {
+            node.frame(now, from, id, &frame);
+            self.pull(to);
+        }
+    }
+
+    fn deliver_all(&mut self) {
+        while let Some(&(from, to)) = self.links.iter().find(|(_, l)| !l.is_empty()).map(|(k, _)| k) {
+            self.deliver(from, to);
+        }
+    }
+
+    fn tick(&mut self, ms: u64) {
+        self.now += Span::from_millis(ms);
+        for i in 0..N {
+            if let Some(node) = &mut self.all[i] {
+                node.tick(self.now);
+                self.pull(i);
+            }
+        }
+    }
+
+    /// Time passes and all is delivered.
+    fn pass(&mut self, ms: u64) {
+        for _ in 0..ms / 20 {
+            self.tick(20);
+            self.deliver_all();
+        }
+    }
+
+    fn choices(&self) -> Vec<Choice> {
+        let links = self.links.iter().filter(|(_, l)| !l.is_empty());
+        let mut all: Vec<Choice> = links.map(|(&(from, to), _)| Choice::Deliver(from, to)).collect();
+        if !self.killed {
+            all.extend((0..N).map(Choice::Kill));
+        }
+        if self.waits < 2 {
+            all.push(Choice::Wait);
+        }
+        if !self.found {
+            all.extend((0..N).filter(|&i| self.all[i].is_some()).map(Choice::Find));
+        }
+        if self.runs.is_some_and(|i| self.all[i].is_some()) && !self.ended {
+            all.push(Choice::Answer);
+        }
+        all
+    }
+
+    fn play(&mut self, choice: Choice) {
+        match choice {
+            Choice::Deliver(from, to) => self.deliver(from, to),
+            Choice::Kill(i) => {
+                self.killed = true;
+                self.all[i] = None;
+                self.links.retain(|(_, to), _| *to != i);
+            }
+            // Longer than an election, so that who heard nothing meanwhile wants to lead.
+            Choice::Wait => {
+                self.waits += 1;
+                (0..8).for_each(|_| self.tick(100));
+            }
+            Choice::Find(i) => {
+                self.found = true;
+                self.ask(i, "find", Word::find(KEY, 0));
+            }
+            Choice::Answer => self.end(),
+        }
+    }
+
+    fn end(&mut self) {
+        let Some(i) = self.runs.filter(|i| self.all[*i].is_some()) else { return };
+        self.ended = true;
+        let answer = Answer { ending: Ending::Served, body: vec![1] };
+        self.ask(i, "end", Word::end(KEY, &answer, 0));
+    }
+
+    /// All that can come does; then each gateway that is left is asked.
+    fn settle(&mut self, schedule: &[usize]) {
+        self.pass(3_000);
+        if !self.ended {
+            self.end();
+        }
+        self.pass(4_000);
+        for i in 0..N {
+            self.ask(i, "find", Word::find(KEY, 0));
+            self.pass(300);
+        }
+        let sees: Vec<_> = self
+            .all
+            .iter()
+            .flatten()
+            .map(|n| (n.has_majority(self.now, 0), n.member(0).map(|m| m.voters().to_vec())))
+            .collect();
+        assert!(
+            !self.words.is_empty(),
+            "{schedule:?}: with one machine lost at most the group has to give its word {sees:?}"
+        );
+    }
+}
+
+/// Every schedule of so many choices, the rest as it comes.
+fn explore(
+    taker: usize,
+    prefix: &mut Vec<usize>,
+    depth: usize,
+    counts: &mut (u64, BTreeMap<&'static str, u64>),
+) {
+    let mut world = World::new(taker);
+    let mut open = 0;
+    for (step, &at) in prefix.iter().enumerate() {
+        let choices = world.choices();
+        let Some(&choice) = choices.get(at) else { unreachable!("step {step} of {prefix:?}") };
+        world.play(choice);
+    }
+    if prefix.len() < depth {
+        open = world.choices().len();
+    }
+    if open == 0 {
+        let told = prefix.clone();
+        world.settle(&told);
+        counts.0 += 1;
+        world.words.iter().for_each(|word| *counts.1.entry(word).or_default() += 1);
+        return;
+    }
+    for at in 0..open {
+        prefix.push(at);
+        explore(taker, prefix, depth, counts);
+        prefix.pop();
+    }
+}
+
+#[test]
+fn every_schedule_gives_one_truth() {
+    let depth = std::env::var("COPIES_DEPTH").ok().and_then(|n| n.parse().ok()).unwrap_or(3);
+    let mut counts = (0, BTreeMap::new());
+    for taker in 0..N {
+        explore(taker, &mut Vec::new(), depth, &mut counts);
+    }
+    println!("{} schedules of {depth} choices: {:?}", counts.0, counts.1);
+    assert!(counts.1.len() >= 2, "{counts:?}");
+}
