--- a/copies/tests/exhaustive.rs
+++ b/copies/tests/exhaustive.rs
@@ -25,7 +25,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Choice {
     Deliver(usize, usize),
-    Kill(usize),
+    /// With what it had said and nobody heard yet, or without.
+    Kill(usize, bool),
     Wait,
     Find(usize),
     /// The store answers who runs the book.
@@ -184,7 +185,7 @@
         let links = self.links.iter().filter(|(_, l)| !l.is_empty());
         let mut all: Vec<Choice> = links.map(|(&(from, to), _)| Choice::Deliver(from, to)).collect();
         if !self.killed {
-            all.extend((0..N).map(Choice::Kill));
+            all.extend((0..N).flat_map(|i| [Choice::Kill(i, false), Choice::Kill(i, true)]));
         }
         if self.waits < 2 {
             all.push(Choice::Wait);
@@ -201,10 +202,10 @@
     fn play(&mut self, choice: Choice) {
         match choice {
             Choice::Deliver(from, to) => self.deliver(from, to),
-            Choice::Kill(i) => {
+            Choice::Kill(i, said) => {
                 self.killed = true;
                 self.all[i] = None;
-                self.links.retain(|(_, to), _| *to != i);
+                self.links.retain(|(from, to), _| *to != i && (said || *from != i));
             }
             // Longer than an election, so that who heard nothing meanwhile wants to lead.
             Choice::Wait => {
