--- a/copies/examples/measure.rs
+++ b/copies/examples/measure.rs
@@ -124,12 +124,73 @@
     })
 }
 
+/// A member is lost and another one learns all, 50,000 txns, while books go on: how long that takes in simulated time, and
+/// what the slowest turn of the leader costs in real time.
+fn catch_up(copies: usize, seed: u64) -> Value {
+    let mut world = World::new(9, copies, 1, seed);
+    world.all[0].ask(world.now, 0, 9, Word::Greet(Greet { sender: 1, fresh: 1 }));
+    world.settle();
+    let mut number = 0;
+    let mut books = |world: &mut World, n: u64| {
+        for end in [false, true] {
+            for one in number + 1..=number + n {
+                let key = Key { sender: 1, number: one };
+                let at = one as usize % world.all.len();
+                let word = if end { Word::end(key, &answer(one), 0) } else { Word::take(key) };
+                world.all[at].ask(world.now, 0, 9, word);
+            }
+            world.settle();
+        }
+        number += n;
+    };
+    for _ in 0..500 {
+        books(&mut world, 100);
+        world.pass(Span::from_millis(10));
+    }
+    let leads = |w: &World| w.all.iter().position(|n| n.member(0).is_some_and(|m| m.ready())).unwrap_or(0);
+    let leader = leads(&world);
+    let held = |w: &World, i: usize| w.all[i].member(0).is_some_and(|m| m.voters().contains(&m.id));
+    let lost = (0..9).find(|&i| i != leader && held(&world, i)).unwrap_or(0);
+    // It starts anew with nothing.
+    let start = Node::new(&file(lost, 9, copies, 1), 5_000, seed, world.now).expect("a holder");
+    world.all[lost] = start;
+    for i in (0..9).filter(|i| *i != lost) {
+        let (theirs, ours) = (world.all[i].greeting(), world.all[lost].greeting());
+        let now = world.now;
+        world.all[lost].greeted(now, &theirs).expect("a holder");
+        world.all[i].greeted(now, &ours).expect("a holder");
+    }
+    let (began, mut slowest) = (world.now, 0.0f64);
+    while world.now - began < Span::from_millis(30_000) {
+        let turn = Instant::now();
+        books(&mut world, 10);
+        world.pass(Span::from_millis(10));
+        slowest = slowest.max(turn.elapsed().as_secs_f64());
+        let leader = leads(&world);
+        let voters = world.all[leader].member(0).map_or(0, |m| m.voters().len());
+        let all_live = (0..9).filter(|&i| held(&world, i)).count();
+        if voters == copies && all_live == copies {
+            break;
+        }
+    }
+    json!({"copies": copies, "entries": 50_000, "whole_again_s": (world.now - began).as_secs_f64(),
+        "slowest_turn_ms": slowest * 1e3})
+}
+
+/// What this process has of the machine's memory.
+fn resident_kb() -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")?.trim().strip_suffix(" kB"));
+    line.and_then(|kb| kb.trim().parse().ok()).unwrap_or(0)
+}
+
 /// A ledger with so many txns: what its whole takes.
 fn image(entries: u64) -> Value {
     let age = Span::from_millis(60_000);
     let bounds = Bounds { entries: 1_000_000, bytes: 64 << 20, age, senders: 256 };
     let mut machine = Machine::new(bounds, 1);
     machine.apply(Time::from_micros(1), 5, &Word::Greet(Greet { sender: 1, fresh: 1 }));
+    let before = resident_kb();
     let began = Instant::now();
     for number in 1..=entries {
         let key = Key { sender: 1, number };
@@ -137,6 +198,7 @@
         machine.apply(Time::from_micros(number), 5, &Word::end(key, &answer(number), 0));
     }
     let filled = began.elapsed().as_secs_f64();
+    let kb = resident_kb().saturating_sub(before);
     let began = Instant::now();
     let bytes = machine.image();
     let made = began.elapsed().as_secs_f64();
@@ -144,7 +206,7 @@
     let again = Machine::from_image(bounds, 1, &bytes).map(|m| m.len());
     let read = began.elapsed().as_secs_f64();
     assert_eq!(again, Some(entries as usize));
-    json!({"entries": entries, "us_an_entry": filled / entries as f64 * 1e6, "image_kb": bytes.len() / 1024,
+    json!({"entries": entries, "us_an_entry": filled / entries as f64 * 1e6, "resident_kb": kb, "image_kb": bytes.len() / 1024,
         "made_ms": made * 1e3, "read_ms": read * 1e3})
 }
 
@@ -194,6 +256,8 @@
     let args: Vec<String> = std::env::args().collect();
     let after = |name: &str| args.iter().position(|a| a == name).and_then(|i| args.get(i + 1));
     let seed = after("--seed").and_then(|s| s.parse().ok()).unwrap_or(1);
+    // The largest first, while the process has nothing of what it could use again.
+    let images: Vec<Value> = [100_000, 10_000, 1_000].map(image).to_vec();
     let mut all = Vec::new();
     for copies in [3, 5] {
         for (groups, at_once) in [(1, 1), (1, 64), (4, 64), (16, 64)] {
@@ -201,12 +265,14 @@
         }
     }
     table("books, nine holders on one thread, no sockets", &all);
-    let images: Vec<Value> = [1_000, 10_000, 100_000].map(image).to_vec();
+    let catches: Vec<Value> = [3, 5].map(|copies| catch_up(copies, seed)).to_vec();
     table("the whole ledger", &images);
     let disks: Vec<Value> = [1, 16, 64].map(disk).to_vec();
+    table("an empty member beside 1,000 books a second", &catches);
     table("endings brought to the disk", &disks);
     if let Some(path) = after("--json") {
-        let value = json!({"seed": seed, "books": all, "images": images, "disks": disks});
+        let value =
+            json!({"seed": seed, "books": all, "images": images, "catch_up": catches, "disks": disks});
         std::fs::write(path, value.to_string()).expect("the file can be written");
     }
 }
