--- /dev/null
+++ b/failover/src/table.rs
@@ -0,0 +1,93 @@
+//! The table of shares: of each zone's txns of a kind, which part goes to which zone. Must always give each kind's parts
+//! a sum of one, and tell how far one table is from another.
+
+use kelpcart::{Span, Time};
+use std::collections::BTreeMap;
+
+/// What is moved alike: an importance class, 0 to 9, and whether it writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Kind {
+    pub importance: u8,
+    pub write: bool,
+}
+
+/// From a zone, of a kind.
+pub type From = (usize, Kind);
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Table {
+    pub epoch: u64,
+    pub version: u64,
+    /// Parts by zone; what is not named stays where it is.
+    shares: BTreeMap<From, BTreeMap<usize, f64>>,
+}
+
+impl Table {
+    /// All stays in its own zone.
+    pub fn near(epoch: u64, version: u64) -> Table {
+        Table { epoch, version, shares: BTreeMap::new() }
+    }
+
+    /// The part of a zone's txns of a kind that goes to another zone, or stays.
+    pub fn share(&self, from: From, to: usize) -> f64 {
+        match self.shares.get(&from) {
+            None => f64::from(u8::from(from.0 == to)),
+            Some(parts) if to == from.0 => {
+                1.0 - parts.iter().filter(|p| *p.0 != to).map(|p| p.1).sum::<f64>()
+            }
+            Some(parts) => parts.get(&to).copied().unwrap_or(0.0),
+        }
+    }
+
+    /// The part that leaves the zone.
+    pub fn away(&self, from: From) -> f64 {
+        1.0 - self.share(from, from.0)
+    }
+
+    /// Sets the parts that leave; what is left over stays. Parts that can't be are cut to what can.
+    pub fn set(&mut self, from: From, parts: impl IntoIterator<Item = (usize, f64)>) {
+        let parts = parts.into_iter().filter(|(to, p)| *to != from.0 && *p > 0.0 && p.is_finite());
+        let mut all: BTreeMap<usize, f64> = parts.collect();
+        let sum: f64 = all.values().sum();
+        if sum > 1.0 {
+            all.values_mut().for_each(|p| *p /= sum);
+        }
+        if all.is_empty() {
+            self.shares.remove(&from);
+        } else {
+            self.shares.insert(from, all);
+        }
+    }
+
+    pub fn leaving(&self) -> impl Iterator<Item = (From, usize, f64)> {
+        self.shares.iter().flat_map(|(&from, parts)| parts.iter().map(move |(&to, &p)| (from, to, p)))
+    }
+
+    pub fn kinds(&self) -> impl Iterator<Item = From> {
+        self.shares.keys().copied()
+    }
+
+    /// The largest part of any zone's kind that is elsewhere than in the other table.
+    pub fn distance(&self, other: &Table) -> f64 {
+        let kinds = self.kinds().chain(other.kinds());
+        let part = |from: From| -> f64 {
+            let to = self
+                .shares
+                .get(&from)
+                .into_iter()
+                .chain(other.shares.get(&from))
+                .flat_map(|p| p.keys().copied());
+            let to: std::collections::BTreeSet<usize> = to.chain([from.0]).collect();
+            to.into_iter().map(|to| (self.share(from, to) - other.share(from, to)).abs()).sum::<f64>() / 2.0
+        };
+        kinds.map(part).fold(0.0, f64::max)
+    }
+}
+
+/// A table with when it was heard, as a gateway has it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Heard {
+    pub table: Table,
+    pub at: Time,
+    pub holds: Span,
+}
