--- a/copies/tests/composed.rs
+++ b/copies/tests/composed.rs
@@ -76,8 +76,8 @@
     core: Far,
     node: Node,
     asks: BTreeMap<u64, Why>,
-    /// The book behind a call: the near end and its number.
-    requests: BTreeMap<Call, (usize, u64)>,
+    /// The book behind a call: the start of the near gateway and its number.
+    requests: BTreeMap<Call, (u64, u64)>,
     /// Calls at the store, and when it answers.
     runs: BTreeMap<Call, (Time, bool)>,
     stopped: bool,
@@ -85,6 +85,8 @@
 
 struct Session {
     near: usize,
+    /// The start of the near gateway: its numbers are its own.
+    run: u64,
     link: usize,
     there: VecDeque<(Time, Msg)>,
     back: VecDeque<(Time, Msg)>,
@@ -125,9 +127,9 @@
     cut: BTreeMap<usize, Time>,
     books: Vec<Book>,
     /// The book behind a number of a near end, open hops, hops that ended as never run, and books without an answer.
-    origin: BTreeMap<(usize, u64), usize>,
+    origin: BTreeMap<(u64, u64), usize>,
     hops: BTreeSet<(usize, u64)>,
-    not_run: BTreeSet<(usize, u64)>,
+    not_run: BTreeSet<(u64, u64)>,
     open: BTreeSet<usize>,
     ends: Ends,
     broken: Vec<String>,
@@ -196,14 +198,12 @@
         let gone: Vec<(usize, u64)> = self.hops.iter().filter(|h| h.0 == n).copied().collect();
         for hop in gone {
             self.hops.remove(&hop);
-            let book = self.origin[&hop];
+            let book = self.origin[&(self.nears[n].1, hop.1)];
             self.open.remove(&book);
             self.books[book].done = true;
             self.ends.aborted += 1;
         }
         self.starts += 1;
-        self.origin.retain(|(of, _), _| *of != n);
-        self.not_run.retain(|(of, _)| *of != n);
         self.nears[n] = (near(n, fars, self.starts, self.now), 9_000 + self.starts);
     }
 
@@ -315,7 +315,7 @@
     fn far_hears(&mut self, id: SessionId, msg: Msg) {
         let now = self.now;
         let Some(session) = self.sessions.get(&id) else { return };
-        let (near, link) = (session.near, session.link);
+        let (run, link) = (session.run, session.link);
         let Some(end) = self.fars[link].as_mut() else { return };
         match msg {
             Msg::Hello(hello) => end.core.hello(now, id, &hello, true),
@@ -323,7 +323,7 @@
                 let path = ["near".to_owned()];
                 let asked = Asked { number, once: true, importance: 9, path: &path };
                 if let Some(call) = end.core.request(now, id, &asked) {
-                    end.requests.insert(call, (near, number));
+                    end.requests.insert(call, (run, number));
                 }
             }
             Msg::Ask(ledger, numbers) => end.core.ask(now, id, ledger, &numbers),
@@ -424,7 +424,8 @@
         self.next_session += 1;
         let id = self.next_session;
         let (there, back) = Default::default();
-        self.sessions.insert(id, Session { near, link, there, back });
+        let run = self.nears[near].1;
+        self.sessions.insert(id, Session { near, run, link, there, back });
         self.of_link.insert((near, link), id);
         let (core, run) = &self.nears[near];
         let hello = wire::Hello {
@@ -450,7 +451,7 @@
         self.books[book].tries += 1;
         let want = Want { importance: 9, once: true, need: None, body: 10, until, wanted: until, path: &[] };
         let number = self.nears[near].0.hop(self.now, link, &want);
-        self.origin.insert((near, number), book);
+        self.origin.insert((self.nears[near].1, number), book);
         self.hops.insert((near, number));
         self.open.insert(book);
         self.near_pull(near);
@@ -461,11 +462,12 @@
         if !self.hops.remove(&(near, number)) {
             return;
         }
-        let book = self.origin[&(near, number)];
+        let run = self.nears[near].1;
+        let book = self.origin[&(run, number)];
         let not_run = matches!(end, End::Down | End::Full | End::Loop | End::Turned | End::NeverTaken)
             || end == End::Answered && matches!(ending, Some(Ending::Rejected { .. }));
         if not_run {
-            self.not_run.insert((near, number));
+            self.not_run.insert((run, number));
         }
         if not_run && self.books[book].tries < 6 && self.now + Span::from_millis(300) < self.books[book].until
         {
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -198,6 +198,23 @@
     counters: bool,
 }
 
+fn plan_of(path: &std::path::Path) -> Result<Plan, Box<dyn std::error::Error>> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Ok(Plan::read(&text)?)
+}
+
+/// Plays a day between two sites and prints what became of each rule; a folder of the run's own is removed.
+fn between(options: &Options, keeps: bool) -> Result<sites::Outcome, Box<dyn std::error::Error>> {
+    let outcome = sites::run(options);
+    if !keeps {
+        // It is gone already where the run never came so far.
+        _ = std::fs::remove_dir_all(&options.folder);
+    }
+    let outcome = outcome?;
+    print!("{}", outcome.report.table());
+    Ok(outcome)
+}
+
 fn play_copies(day: &CopiesDay) -> Outcome {
     let nears = (day.gateways / 3).max(1);
     let fars = day.gateways.saturating_sub(nears);
@@ -211,9 +228,7 @@
         return Err("--seconds is at least 1, --rate above 0, --book 0 to 0.9".into());
     }
     let plan = match &day.plan {
-        Some(path) => {
-            Plan::read(&std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?)?
-        }
+        Some(path) => plan_of(path)?,
         None => Plan::losses(day.seed, day.seconds, day.lose_every, day.lose_for, fars),
     };
     let own = std::env::temp_dir().join(format!("kelpcart-rig-{}", std::process::id()));
@@ -244,16 +259,10 @@
         purge_every: 5.0,
         purge_late: 1.0,
         program: day.program.clone().unwrap_or_else(sites::program),
-        folder: day.folder.clone().unwrap_or_else(|| own.clone()),
+        folder: day.folder.clone().unwrap_or(own),
         memory_mb: day.memory_mb,
     };
-    let outcome = sites::run(&options);
-    if day.folder.is_none() {
-        // It is gone already where the run never came so far.
-        _ = std::fs::remove_dir_all(&own);
-    }
-    let outcome = outcome?;
-    print!("{}", outcome.report.table());
+    let outcome = between(&options, day.folder.is_some())?;
     println!("{nears} near and {fars} far gateways, {} lost with their disks", outcome.wiped);
     if let Some(most) = outcome.leaderless.last() {
         let median = outcome.leaderless[outcome.leaderless.len() / 2];
@@ -446,9 +455,7 @@
         return Err("--seconds, --rate, --fars and --links are at least 1".into());
     }
     let plan = match &day.plan {
-        Some(path) => {
-            Plan::read(&std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?)?
-        }
+        Some(path) => plan_of(path)?,
         None => {
             let dark = day.dark_at.map(|at| (at, day.dark_for));
             Plan::cuts(day.seed, day.seconds, day.cut_every, day.cut_for, dark)
@@ -491,16 +498,10 @@
         purge_every: day.purge_every,
         purge_late: day.purge_late,
         program: day.program.clone().unwrap_or_else(sites::program),
-        folder: day.folder.clone().unwrap_or_else(|| own.clone()),
+        folder: day.folder.clone().unwrap_or(own),
         memory_mb: day.memory_mb,
     };
-    let outcome = sites::run(&options);
-    if day.folder.is_none() {
-        // It is gone already where the run never came so far.
-        _ = std::fs::remove_dir_all(&own);
-    }
-    let outcome = outcome?;
-    print!("{}", outcome.report.table());
+    let outcome = between(&options, day.folder.is_some())?;
     println!("{} purges, {} fills by the central store", outcome.purges, outcome.origin_fills);
     for near in &outcome.near {
         println!("near gateway: {:.2} s of CPU, {:.1} MB at most", near.cpu_s, near.peak_mb);
