--- a/copies/src/node.rs
+++ b/copies/src/node.rs
@@ -16,6 +16,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 
 /// Those heard within this many signs of life are counted as there.
 const THERE: f64 = 8.0;
@@ -85,6 +86,8 @@
     pub refused: u64,
     /// Endings told to ledgers that follow.
     pub recalled: u64,
+    /// Memberships that the consensus library gave up on.
+    pub given_up: u64,
 }
 
 pub struct Node {
@@ -279,7 +282,22 @@
     }
 
     fn unreachable(&mut self, id: u64) {
-        self.slots.iter_mut().filter_map(|s| s.member.as_mut()).for_each(|m| m.unreachable(id));
+        (0..self.slots.len()).for_each(|group| _ = self.with_member(group, |m| m.unreachable(id)));
+    }
+
+    /// Has a member do something. Where the consensus library gives up on what it was told, the membership ends with a
+    /// clear line: it neither votes on what it can't trust nor takes the process with it.
+    fn with_member<T>(&mut self, group: usize, what: impl FnOnce(&mut Group) -> T) -> Option<T> {
+        let member = self.slots.get_mut(group)?.member.as_mut()?;
+        // What was being done is never looked at again: the member goes.
+        match catch_unwind(AssertUnwindSafe(|| what(member))) {
+            Ok(done) => Some(done),
+            Err(_) => {
+                self.totals.given_up += 1;
+                self.drop_member(group as u32, "the consensus library gave up on it");
+                None
+            }
+        }
     }
 
     /// Asks a group; what comes of it is told under the number.
@@ -320,9 +338,7 @@
     pub fn written(&mut self, now: Time, mark: u64) {
         while let Some((at, group, number)) = self.marks.pop_front_if(|m| m.0 <= mark) {
             debug_assert!(at <= mark);
-            if let Some(member) = self.slots[group as usize].member.as_mut() {
-                member.written(now, number);
-            }
+            self.with_member(group as usize, |m| m.written(now, number));
         }
         self.collect(now);
     }
@@ -436,9 +452,11 @@
             self.totals.joined += 1;
         }
         slot.routes.insert(said.from, holder);
-        if let Some(member) = slot.member.as_mut().filter(|m| m.ledger == said.ledger) {
-            member.receive(&said.message);
-        }
+        self.with_member(said.group as usize, |m| {
+            if m.ledger == said.ledger {
+                m.receive(&said.message);
+            }
+        });
     }
 
     /// A gateway asks for something that the group's leader has to have agreed on.
@@ -464,9 +482,14 @@
         importance: u32,
         command: Command,
     ) -> Option<Refused> {
-        let member = self.slots.get_mut(group as usize).and_then(|s| s.member.as_mut());
-        let Some(member) = member.filter(|m| m.ledger == ledger) else { return Some(Refused::Leads) };
-        member.propose(now, run, ask, importance, command).err()
+        let asked = self.with_member(group as usize, |m| {
+            if m.ledger == ledger {
+                m.propose(now, run, ask, importance, command)
+            } else {
+                Err(Refused::Leads)
+            }
+        });
+        asked.unwrap_or(Err(Refused::Leads)).err()
     }
 
     // Time.
@@ -480,10 +503,13 @@
 
     pub fn tick(&mut self, now: Time) {
         self.heard[self.me].at = now;
-        for slot in &mut self.slots {
-            if let Some(member) = &mut slot.member {
-                member.tick(now, &self.file.holders, &slot.order, &self.heard);
-            }
+        for group in 0..self.slots.len() {
+            // Lent for the call, since the member is of the same value.
+            let (order, heard) =
+                (std::mem::take(&mut self.slots[group].order), std::mem::take(&mut self.heard));
+            let holders = std::mem::take(&mut self.file.holders);
+            self.with_member(group, |m| m.tick(now, &holders, &order, &heard));
+            (self.slots[group].order, self.heard, self.file.holders) = (order, heard, holders);
         }
         if now >= self.next_watch {
             self.next_watch = now + self.pulse;
@@ -686,8 +712,8 @@
 
     /// One group's part of it.
     fn carry(&mut self, now: Time, group: usize) -> bool {
+        self.with_member(group, |m| m.drive(now));
         let Some(member) = &mut self.slots[group].member else { return false };
-        member.drive(now);
         let (sent, done) = (std::mem::take(&mut member.sent), std::mem::take(&mut member.done));
         for (number, notes) in std::mem::take(&mut member.write) {
             self.mark += 1;
--- a/copies/tests/common/mod.rs
+++ b/copies/tests/common/mod.rs
@@ -809,6 +809,11 @@
         out
     }
 
+    /// Memberships that the library gave up on.
+    pub fn given_up(&self) -> u64 {
+        self.all.iter().filter_map(|p| p.node.as_ref()).map(|n| n.totals.given_up).sum()
+    }
+
     /// What a gateway is told of a question, in three seconds.
     pub fn question(&mut self, at: usize, word: Word) -> Result<Outcome, Failed> {
         self.probes.clear();
