--- a/copies/src/command.rs
+++ b/copies/src/command.rs
@@ -1,8 +1,8 @@
 //! What the members of a group agree on, one after the other, and what comes of each: the words of the replicated
 //! ledger and their form in protobuf. Must never change the meaning of a field that was used.
 
-use kelpcart::Span;
-use kelpcart_sites::ledger::{Answer, Ending, Key};
+use kelpcart_sites::ledger::{Answer, Key};
+use kelpcart_sites::wire;
 use prost::Message;
 use std::sync::Arc;
 
@@ -105,28 +105,15 @@
     pub of: u64,
 }
 
-/// How a txn ended, with the bytes of its answer.
+/// How a txn ended, in the form of a link, with the bytes of its answer.
 #[derive(Clone, PartialEq, Message)]
 pub struct Kept {
-    #[prost(enumeration = "How", tag = "1")]
-    pub how: i32,
-    #[prost(uint64, optional, tag = "2")]
-    pub come_back_us: Option<u64>,
-    #[prost(bytes = "vec", tag = "3")]
+    #[prost(message, optional, tag = "1")]
+    pub answer: Option<wire::Answer>,
+    #[prost(bytes = "vec", tag = "2")]
     pub body: Vec<u8>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, prost::Enumeration)]
-#[repr(i32)]
-pub enum How {
-    None = 0,
-    Served = 1,
-    Current = 2,
-    Rejected = 3,
-    Aborted = 4,
-    Invalid = 5,
-}
-
 impl From<Key> for Number {
     fn from(key: Key) -> Number {
         Number { sender: key.sender, number: key.number }
@@ -141,29 +128,15 @@
 
 impl From<&Answer> for Kept {
     fn from(answer: &Answer) -> Kept {
-        let (how, come_back) = match answer.ending {
-            Ending::Served => (How::Served, None),
-            Ending::Current => (How::Current, None),
-            Ending::Rejected { come_back } => (How::Rejected, come_back),
-            Ending::Aborted => (How::Aborted, None),
-            Ending::Invalid => (How::Invalid, None),
-        };
-        let come_back_us = come_back.map(Span::as_micros);
-        Kept { how: how as i32, come_back_us, body: answer.body.clone() }
+        // Its number stands with the key.
+        let told = wire::Answer::of(0, answer.ending, answer.body.len());
+        Kept { answer: Some(told), body: answer.body.clone() }
     }
 }
 
 impl Kept {
     pub fn answer(self) -> Option<Answer> {
-        let ending = match How::try_from(self.how).ok()? {
-            How::Served => Ending::Served,
-            How::Current => Ending::Current,
-            How::Rejected => Ending::Rejected { come_back: self.come_back_us.map(Span::from_micros) },
-            How::Aborted => Ending::Aborted,
-            How::Invalid => Ending::Invalid,
-            How::None => return None,
-        };
-        Some(Answer { ending, body: self.body })
+        Some(Answer { ending: self.answer?.ending()?, body: self.body })
     }
 }
 
