--- a/copies/tests/model.rs
+++ b/copies/tests/model.rs
@@ -3,8 +3,13 @@
 mod common;
 
 use common::{Net, Without, ms};
+use kelpcart::Time;
 use kelpcart_copies::command::{Greet, Outcome, Word};
+use kelpcart_copies::node::{Node, Out};
+use kelpcart_copies::wire::{self, Said};
 use kelpcart_sites::ledger::Key;
+use protobuf::Message as _;
+use raft::eraftpb::{Message, MessageType};
 use rand::Rng;
 
 #[test]
@@ -347,3 +352,29 @@
         assert!(found.is_some(), "{without:?} is not found");
     }
 }
+
+/// A holder that a leader has just called, and told nothing, does not keep the others from founding the group anew.
+#[test]
+fn who_was_called_and_told_nothing_stands_in_nobodys_way() {
+    let now = Time::from_micros(1_000_000);
+    let file = |i| common::file(i, 3, 3, 1, false);
+    let mut nodes: Vec<Node> = (0..3).map(|i| Node::new(&file(i), 10 + i as u64, 1, now).unwrap()).collect();
+    let greetings: Vec<Vec<u8>> = nodes.iter().map(Node::greeting).collect();
+    let called = &mut nodes[0];
+    called.greeted(now, &greetings[1]).unwrap();
+    called.greeted(now, &greetings[2]).unwrap();
+    let mut message = Message { from: 500, to: 600, term: 2, ..Message::default() };
+    message.set_msg_type(MessageType::MsgHeartbeat);
+    let message = message.write_to_bytes().unwrap();
+    let member = wire::Member { group: 0, ledger: 9, message, to_run: 10, from: 500 };
+    called.frame(now, 1, 11, &wire::encode(Said::Member(member)));
+    assert!(called.member(0).is_some());
+    while called.poll().is_some() {}
+    called.frame(now, 2, 12, &wire::encode(Said::Seek(wire::Seek { group: 0 })));
+    let frames = std::iter::from_fn(|| called.poll()).filter_map(|out| match out {
+        Out::Send { holder: 2, frame, .. } => wire::decode(&frame),
+        _ => None,
+    });
+    let here = frames.filter_map(|said| if let Said::Here(here) = said { Some(here) } else { None }).last();
+    assert!(here.is_some_and(|h| h.ledger == 0 && h.backs), "{here:?}");
+}
