Copies: when a right to run has run out is said by the core, and the model plays that very code

Cause: the last read found the host deciding what a group's word lets a far end do, the time of its right included, and the composed model playing a copy of that. Both now call client::taken and client::found in copies/.

--- a/copies/tests/composed.rs
+++ b/copies/tests/composed.rs
@@ -4,12 +4,12 @@
 //! rejected, and each has its one answer in time.
 
 use kelpcart::{Span, Time};
-use kelpcart_copies::client::Failed;
+use kelpcart_copies::client::{self, Failed};
 use kelpcart_copies::command::{Greet, Number, Outcome, Word};
 use kelpcart_copies::node::{Node, Out};
 use kelpcart_copies::settings::Copies;
-use kelpcart_sites::far::{Asked, Call, Do, Far, SessionId, Taken, Turned};
-use kelpcart_sites::ledger::{Answer, Ending, Found, Key};
+use kelpcart_sites::far::{Asked, Call, Do, Far, SessionId, Turned};
+use kelpcart_sites::ledger::{Answer, Ending, Key};
 use kelpcart_sites::near::{Act, End, Near, Want, Welcome};
 use kelpcart_sites::settings::Sites;
 use kelpcart_sites::wire::{self, Fate};
@@ -553,24 +553,12 @@
                 end.core.greeted(now, session, ledger);
             }
             Why::Take(call, asked) => {
-                let taken = match result {
-                    Ok(Outcome::Go) if now - asked < Span::from_millis(1_000) => Taken::Go,
-                    Ok(Outcome::Running) => Taken::Running,
-                    Ok(Outcome::Ended(answer)) => Taken::Ended(answer),
-                    Ok(Outcome::Unknown) => Taken::Unknown,
-                    _ => Taken::Never,
-                };
+                let taken = client::taken(result, asked, now, Span::from_millis(1_000));
                 end.core.taken(now, call, taken);
             }
             Why::End(Some(call)) => end.core.copied(now, call, result == Ok(Outcome::Noted)),
             Why::Find(session, what) => {
-                let found = match result {
-                    Ok(Outcome::NeverTaken) => Some(Found::NeverTaken),
-                    Ok(Outcome::Running) => Some(Found::Running),
-                    Ok(Outcome::Ended(answer)) => Some(Found::Ended(answer)),
-                    Ok(_) => Some(Found::Unknown),
-                    Err(_) => None,
-                };
+                let found = client::found(result);
                 end.core.found(now, session, what, found);
             }
             Why::End(None) | Why::Settle => {}
--- a/gateway/src/sites/far.rs
+++ b/gateway/src/sites/far.rs
@@ -11,10 +11,10 @@
 use event_listener::Event as Poke;
 use futures_lite::future;
 use kelpcart::{Span, Time};
-use kelpcart_copies::client::Failed;
+use kelpcart_copies::client::{self, Failed};
 use kelpcart_copies::command::{Greet, Number, Outcome, Word as Command};
 use kelpcart_sites::far::{Asked, Call, Do, Far, SessionId, Taken, Turned};
-use kelpcart_sites::ledger::{Answer, Ending, Found, Key};
+use kelpcart_sites::ledger::{Answer, Ending, Key};
 use kelpcart_sites::quic::{self, Connection, Endpoint, Incoming, RecvStream, SendStream};
 use kelpcart_sites::settings::Sites;
 use kelpcart_sites::store::{Store, Writer};
@@ -183,14 +183,7 @@
             }
             Why::Take(call, asked) => {
                 let now = self.means.clock.now();
-                let taken = match result {
-                    // Who was stopped in between may be held to be lost by now: its right has run out.
-                    Ok(Outcome::Go) if now - asked < self.right() => Taken::Go,
-                    Ok(Outcome::Running) => Taken::Running,
-                    Ok(Outcome::Ended(answer)) => Taken::Ended(answer),
-                    Ok(Outcome::Unknown) => Taken::Unknown,
-                    _ => Taken::Never,
-                };
+                let taken = client::taken(result, asked, now, self.right());
                 if taken == Taken::Never {
                     self.means.counters.add("far requests told off for want of copies");
                 }
@@ -201,13 +194,7 @@
                 self.tell(|core, now| core.copied(now, call, held));
             }
             Why::Find(session, what) => {
-                let found = match result {
-                    Ok(Outcome::NeverTaken) => Some(Found::NeverTaken),
-                    Ok(Outcome::Running) => Some(Found::Running),
-                    Ok(Outcome::Ended(answer)) => Some(Found::Ended(answer)),
-                    Ok(_) => Some(Found::Unknown),
-                    Err(_) => None,
-                };
+                let found = client::found(result);
                 self.tell(|core, now| core.found(now, session, what, found));
             }
             Why::End(None) | Why::Settle => {}
