--- /dev/null
+++ b/gateway/tests/stand_ins/mod.rs
@@ -0,0 +1,477 @@
+//! Stand-ins on loopback for all that a gateway talks to, and the gateway as a process between them.
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// Longer than anything here may take: it ends a test that hangs and decides none.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+pub type Script = dyn Fn(&Seen) -> Reply + Send + Sync;
+
+/// A request as it came to a stand-in.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Seen {
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(": "))
+    }
+}
+
+pub enum Reply {
+    Send(Vec<u8>),
+    SendAndClose(Vec<u8>),
+    Silent,
+}
+
+#[derive(Debug)]
+pub enum News {
+    Came(Seen),
+    Closed,
+}
+
+/// A stand-in for a cache, a parent or the origin.
+pub struct Cache {
+    pub address: SocketAddr,
+    pub news: Receiver<News>,
+    /// Connections so far.
+    pub connected: Arc<AtomicUsize>,
+}
+
+impl Cache {
+    pub fn start(script: impl Fn(&Seen) -> Reply + Send + Sync + 'static) -> Cache {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (address, (tell, news)) = (listener.local_addr().unwrap(), channel());
+        let script: Arc<Script> = Arc::new(script);
+        let connected: Arc<AtomicUsize> = Arc::default();
+        let count = Arc::clone(&connected);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                count.fetch_add(1, Ordering::SeqCst);
+                let (script, tell) = (Arc::clone(&script), tell.clone());
+                thread::spawn(move || {
+                    talk(stream, &*script, &tell);
+                    _ = tell.send(News::Closed);
+                });
+            }
+        });
+        Cache { address, news, connected }
+    }
+
+    /// One that answers each request when it is told to.
+    pub fn holding(body: &'static [u8]) -> (Cache, Sender<()>) {
+        let (release, released) = channel();
+        let released = Mutex::new(released);
+        let cache = Cache::start(move |_| {
+            released.lock().unwrap().recv_timeout(PATIENCE).unwrap();
+            ok(body)
+        });
+        (cache, release)
+    }
+
+    pub fn came(&self) -> Seen {
+        loop {
+            if let News::Came(seen) = self.news.recv_timeout(PATIENCE).unwrap() {
+                return seen;
+            }
+        }
+    }
+
+    pub fn closed(&self) {
+        while !matches!(self.news.recv_timeout(PATIENCE).unwrap(), News::Closed) {}
+    }
+
+    /// Waits until the other side's machine has the end of every connection that was closed here.
+    pub fn wait_for_acknowledged_ends(&self) {
+        let port = format!(":{:04X}", self.address.port());
+        let sent_only = |line: &str| {
+            let mut parts = line.split_whitespace().skip(1);
+            // 04 is FIN_WAIT1.
+            parts.next().is_some_and(|local| local.ends_with(&port)) && parts.nth(1) == Some("04")
+        };
+        while std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(sent_only) {
+            thread::yield_now();
+        }
+    }
+
+    pub fn came_so_far(&self) -> usize {
+        self.news.try_iter().filter(|n| matches!(n, News::Came(_))).count()
+    }
+}
+
+pub fn talk(stream: TcpStream, script: &Script, tell: &Sender<News>) {
+    let mut lines = BufReader::new(stream.try_clone().unwrap());
+    loop {
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            if lines.read_line(&mut head).unwrap_or(0) == 0 {
+                return;
+            }
+        }
+        let mut seen = Seen { head, body: Vec::new() };
+        let len = seen.field("Content-Length").map_or(0, |n| n.parse().unwrap());
+        seen.body = vec![0; len];
+        if lines.read_exact(&mut seen.body).is_err() {
+            return;
+        }
+        _ = tell.send(News::Came(seen.clone()));
+        let reply = script(&seen);
+        let (bytes, close) = match reply {
+            Reply::Send(bytes) => (bytes, false),
+            Reply::SendAndClose(bytes) => (bytes, true),
+            Reply::Silent => (Vec::new(), false),
+        };
+        if (&stream).write_all(&bytes).is_err() || close {
+            return;
+        }
+    }
+}
+
+/// An address at which nobody listens.
+pub fn nobody() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+pub fn answer(status: &str, more: &str, body: &[u8]) -> Vec<u8> {
+    let head = format!("HTTP/1.1 {status}\r\n{more}Content-Length: {}\r\n\r\n", body.len());
+    [head.as_bytes(), body].concat()
+}
+
+pub fn ok(body: &[u8]) -> Reply {
+    Reply::Send(answer("200 OK", "ETag: 12ab\r\nX-Born-Ms: 1\r\nX-Result: hit\r\nX-Stats: x1:0.5\r\n", body))
+}
+
+/// What every stand-in holds for a part of an object.
+pub fn bytes_of(path: &str, len: usize) -> Vec<u8> {
+    path.bytes().cycle().enumerate().map(|(i, b)| b ^ (i / 7) as u8).take(len).collect()
+}
+
+pub struct Member(pub &'static str, pub &'static str, pub SocketAddr);
+
+pub fn endpoint(Member(name, kind, address): &Member, status: &str) -> Value {
+    json!({"name": name, "address": address.to_string(), "zone": "z", "type": kind, "group": 0,
+        "status": status, "weight": 8.0, "since_ms": 0})
+}
+
+pub fn config(members: &[Member], bulletin: SocketAddr, memory_mb: u64) -> Value {
+    let class = |name: &str, effect: &str| {
+        // So long an SLA time that a busy machine makes nothing late.
+        json!({"Name": name, "Repeat": effect, "DedupScope": "all", "MemorySpanUs": 0, "SloUs": 20_000_000,
+            "AimStretch": 1.5, "DeadlineUs": 30_000_000})
+    };
+    let list: Vec<Value> = members.iter().map(|m| endpoint(m, "up")).collect();
+    json!({
+        "name": "n1", "listen": "127.0.0.1:0", "seed": "7", "bulletin": bulletin.to_string(),
+        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 256},
+        "known": {"no": 1, "items": [{"no": 1, "roster": {"index": 0, "snapshot": true, "endpoints": list}}]},
+        "settings": {
+            "Instances": 1, "Locality": 0, "Weights": "nominal", "Discovery": "push", "TickUs": 1000,
+            "Zones": ["z"], "Shapes": ["box", "parent", "origin"],
+            "Classes": [class("segment", "pure"), class("commit", "side_effect")],
+            "FamilyInfo": {"CrewByZone": [1], "ParentKind": 1, "OriginKind": 2, "BypassAllowed": true,
+                "CanJoin": false, "Neighbours": "off", "LifetimeByClassUs": [0, 0], "UsableAfterUs": [0, 0],
+                "PassOn": [false, true], "ParentColdFrom": 0.1, "UpperColdUs": 9_000_000,
+                "ParentFallMultiple": 2.0, "GoneEverywhereUs": 60_000_000, "ClientKbPerS": 100_000.0},
+            "PolicyLimits": {"Cancel": true, "RetryAfter": true, "MaxRetryAfterUs": 2_000_000,
+                "MaxAttempts": 6, "MaxOpen": 20_000, "ConnectTimeoutUs": 400_000, "ConnIdleUs": 15_000_000},
+            "Contract": {"AskWithinUs": 9_000_000, "ColdFrom": 0.2, "ColdUs": 9_000_000, "FallMultiple": 2.0,
+                "TipAfterUs": 3_000_000},
+        },
+    })
+}
+
+/// With a single edge cache, nobody in the other places, and some numbers set by their paths.
+pub fn edge_config(edge: &Cache, numbers: &[(&str, u64)]) -> Value {
+    let members = [Member("e1", "box", edge.address), Member("o", "origin", nobody())];
+    let mut all = config(&members, nobody(), 64);
+    for (path, number) in numbers {
+        *all.pointer_mut(path).unwrap() = json!(number);
+    }
+    all
+}
+
+/// A gateway that is ended with the test.
+pub struct Gateway {
+    pub child: Child,
+    /// The path of its configuration.
+    pub config: String,
+    pub address: SocketAddr,
+    pub log: BufReader<std::process::ChildStderr>,
+}
+
+pub fn spawn(config: &Value) -> (Child, String) {
+    static NEXT: Mutex<u32> = Mutex::new(0);
+    let mut next = NEXT.lock().unwrap();
+    *next += 1;
+    let name = format!("{}/{}-{}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id(), *next);
+    std::fs::write(&name, config.to_string()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_kelpcart"));
+    command.env_remove("NODE_LISTEN").env_remove("KELPCART_LOG").env("NODE_CONFIG", &name);
+    (command.stderr(Stdio::piped()).spawn().unwrap(), name)
+}
+
+impl Gateway {
+    pub fn start(config: &Value) -> Gateway {
+        let (mut child, config) = spawn(config);
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        log.read_line(&mut line).unwrap();
+        let address = line.trim().rsplit(' ').next().unwrap().parse().unwrap();
+        Gateway { child, config, address, log }
+    }
+
+    /// One with a single edge cache, and nobody in the other places.
+    pub fn with_edge(edge: &Cache) -> Gateway {
+        Gateway::start(&edge_config(edge, &[]))
+    }
+
+    pub fn signal(&self, name: &str) {
+        let kill = format!("kill -s {name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+    }
+
+    /// Replaces the configuration and tells of it.
+    pub fn replace(&self, config: &str) {
+        std::fs::write(&self.config, config).unwrap();
+        self.signal("HUP");
+    }
+
+    /// What the counters say there is now.
+    pub fn now(&mut self) -> BTreeMap<String, usize> {
+        self.signal("USR1");
+        let line = loop {
+            let line = self.line();
+            if line.contains("now: ") {
+                break line;
+            }
+        };
+        let now = line.split_once("now: ").unwrap().1.split_once("; in all").unwrap().0;
+        let pair = |size: &str| size.rsplit_once(' ').map(|(what, n)| (what.to_owned(), n.parse().unwrap()));
+        now.split(", ").map(|size| pair(size).unwrap()).collect()
+    }
+
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.log.read_line(&mut line).unwrap();
+        line
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        _ = self.child.kill();
+        _ = self.child.wait();
+    }
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+    pub next: u8,
+    /// Its last txn's own id.
+    pub req: String,
+}
+
+#[derive(Debug, PartialEq)]
+pub struct Answer {
+    pub id: u64,
+    /// Of an error.
+    pub word: Option<String>,
+    /// Of a served txn; for a check one byte, 1 for true.
+    pub body: Vec<u8>,
+    pub fields: BTreeMap<String, String>,
+}
+
+impl Client {
+    pub fn of(gateway: &Gateway) -> Client {
+        let stream = TcpStream::connect(gateway.address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client { stream, next: 1, req: String::new() }
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    pub fn ask_with(&mut self, method: &str, fields: &[(&str, &str)], body: &[u8]) -> u64 {
+        let id = self.next;
+        self.next += 1;
+        let mut out = vec![0x94, 0x00, 0xcc, id];
+        text(&mut out, method);
+        out.extend([0x92, 0x80 | fields.len() as u8]);
+        for (name, value) in fields {
+            text(&mut out, name);
+            text(&mut out, value);
+        }
+        out.push(0xc5);
+        out.extend((body.len() as u16).to_be_bytes());
+        out.extend(body);
+        self.send(&out);
+        u64::from(id)
+    }
+
+    pub fn ask(&mut self, method: &str, object: u64, timeout: u64, body: &[u8]) -> u64 {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        self.req = format!("{:016x}", NEXT.fetch_add(1, Ordering::SeqCst));
+        self.ask_again(method, object, timeout, body)
+    }
+
+    pub fn ask_again(&mut self, method: &str, object: u64, timeout: u64, body: &[u8]) -> u64 {
+        let (object, timeout) = (format!("{object:016x}"), timeout.to_string());
+        let req = self.req.clone();
+        let fields = [
+            ("req", &*req),
+            ("timeout", &timeout),
+            ("subject", &object),
+            ("slice", "3"),
+            ("set", "17"),
+            ("need", "40.5"),
+        ];
+        self.ask_with(method, &fields, body)
+    }
+
+    pub fn ask_check(&mut self) -> u64 {
+        let id = self.next;
+        self.next += 1;
+        self.send(&[0x94, 0x00, id, 0xa5, b'c', b'h', b'e', b'c', b'k', 0x91, 0x80]);
+        u64::from(id)
+    }
+
+    pub fn check(&mut self) -> bool {
+        self.ask_check();
+        self.answer().body == [1]
+    }
+
+    pub fn interrupt(&mut self, id: u64) {
+        let mut out = vec![0x93, 0x02];
+        text(&mut out, "interrupt");
+        out.extend([0x91, 0xcc, id as u8]);
+        self.send(&out);
+    }
+
+    pub fn byte(&mut self) -> u8 {
+        self.bytes(1)[0]
+    }
+
+    pub fn bytes(&mut self, n: usize) -> Vec<u8> {
+        let mut bytes = vec![0; n];
+        self.stream.read_exact(&mut bytes).unwrap();
+        bytes
+    }
+
+    pub fn big(&mut self, n: usize) -> usize {
+        self.bytes(n).iter().fold(0, |all, &b| all << 8 | usize::from(b))
+    }
+
+    /// Text, a body, a number or a truth value.
+    pub fn value(&mut self) -> Vec<u8> {
+        let len = match self.byte() {
+            tag @ 0xa0..=0xbf => usize::from(tag & 0x1f),
+            0xc0 => return Vec::new(),
+            tag @ (0xc2 | 0xc3) => return vec![tag & 1],
+            tag @ 0x00..=0x7f => return vec![tag],
+            0xcd => return self.bytes(2),
+            0xc6 => self.big(4),
+            0xda => self.big(2),
+            tag => panic!("an answer holds {tag:#x}"),
+        };
+        self.bytes(len)
+    }
+
+    pub fn fields(&mut self) -> BTreeMap<String, String> {
+        let n = self.byte() & 0x0f;
+        let mut text = || String::from_utf8(self.value()).unwrap();
+        (0..n).map(|_| (text(), text())).collect()
+    }
+
+    pub fn answer(&mut self) -> Answer {
+        assert_eq!(self.bytes(2), [0x94, 0x01]);
+        let id = self.value().iter().fold(0, |all, &b| all << 8 | u64::from(b));
+        let (mut word, mut body) = (None, Vec::new());
+        let fields = match self.byte() {
+            0xc0 => {
+                assert_eq!(self.byte(), 0x92);
+                body = self.value();
+                self.fields()
+            }
+            0x92 => {
+                word = Some(String::from_utf8(self.value()).unwrap());
+                let fields = self.fields();
+                assert_eq!(self.byte(), 0xc0);
+                fields
+            }
+            tag => panic!("an answer holds {tag:#x}"),
+        };
+        Answer { id, word, body, fields }
+    }
+
+    pub fn is_closed(&mut self) -> bool {
+        match self.stream.read(&mut [0]) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() == ErrorKind::ConnectionReset,
+        }
+    }
+}
+
+pub fn text(out: &mut Vec<u8>, text: &str) {
+    out.extend([0xd9, text.len() as u8]);
+    out.extend(text.as_bytes());
+}
+
+/// A stand-in for the bulletin: on each connection it tells the line that came and writes the next lines.
+pub struct Bulletin {
+    pub address: SocketAddr,
+    pub told: Receiver<String>,
+    pub last: Arc<Mutex<Option<TcpStream>>>,
+}
+
+impl Bulletin {
+    pub fn start(lines: Vec<String>) -> Bulletin {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (address, (tell, told)) = (listener.local_addr().unwrap(), channel());
+        let last: Arc<Mutex<Option<TcpStream>>> = Arc::default();
+        let current = Arc::clone(&last);
+        thread::spawn(move || {
+            for (i, stream) in listener.incoming().flatten().enumerate() {
+                let mut line = String::new();
+                BufReader::new(stream.try_clone().unwrap()).read_line(&mut line).unwrap();
+                _ = (&stream).write_all(lines.get(i).map_or("", String::as_str).as_bytes());
+                *current.lock().unwrap() = Some(stream);
+                _ = tell.send(line);
+            }
+        });
+        Bulletin { address, told, last }
+    }
+
+    pub fn asked(&self) -> String {
+        self.told.recv_timeout(PATIENCE).unwrap()
+    }
+
+    /// Writes on the last connection.
+    pub fn write(&self, text: &str) {
+        self.last.lock().unwrap().as_ref().unwrap().write_all(text.as_bytes()).unwrap();
+    }
+
+    pub fn tell(&self, line: &str) {
+        self.write(&format!("{line}\n"));
+    }
+
+    pub fn cut(&self) {
+        *self.last.lock().unwrap() = None;
+    }
+}
+
+pub fn change(no: u64, list: Value) -> String {
+    json!({"no": no, "roster": {"index": no, "snapshot": false, "endpoints": list}}).to_string()
+}
