Clients' connections are closed by one sequence, which loses nothing that crosses it

Seen by reading: at a planned restart the desk returned 50 ms after its last look while readers still took requests in, so that these were read and never answered, and the exit reset what lay unread; idle clients, by time and for room, were dropped without a look at what had come; damage closed the queue of answers and began a second writer behind a half written one, so that the client got a torn answer; a client that left after half a message was seen only when its answer failed; the listener's queue was reset at the exit.

Ruled out: requests that come with the client's end (read before it, in order), events behind a flood (the queue is emptied before the module is asked).

Now: the listener is closed once nothing waits in its queue; a connection goes when it owes nothing, has no half message of late and a last look finds nothing; then the shutdown, what still comes is thrown away to a bound, and the close. A damaged connection's open txns are answered at once with an answer that promises nothing, behind the one writer.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -1,6 +1,7 @@
-//! Owns the connections of clients: accepts them up to a bound, reads their messages, and writes answers whole, by
-//! one writer a connection. Must never answer by itself what the module has to decide; a client that stops
-//! reading, sends nothing or sends what can't be read costs its own connection only.
+//! Owns the connections of clients: accepts them up to a bound, reads their messages, writes answers whole, by one
+//! writer a connection, and closes each of them by one sequence. Must never answer by itself what the module has to
+//! decide, nor pass on what is read after the shutdown of a connection; a client that stops reading, sends nothing
+//! or sends what can't be read costs its own connection only.
 
 use crate::Tasks;
 use crate::buffers::{Body, Pool};
@@ -8,7 +9,7 @@
 use crate::counters::{Counters, Held};
 use crate::end::End;
 use crate::rpc::{self, Fault, Message, Word};
-use crate::seam::{Caller, Event as Said, Keys};
+use crate::seam::{Beside, Caller, Event as Said, Keys};
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use event_listener::Event;
@@ -16,8 +17,9 @@
 use kelpcart::{Span, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{self, IoSlice};
+use std::io::{self, ErrorKind, IoSlice};
 use std::net::{Shutdown, TcpListener, TcpStream};
+use std::pin::pin;
 use std::rc::Rc;
 
 /// Open requests on a connection, by the protocol.
@@ -29,9 +31,16 @@
 /// From the connection, or from the first byte of a message, to its last: short of the 3 s after which even a
 /// client that sends nothing whole is owed a close.
 const WHOLE: Span = Span::from_millis(2_500);
-/// What a refused client still sends is read for this long and this far, lest the refusal be lost with it.
+/// What a client still sends after the shutdown of its connection is read for this long and this far, lest the answers
+/// before it be lost with a reset.
 const DRAINED: Span = Span::from_millis(300);
 const MOST_DRAINED: usize = 1024 * 1024;
+/// A request that crosses a close by less than this is sent again by its client, by the protocol.
+const CROSSING: Span = Span::from_millis(50);
+/// Between two looks at whether a connection that is to end owes nothing.
+const OWES_LOOKS: Span = Span::from_millis(20);
+/// Clients that make room at once: each keeps its place until its close is through.
+const MAKING_ROOM: usize = 4;
 /// One that takes no bytes may stall for this long, or for the shorter time while bodies are short of memory.
 const STALLED: Span = Span::from_millis(5_000);
 const STALLED_SHORT: Span = Span::from_millis(500);
@@ -55,9 +64,14 @@
     /// Answers that are not written whole yet.
     waiting: Rc<Cell<usize>>,
     written: Event,
-    /// When it last sent or was sent something, and the word that it has to make room.
+    /// When it came, and when it last sent or was sent something.
+    since: Time,
     heard: Cell<Time>,
+    /// It has to make room; the event wakes its reader, which closes it if nothing comes just then.
+    crowded: Cell<bool>,
     leave: Event,
+    /// The sequence of its close has begun.
+    closed: Cell<bool>,
     counters: Rc<Counters>,
 }
 
@@ -81,6 +95,11 @@
         self.open.borrow().is_empty() && self.waiting.get() == 0
     }
 
+    /// Something may still be written to it.
+    pub fn is_open(&self) -> bool {
+        !self.closed.get()
+    }
+
     fn has_asked(&self) -> bool {
         self.last.get() > 0
     }
@@ -137,19 +156,56 @@
     pub most: usize,
     pub connected: Rc<RefCell<BTreeMap<u64, Rc<Client>>>>,
     pub keys: Keys,
+    pub ending: Rc<Ending>,
+}
+
+/// How far the front is with its end at a planned restart.
+#[derive(Default)]
+pub struct Ending {
+    begun: Cell<bool>,
+    told: Event,
+    /// The listener is closed, with nothing left in its queue.
+    deaf: Cell<bool>,
+}
+
+impl Beside for Front {
+    fn stop(&self) {}
+
+    fn close(&self) {
+        if !self.ending.begun.replace(true) {
+            self.ending.told.notify(usize::MAX);
+            self.connected.borrow().values().for_each(|client| _ = client.leave.notify(1));
+        }
+    }
+
+    fn is_closed(&self) -> bool {
+        self.ending.deaf.get() && self.connected.borrow().is_empty()
+    }
+
+    fn sizes(&self) -> Vec<(&'static str, usize)> {
+        vec![("clients connected", self.connected.borrow().len())]
+    }
 }
 
 impl Front {
+    /// Takes in clients until the front is to close, and then what still waits in the machine's queue: closing the
+    /// listener would reset it.
     pub async fn accept(self, listener: Async<TcpListener>) {
         let mut wait = Span::from_millis(10);
         loop {
-            if listener.readable().await.is_ok() && self.counters.clients.get() >= self.most {
+            let told = self.ending.told.listen();
+            let last = self.ending.begun.get();
+            if !last {
+                let wanted = async { _ = listener.readable().await };
+                future::or(wanted, told).await;
+            }
+            if self.counters.clients.get() >= self.most {
                 self.make_room();
                 self.clock.sleep(Span::from_millis(1)).await;
                 continue;
             }
-            match listener.accept().await {
-                Ok((stream, _)) => {
+            match listener.get_ref().accept().and_then(|(stream, _)| Async::new(stream)) {
+                Ok(stream) => {
                     wait = Span::from_millis(10);
                     self.counters.add("client connections");
                     let (front, held) = (self.clone(), Held::new(&self.counters.clients));
@@ -161,6 +217,8 @@
                     // Guards those that are connected against a flood of those that connect.
                     future::yield_now().await;
                 }
+                Err(e) if e.kind() == ErrorKind::WouldBlock && last => break,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
                 Err(e) => {
                     log::warn!("a connection can't be accepted: {e}");
                     self.counters.add("accepts failed");
@@ -169,15 +227,21 @@
                 }
             }
         }
+        drop(listener);
+        self.ending.deaf.set(true);
     }
 
     /// Guards other clients against one that opens connections and leaves them idle: at the bound the one idle
     /// longest makes room, those first that never asked. With none idle, new ones wait in the machine's queue.
     fn make_room(&self) {
         let connected = self.connected.borrow();
-        let idle = connected.values().filter(|c| c.is_idle()).min_by_key(|c| (c.has_asked(), c.heard.get()));
-        if let Some(client) = idle {
+        if connected.values().filter(|c| c.crowded.get()).count() >= MAKING_ROOM {
+            return;
+        }
+        let idle = connected.values().filter(|c| c.is_idle() && c.is_open() && !c.crowded.get());
+        if let Some(client) = idle.min_by_key(|c| (c.has_asked(), c.heard.get())) {
             self.counters.add("idle clients closed for room");
+            client.crowded.set(true);
             client.leave.notify(1);
         }
     }
@@ -187,6 +251,7 @@
         // Without it answers only come later.
         _ = stream.get_ref().set_nodelay(true);
         let (out, frames) = async_channel::unbounded();
+        let since = self.clock.now();
         let client = Rc::new(Client {
             id,
             out,
@@ -194,28 +259,68 @@
             last: Cell::new(0),
             waiting: Rc::default(),
             written: Event::new(),
-            heard: Cell::new(self.clock.now()),
+            since,
+            heard: Cell::new(since),
+            crowded: Cell::new(false),
             leave: Event::new(),
+            closed: Cell::new(false),
             counters: Rc::clone(&self.counters),
         });
-        let told = client.leave.listen();
         self.connected.borrow_mut().insert(id, Rc::clone(&client));
-        let crowded = async {
-            told.await;
-            End::PeerSilent
-        };
-        let work = future::or(self.read(&stream, &client), self.write(&stream, &client, &frames));
-        let end = future::or(work, crowded).await;
-        if end == End::PeerDamaged {
-            // What it is owed goes out before the connection closes.
-            client.out.close();
-            self.write(&stream, &client, &frames).await;
-            self.clock.within(DRAINED, drain(&stream)).await;
+        let mut write = pin!(self.write(&stream, &client, &frames));
+        let end = future::or(self.read(&stream, &client), write.as_mut()).await;
+        match end {
+            // Guards the answer that is half written against the end: the one writer goes on to the last of them.
+            End::PeerDamaged => {
+                self.give_up(&client).await;
+                write.await;
+                self.close(&stream, &client).await;
+            }
+            End::PeerSilent => self.close(&stream, &client).await,
+            // There is nobody to close for.
+            _ => {}
         }
         frames.close();
-        self.connected.borrow_mut().remove(&id);
         self.counters.ended(end);
         _ = self.desk.send(Said::Left { client: id }).await;
+        self.connected.borrow_mut().remove(&id);
+    }
+
+    /// The end of one that sent what can't be read: each of its open requests gets an answer that promises nothing.
+    async fn give_up(&self, client: &Client) {
+        _ = self.desk.send(Said::Left { client: client.id }).await;
+        let open: Vec<u64> = client.open.borrow().iter().copied().collect();
+        open.into_iter().for_each(|id| client.refuse(id, Word::Lost, &[]));
+        client.out.close();
+    }
+
+    /// The one sequence by which a connection is closed that is not broken: nothing more is written, and what comes
+    /// from here on is thrown away, up to a bound. Guards the last answers against the reset that a close over unread
+    /// bytes sends after them, and what crosses the close against being passed on.
+    async fn close(&self, stream: &Async<TcpStream>, client: &Client) {
+        client.closed.set(true);
+        if stream.get_ref().shutdown(Shutdown::Write).is_ok() {
+            let most = if client.crowded.get() { CROSSING } else { DRAINED };
+            self.clock.within(most, drain(stream)).await;
+        }
+    }
+
+    /// Whether a connection that is to end can do so now: it is owed nothing, and nothing comes in this moment.
+    fn leaves(&self, stream: &Async<TcpStream>, client: &Client, half: bool) -> Option<End> {
+        let now = self.clock.now();
+        // One that came last has its first request on the way, half a message its other half.
+        let on_the_way = !client.has_asked() && !client.crowded.get() && now < client.since + CROSSING;
+        if !client.is_idle() {
+            client.crowded.set(false);
+        }
+        if !client.is_idle() || on_the_way || half && now < client.heard.get() + CROSSING {
+            return None;
+        }
+        let end = look(stream);
+        if end.is_none() {
+            client.crowded.set(false);
+        }
+        end
     }
 
     async fn read(&self, mut stream: &Async<TcpStream>, client: &Rc<Client>) -> End {
@@ -234,21 +339,35 @@
                 }
             }
             let due = !held.is_empty() || !client.has_asked();
-            let until = if due { began + WHOLE } else { client.heard.get() + IDLE };
-            let n = match self.clock.by(until, stream.read(&mut bytes)).await {
-                Some(Ok(0) | Err(_)) => return End::PeerLeft,
-                Some(Ok(n)) => n,
-                // Nothing more is read from one that sends half a message; what it is owed still goes out.
-                None if due => return self.idle(client).await,
-                None => {
-                    let now = self.clock.now();
+            let mut until = if due { began + WHOLE } else { client.heard.get() + IDLE };
+            let told = client.leave.listen();
+            if client.crowded.get() || self.ending.begun.get() {
+                if let Some(end) = self.leaves(stream, client, !held.is_empty()) {
+                    return end;
+                }
+                until = until.min(self.clock.now() + OWES_LOOKS);
+            }
+            let read = async { Some(self.clock.by(until, stream.read(&mut bytes)).await) };
+            let told = async {
+                told.await;
+                None
+            };
+            let n = match future::or(read, told).await {
+                Some(Some(Ok(0) | Err(_))) => return End::PeerLeft,
+                Some(Some(Ok(n))) => n,
+                // Nothing more is taken from one that sends half a message; what it is owed still goes out.
+                Some(None) if due && began + WHOLE <= self.clock.now() => {
+                    return self.await_owed(stream, client).await;
+                }
+                Some(None) if !due && client.heard.get() + IDLE <= self.clock.now() => {
                     if !client.is_idle() {
-                        client.heard.set(now);
-                    } else if client.heard.get() + IDLE <= now {
-                        return End::PeerSilent;
+                        client.heard.set(self.clock.now());
+                    } else if let Some(end) = look(stream) {
+                        return end;
                     }
                     continue;
                 }
+                None | Some(None) => continue,
             };
             let at = self.clock.now();
             client.heard.set(at);
@@ -290,10 +409,20 @@
         }
     }
 
-    /// The end of one that is read no more, once it has all that it is owed.
-    async fn idle(&self, client: &Client) -> End {
+    /// Waits until a client has all that it is owed; what it sends meanwhile is thrown away, but that it leaves is seen.
+    async fn await_owed(&self, mut stream: &Async<TcpStream>, client: &Client) -> End {
+        let (mut bytes, mut left) = (vec![0; 16 * 1024], MOST_DRAINED);
         while !client.is_idle() {
-            self.clock.sleep(LOOKS).await;
+            if left == 0 {
+                self.clock.sleep(LOOKS).await;
+                continue;
+            }
+            match self.clock.within(LOOKS, stream.read(&mut bytes)).await {
+                Some(Ok(0) | Err(_)) => return End::PeerLeft,
+                Some(Ok(n)) => left = left.saturating_sub(n),
+                None => {}
+            }
+            future::yield_now().await;
         }
         End::PeerSilent
     }
@@ -380,11 +509,17 @@
     }
 }
 
-/// Ends what is written and throws away what still comes, up to a bound.
-async fn drain(mut stream: &Async<TcpStream>) {
-    if stream.get_ref().shutdown(Shutdown::Write).is_err() {
-        return;
+/// How a connection that nobody uses ends; `None`: something has come, so that it is used.
+fn look(stream: &Async<TcpStream>) -> Option<End> {
+    match stream.get_ref().peek(&mut [0]) {
+        Ok(1..) => None,
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Some(End::PeerSilent),
+        _ => Some(End::PeerLeft),
     }
+}
+
+/// Throws away what still comes, up to a bound.
+async fn drain(mut stream: &Async<TcpStream>) {
     let (mut bytes, mut left) = (vec![0; 16 * 1024], MOST_DRAINED);
     while let Ok(n @ 1..) = stream.read(&mut bytes).await {
         left = left.saturating_sub(n);
--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -158,8 +158,14 @@
                 if now + ANSWERED_BEFORE >= end {
                     self.abort_all(now);
                 }
+                // Requests cross the close of the connection they come on, and what crosses is still served: the
+                // work goes on until every connection has ended.
+                if now - at >= STILL_COMING {
+                    self.beside.iter().for_each(|b| b.close());
+                }
                 let quiet = self.open.is_empty() && self.counters.unwritten.get() == 0;
-                if quiet && now - at >= STILL_COMING || now + LEAVING >= end {
+                let quiet = quiet && now - at >= STILL_COMING && self.beside.iter().all(|b| b.is_closed());
+                if quiet || now + LEAVING >= end {
                     self.clock.sleep(LEAVING).await;
                     return self.tell();
                 }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -143,9 +143,11 @@
         most: clients,
         connected: Rc::default(),
         keys,
+        ending: Rc::default(),
     };
-    tasks.spawn(front.accept(listener)).detach();
+    tasks.spawn(front.clone().accept(listener)).detach();
     let mut work = Desk::new(config, clock, tasks, caches, counters, (desk.clone(), events));
+    work.add_beside(Rc::new(front));
     let rekeys = between.as_ref().map(|(between, _)| Rc::clone(between));
     if let Some((between, members)) = between {
         work.add(between, members);
--- a/gateway/src/seam.rs
+++ b/gateway/src/seam.rs
@@ -132,6 +132,11 @@
 pub trait Beside {
     /// The process is told to stop.
     fn stop(&self);
+    /// Nothing more comes: what is owed goes out, and then connections end.
+    fn close(&self) {}
+    fn is_closed(&self) -> bool {
+        true
+    }
     /// How much is kept, by name.
     fn sizes(&self) -> Vec<(&'static str, usize)>;
 }
