The mark of a keyed txn goes on to the caches, on every hop and over links

Followed one id: its request went out with id, class, object, part and body as they came. A trial on a scratch copy that logged the fields not read showed one, opkey, 32 hex digits; the names on the sockets have X-Op-Key for caches. The parser dropped it (gateway/src/rpc.rs, the last arm of the fields) and no line wrote it. No deployment so far had a keyed class, so nothing showed it.

Now it is read (256 visible characters at most, so that it can't break a head's line), written on each hop, and crosses links between sites in a field of its own, which older gateways skip.

--- a/gateway/src/caches.rs
+++ b/gateway/src/caches.rs
@@ -210,6 +210,7 @@
             patience: job.until - self.clock.now(),
             fill: job.fill.as_ref(),
             have: job.ask.seen.as_deref().filter(|_| !job.write),
+            mark: job.ask.mark.as_deref(),
             body: job.write.then_some(job.ask.body.len()),
         };
         let mut bytes = request.encode();
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -451,7 +451,7 @@
             }
             Message::Request { id, method, ask } => {
                 self.counters.add("requests");
-                Said::Asked { client: Rc::clone(client) as _, id, method, ask: Box::new(ask), at }
+                Said::Asked { client: Rc::clone(client) as _, id, method, ask, at }
             }
         };
         // It fails only when the desk has ended, and with it the process.
--- a/gateway/src/http.rs
+++ b/gateway/src/http.rs
@@ -19,6 +19,7 @@
     pub patience: Span,
     pub fill: Option<&'a Fill>,
     pub have: Option<&'a str>,
+    pub mark: Option<&'a str>,
     /// The length of a write's body.
     pub body: Option<usize>,
 }
@@ -51,6 +52,9 @@
         if let Some(tag) = self.have {
             line(format_args!("If-None-Match: {tag}\r\n"));
         }
+        if let Some(mark) = self.mark {
+            line(format_args!("X-Op-Key: {mark}\r\n"));
+        }
         if let Some(len) = self.body {
             line(format_args!("Content-Length: {len}\r\n"));
         }
--- a/gateway/src/rpc.rs
+++ b/gateway/src/rpc.rs
@@ -8,6 +8,7 @@
 pub const MOST_FRAME: usize = 64 * 1024;
 /// A write's body.
 const MOST_BODY: usize = 48_000;
+const MOST_MARK: usize = 256;
 /// Values in a frame and their nesting.
 const MOST_VALUES: usize = 256;
 const MOST_DEPTH: usize = 6;
@@ -22,7 +23,7 @@
 
 #[derive(Debug, PartialEq)]
 pub enum Message {
-    Request { id: u64, method: String, ask: Ask },
+    Request { id: u64, method: String, ask: Box<Ask> },
     Check { id: u64 },
     Interrupt { ids: Vec<u64> },
 }
@@ -176,7 +177,7 @@
                 return Ok(Message::Check { id: *id });
             }
             let ask = ask(params).map_err(|why| refused(Some(*id), why))?;
-            Ok(Message::Request { id: *id, method: method.to_owned(), ask })
+            Ok(Message::Request { id: *id, method: method.to_owned(), ask: Box::new(ask) })
         }
         [Value::Int(0), Value::Int(id), ..] => Err(refused(Some(*id), "no request")),
         [Value::Int(2), method, Value::Array(ids)] if method.bytes() == Some(b"interrupt") => {
@@ -211,6 +212,7 @@
             b"timeout" => timeout = digits(value).filter(|ms| *ms > 0),
             b"need" => ask.need = Some(size(value).ok_or("no need")?),
             b"seen" => ask.seen = Some(hex(value).ok_or("no seen")?.0),
+            b"opkey" => ask.mark = Some(mark(value).ok_or("no opkey")?),
             b"resent" if value != b"1" => return Err("no resent"),
             _ => {}
         }
@@ -230,6 +232,12 @@
     number(value).filter(|kb: &f64| plain && kb.is_finite() && *kb > 0.0)
 }
 
+/// A mark goes on unchanged in a head's line, which it must not break.
+fn mark(value: &[u8]) -> Option<String> {
+    let plain = (1..=MOST_MARK).contains(&value.len()) && value.iter().all(u8::is_ascii_graphic);
+    plain.then(|| String::from_utf8_lossy(value).into_owned())
+}
+
 fn hex(value: &[u8]) -> Option<(String, u64)> {
     let text = std::str::from_utf8(value).ok().filter(|t| t.len() == 16)?;
     let plain = text.bytes().all(|b| b.is_ascii_hexdigit());
--- a/gateway/src/seam.rs
+++ b/gateway/src/seam.rs
@@ -28,6 +28,8 @@
     pub need: Option<f64>,
     /// The tag of a copy that the client holds.
     pub seen: Option<String>,
+    /// The mark by which caches know a repeat of a keyed txn, as it was sent.
+    pub mark: Option<String>,
     pub body: Vec<u8>,
     /// The oldest copy that the asker takes, where it says so.
     pub oldest: Option<Span>,
--- a/gateway/src/sites/far.rs
+++ b/gateway/src/sites/far.rs
@@ -525,6 +525,7 @@
             timeout_ms: (r.left_us / 1_000).clamp(1, u32::MAX.into()) as u32,
             need: r.need,
             seen: r.seen,
+            mark: r.mark,
             body: r.body,
             oldest: r.oldest_us.map(Span::from_micros),
             path: r.path,
--- a/gateway/src/sites/near.rs
+++ b/gateway/src/sites/near.rs
@@ -247,6 +247,7 @@
             oldest_us: job.fill.as_ref().and_then(|f| f.oldest).map(Span::as_micros),
             path,
             once: job.once,
+            mark: ask.mark.clone(),
             importance: self.file.importance(&job.rule).into(),
         }
     }
--- a/gateway/tests/parsers.rs
+++ b/gateway/tests/parsers.rs
@@ -116,6 +116,7 @@
         ("need", "-3 nan inf 0 x 1e9 1.2.3"),
         ("seen", "12ab \u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9}\u{e9} 4be0c1927d55a6f34"),
         ("resent", "2 x"),
+        ("opkey", "\u{e9} a\r\nb \t"),
     ];
     for (name, values) in bad {
         for value in values.split(' ').chain([""]) {
@@ -130,7 +131,9 @@
         assert!(refused(&[&FIELDS[..], &FIELDS[i..i + 1]].concat(), &[]));
     }
     assert!(refused(&FIELDS, &[0; 48_001]) && !refused(&FIELDS, &[0; 48_000]));
-    let more = [&FIELDS[..], &[("seen", "4be0c1927d55a6f3"), ("resent", "1"), ("else", "x")]].concat();
+    let more =
+        [&FIELDS[..], &[("seen", "4be0c1927d55a6f3"), ("resent", "1"), ("opkey", "a-1"), ("else", "x")]]
+            .concat();
     assert!(!refused(&more, &[]));
 }
 
@@ -235,6 +238,7 @@
             patience: Span::from_micros(900_999),
             fill: Some(&fill),
             have: Some("4be0"),
+            mark: Some("66807aca08cfaa19"),
             body: None,
         };
         String::from_utf8(request.encode()).unwrap()
@@ -246,7 +250,7 @@
         all,
         "GET /x/segment/7f3a9c21e0b4d655/3 HTTP/1.1\r\nHost: 127.0.0.1:1\r\nX-Trace: 9b1f03aa5c7e2d41\r\n\
         X-Patience: 900\r\nX-Fill-From: p1\r\nX-Keep: 2\r\nX-Max-Age-Ms: 1500\r\nX-Flags: ride+update\r\n\
-        If-None-Match: 4be0\r\n\r\n"
+        If-None-Match: 4be0\r\nX-Op-Key: 66807aca08cfaa19\r\n\r\n"
     );
 }
 
--- a/sites/src/wire.rs
+++ b/sites/src/wire.rs
@@ -11,6 +11,7 @@
 pub const VERSION: u32 = 1;
 /// A request with its body of 48,000 bytes fits.
 pub const MOST_MESSAGE: usize = 64 * 1024;
+const MOST_MARK: usize = 256;
 pub const MOST_BODY: usize = 48_000;
 /// Behind an answer's message.
 pub const MOST_ANSWER: usize = 240_000;
@@ -141,6 +142,9 @@
     pub once: bool,
     #[prost(uint32, tag = "14")]
     pub importance: u32,
+    /// The mark by which caches know a repeat of a keyed txn.
+    #[prost(string, optional, tag = "15")]
+    pub mark: Option<String>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -266,6 +270,9 @@
             need(r.need.is_none_or(|kb| kb.is_finite() && kb > 0.0), "a size")?;
             let tag = |t: &str| t.len() == 16 && t.bytes().all(|b| b.is_ascii_hexdigit());
             need(r.seen.as_deref().is_none_or(tag), "a tag")?;
+            let mark =
+                |m: &str| (1..=MOST_MARK).contains(&m.len()) && m.bytes().all(|b| b.is_ascii_graphic());
+            need(r.mark.as_deref().is_none_or(mark), "a mark")?;
             need((1..=LONGEST).contains(&r.left_us), "a time")?;
             need(r.oldest_us != Some(0), "an age of 0")?;
             need(r.path.len() <= MOST_PATH && !r.path.is_empty(), "a path")?;
--- a/sites/tests/wire.rs
+++ b/sites/tests/wire.rs
@@ -19,6 +19,7 @@
         path: vec!["east".to_owned()],
         once: true,
         importance: 9,
+        mark: Some("66807aca08cfaa19".to_owned()),
     }
 }
 
