A hop that waits ends as never sent when news changes what it was ordered on

Ruled out: a client that leaves or interrupts (its task is dropped; a test), too little time left (the hop's time is over the whole of it).

A carrier's hops count as begun once they are handed over.

--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -101,10 +101,10 @@
 
 fn encode(who: u64, decision: Decision) -> Value {
     match decision {
-        Decision::Hop { txn, member, fill: None, limit } => {
+        Decision::Hop { txn, member, fill: None, limit, .. } => {
             json!({"PassOn": {"Who": who, "Req": txn, "Cache": &*member, "TryUntilUs": limit.as_micros()}})
         }
-        Decision::Hop { txn, member, fill: Some(fill), limit } => {
+        Decision::Hop { txn, member, fill: Some(fill), limit, .. } => {
             let mode = u8::from(fill.join) + 2 * u8::from(fill.held_only) + 8 * u8::from(fill.renew);
             let age = fill.oldest.map_or(0, Span::as_micros);
             json!({"ServeVia": {"Who": who, "Req": txn, "Cache": &*member, "Keep": fill.keep,
--- a/gateway/src/caches.rs
+++ b/gateway/src/caches.rs
@@ -12,11 +12,11 @@
 use crate::seam::{Common, Ended, Job, Permit};
 use async_io::Async;
 use event_listener::Event;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use kelpcart::interface::{MemberId, MemberState};
 use kelpcart::{Span, Time};
 use std::cell::{Cell, OnceCell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -120,17 +120,22 @@
         tasks.spawn(sweep).detach();
     }
 
-    /// News of the list; with `whole`, members that it does not name are gone.
-    pub fn members(&self, whole: bool, list: &[Listed]) {
+    /// News of the list; with `whole`, members that it does not name are gone. Gives those that are not what they were:
+    /// gone, draining, started anew or elsewhere.
+    pub fn members(&self, whole: bool, list: &[Listed]) -> BTreeSet<MemberId> {
         let (mut places, mut kept) = (self.places.borrow_mut(), self.kept.borrow_mut());
+        let mut changed = BTreeSet::new();
         if whole {
-            places.retain(|id, _| list.iter().any(|l| l.member.id == *id));
+            let named: BTreeSet<_> = list.iter().map(|l| &l.member.id).collect();
+            changed.extend(places.keys().filter(|id| !named.contains(id)).cloned());
+            places.retain(|id, _| named.contains(id));
         }
         for listed in list {
             let (m, address) = (&listed.member, listed.address);
             let before = places.get(&m.id);
             if before.is_some_and(|p| Some(p.address) != address || p.started != m.started) {
                 kept.remove(&m.id);
+                changed.insert(m.id.clone());
             }
             match address {
                 // Hops that were ordered before may still be on their way to one that drains.
@@ -143,9 +148,11 @@
             }
             if m.state != MemberState::Up {
                 kept.remove(&m.id);
+                changed.insert(m.id.clone());
             }
         }
         kept.retain(|id, _| places.contains_key(id));
+        changed
     }
 
     /// How much is kept, by name.
@@ -158,7 +165,16 @@
     pub async fn hop(&self, job: Job) -> Ended {
         let progress = Progress { late: Cell::new(End::LateUnsent), own: Cell::default() };
         let _tells = Tells(&self.freed);
-        let ended = self.clock.by(job.until, self.run(&job, &progress)).await;
+        let run = self.clock.by(job.until, self.run(&job, &progress));
+        // Guards against a first byte at a time at which the hop may not be begun any more.
+        let too_late = async {
+            self.clock.sleep_until(job.begin_by).await;
+            if job.begun.get() {
+                future::pending::<()>().await;
+            }
+            Some(End::Overtaken.into())
+        };
+        let ended = future::or(run, too_late).await;
         let mut ended = ended.unwrap_or_else(|| progress.late.get().into());
         (ended.at, ended.own) = (Some(self.clock.now()), progress.own.get());
         self.counters.ended(ended.end);
@@ -217,6 +233,7 @@
         if job.write {
             bytes.extend_from_slice(&job.ask.body);
         }
+        job.begun.set(true);
         if link.stream.write_all(&bytes).await.is_err() {
             return if again { End::KeptClosed } else { End::CutUnsent }.into();
         }
--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -15,8 +15,10 @@
 use async_executor::Task;
 use kelpcart::interface::*;
 use kelpcart::{Gateway, Span, Time};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// After SIGTERM: requests still come for this long; all is answered this long before the longest wait and the
 /// time given on top of it are over; bytes written get this long to leave.
@@ -51,6 +53,8 @@
 
 struct Out {
     member: MemberId,
+    source: Option<MemberId>,
+    begun: Rc<Cell<bool>>,
     task: Option<Task<()>>,
     sent: Time,
     until: Time,
@@ -228,17 +232,34 @@
                 if whole {
                     list.extend(self.carried.iter().cloned());
                 }
-                self.caches.members(whole, &list);
+                let changed = self.caches.members(whole, &list);
                 self.gateway.members(now, whole, list.into_iter().map(|l| l.member).collect());
+                let by = |m: &MemberId| changed.contains(m);
+                self.overtake(|_, out| by(&out.member) || out.source.as_ref().is_some_and(by));
             }
             News::Purge { object, group, issued_ms } => {
                 // The end of its millisecond, lest a copy made in the same one passes for newer.
                 let at = Time::from_micros(issued_ms.saturating_add(1).saturating_mul(1_000));
                 self.gateway.purged(now, object, group, now - at);
+                self.overtake(|ask, _| {
+                    object.map_or(u64::from(ask.group) == group, |object| ask.object == object)
+                });
             }
         }
     }
 
+    /// Takes back hops that wait for a descriptor, a connection or a permit and that news has changed: what was true
+    /// when a hop was ordered has to be true when its first byte is written.
+    fn overtake(&mut self, hit: impl Fn(&Ask, &Out) -> bool) {
+        let open = |txn| self.open.get(&txn).map(|open: &Open| &*open.ask);
+        let waits = self.out.iter().filter(|(_, out)| !out.begun.get());
+        let hits = waits.filter(|(key, out)| open(key.0).is_some_and(|ask| hit(ask, out)));
+        for (txn, hop) in hits.map(|(key, _)| *key).collect::<Vec<_>>() {
+            self.counters.add("waiting hops overtaken by news");
+            self.take_back(txn, hop, End::Overtaken);
+        }
+    }
+
     fn asked(&mut self, client: Rc<dyn Caller>, id: u64, method: &str, ask: Box<Ask>, at: Time) {
         let Some(rule) = self.rules.iter().position(|r| *r.name == *method) else {
             self.counters.add("unknown methods");
@@ -351,7 +372,9 @@
 
     fn order(&mut self, now: Time, decision: Decision) {
         match decision {
-            Decision::Hop { txn, member, fill, limit } => self.hop(now, txn, member, fill, limit),
+            Decision::Hop { txn, member, fill, begin_by, limit } => {
+                self.hop(now, txn, member, fill, [begin_by, limit]);
+            }
             Decision::Cancel { txn, hop } => self.take_back(txn, hop, End::Withdrawn),
             Decision::Reject { txn, come_back } => {
                 let Some(open) = self.give_up(now, txn, "txns rejected") else { return };
@@ -366,7 +389,14 @@
         }
     }
 
-    fn hop(&mut self, now: Time, txn: TxnId, member: MemberId, fill: Option<Fill>, limit: Time) {
+    fn hop(
+        &mut self,
+        now: Time,
+        txn: TxnId,
+        member: MemberId,
+        fill: Option<Fill>,
+        [begin_by, limit]: [Time; 2],
+    ) {
         let Some(open) = self.open.get_mut(&txn) else { return };
         let hop = open.hops;
         open.hops += 1;
@@ -377,21 +407,38 @@
             fill.as_ref().map(|f| &*f.source)
         );
         let wanted = open.wanted;
-        let job =
-            Job { member: member.clone(), until, wanted, rule, write, once, ask: Rc::clone(&open.ask), fill };
+        let (ask, begun) = (Rc::clone(&open.ask), Rc::<Cell<bool>>::default());
+        let source = fill.as_ref().map(|fill| Arc::clone(&fill.source));
+        let to = member.clone();
+        let job = Job {
+            member: to,
+            begin_by,
+            begun: Rc::clone(&begun),
+            until,
+            wanted,
+            rule,
+            write,
+            once,
+            ask,
+            fill,
+        };
         let mut task = None;
         if hop >= self.max_hops || until <= now {
             self.own.push_back((txn, hop, End::LateUnsent));
         } else {
             task = Some(match self.carriers.iter().find(|c| c.carries(&job.member)) {
-                Some(carrier) => self.report(txn, hop, carrier.hop(job)),
+                Some(carrier) => {
+                    // What a carrier has taken over may cross at any time.
+                    begun.set(true);
+                    self.report(txn, hop, carrier.hop(job))
+                }
                 None => {
                     let caches = Rc::clone(&self.caches);
                     self.report(txn, hop, async move { caches.hop(job).await })
                 }
             });
         }
-        self.out.insert((txn, hop), Out { member, task, sent: now, until });
+        self.out.insert((txn, hop), Out { member, source, begun, task, sent: now, until });
     }
 
     fn report(&self, txn: TxnId, hop: u32, running: impl Future<Output = Ended> + 'static) -> Task<()> {
--- a/gateway/src/end.rs
+++ b/gateway/src/end.rs
@@ -26,6 +26,8 @@
     NoSocket,
     /// The hop's time was over before its request was written whole.
     LateUnsent,
+    /// Taken back before its first byte: news has changed what it was ordered on, or it may not begin any more.
+    Overtaken,
     /// The connection ended before the request was written whole.
     CutUnsent,
     /// A connection kept from earlier was found closed before the request was written whole.
@@ -69,7 +71,7 @@
 }
 
 impl End {
-    pub const ALL: [End; 30] = [
+    pub const ALL: [End; 31] = [
         End::Whole,
         End::Current,
         End::Lacking,
@@ -80,6 +82,7 @@
         End::NoConnection,
         End::NoSocket,
         End::LateUnsent,
+        End::Overtaken,
         End::CutUnsent,
         End::KeptClosed,
         End::Cut,
@@ -116,6 +119,7 @@
             End::Refused | End::NoConnection | End::CutUnsent => HopEnd::Unreachable,
             End::FarDown | End::FarNever => HopEnd::Unreachable,
             End::FarFull | End::Over | End::NoSocket | End::LateUnsent | End::KeptClosed => HopEnd::NeverSent,
+            End::Overtaken => HopEnd::Overtaken,
             End::Cut | End::FarLost => HopEnd::Broken,
             End::Late => HopEnd::TimedOut,
             // Given up here for a reason of the gateway's own: nothing is told of the member.
--- a/gateway/src/seam.rs
+++ b/gateway/src/seam.rs
@@ -99,6 +99,10 @@
 /// One hop, as the module ordered it.
 pub struct Job {
     pub member: MemberId,
+    /// Its first byte goes out by then, or none does.
+    pub begin_by: Time,
+    /// Set just before its first byte: from there on what was ordered can't be taken for never sent.
+    pub begun: Rc<Cell<bool>>,
     pub until: Time,
     /// When the txn's SLA time is over.
     pub wanted: Time,
--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -398,7 +398,9 @@
     caches.members(true, &list);
     let hop = |wait: Span| {
         let (member, until, rule, ask) = ("e1".into(), clock.now() + wait, "segment".into(), Rc::default());
-        caches.hop(Job { member, until, wanted: until, rule, write: false, once: false, ask, fill: None })
+        let (begin_by, begun) = (until, Rc::default());
+        let (write, once, fill) = (false, false, None);
+        caches.hop(Job { member, begin_by, begun, until, wanted: until, rule, write, once, ask, fill })
     };
     // No room for the body: the answer is there, and the time runs out.
     let held = block_on(pool.body(2 * buffers::SIZE));
--- a/gateway/tests/stand_ins/mod.rs
+++ b/gateway/tests/stand_ins/mod.rs
@@ -81,6 +81,17 @@
         (cache, release)
     }
 
+    /// One that ends each connection, with no answer, when it is told to.
+    pub fn cutting() -> (Cache, Sender<()>) {
+        let (cut, told) = channel();
+        let told = Mutex::new(told);
+        let cache = Cache::start(move |_| {
+            told.lock().unwrap().recv_timeout(PATIENCE).unwrap();
+            Reply::SendAndClose(Vec::new())
+        });
+        (cache, cut)
+    }
+
     pub fn came(&self) -> Seen {
         loop {
             if let News::Came(seen) = self.news.recv_timeout(PATIENCE).unwrap() {
@@ -158,6 +169,7 @@
     path.bytes().cycle().enumerate().map(|(i, b)| b ^ (i / 7) as u8).take(len).collect()
 }
 
+#[derive(Clone, Copy)]
 pub struct Member(pub &'static str, pub &'static str, pub SocketAddr);
 
 pub fn endpoint(Member(name, kind, address): &Member, status: &str) -> Value {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -137,12 +137,15 @@
     Spoilt,
     Withdrawn,
     NeverSent,
+    /// Taken back before anything was sent: news has changed what it was ordered on.
+    Overtaken,
     Lacking,
 }
 
 impl HopEnd {
     pub fn proves_not_run(self) -> bool {
-        matches!(self, HopEnd::TurnedAway | HopEnd::Unreachable | HopEnd::NeverSent | HopEnd::Lacking)
+        use HopEnd::*;
+        matches!(self, TurnedAway | Unreachable | NeverSent | Overtaken | Lacking)
     }
 }
 
@@ -198,9 +201,24 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
-    Hop { txn: TxnId, member: MemberId, fill: Option<Fill>, limit: Time },
-    Cancel { txn: TxnId, hop: u32 },
-    Reject { txn: TxnId, come_back: Option<Span> },
-    Abort { txn: TxnId },
+    /// Nothing of it may be sent after `begin_by`.
+    Hop {
+        txn: TxnId,
+        member: MemberId,
+        fill: Option<Fill>,
+        begin_by: Time,
+        limit: Time,
+    },
+    Cancel {
+        txn: TxnId,
+        hop: u32,
+    },
+    Reject {
+        txn: TxnId,
+        come_back: Option<Span>,
+    },
+    Abort {
+        txn: TxnId,
+    },
     Subscribe,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -298,7 +298,10 @@
         };
         if silent {
             self.strike(now, hop.member);
-        } else if !matches!(o.end, HopEnd::TimedOut | HopEnd::Withdrawn | HopEnd::NeverSent) {
+        } else if !matches!(
+            o.end,
+            HopEnd::TimedOut | HopEnd::Withdrawn | HopEnd::NeverSent | HopEnd::Overtaken
+        ) {
             c.heard(now);
         }
         let mut culprit = hop.member;
@@ -373,7 +376,7 @@
             open.parent_lacks |= hop.source.is_some_and(|p| self.book.caches[p].role == Role::Parent);
         } else if o.note == Some(Note::OriginFailed) {
             open.origin_failed = true;
-        } else {
+        } else if o.end != HopEnd::Overtaken {
             open.avoid.push(culprit);
         }
         if !o.end.proves_not_run() && open.may_have_run.is_none_or(|(_, at)| hop.sent < at) {
@@ -770,8 +773,14 @@
         open.hops += 1;
         open.out += 1;
         let limit = open.limit;
+        // Guards keyed effects against a hop that waits, for a connection say, until its repeat is not known any more.
+        let begin_by = match open.may_have_run {
+            Some((_, at)) if rule.effect == Effect::Keyed => limit.min(at + rule.memory),
+            _ => limit,
+        };
         self.book.open.insert(id, open);
-        Decision::Hop { txn: id, member: Arc::clone(&self.book.caches[member].m.id), fill, limit }
+        let member = Arc::clone(&self.book.caches[member].m.id);
+        Decision::Hop { txn: id, member, fill, begin_by, limit }
     }
 
     /// Where the next hop goes: cache, fill source and how the copy is kept.
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -10,7 +10,7 @@
 
 type Step = (u8, u8, u16);
 
-const ENDS: [HopEnd; 9] = [
+const ENDS: [HopEnd; 10] = [
     HopEnd::Completed,
     HopEnd::Errored,
     HopEnd::TurnedAway,
@@ -19,6 +19,7 @@
     HopEnd::Broken,
     HopEnd::Withdrawn,
     HopEnd::NeverSent,
+    HopEnd::Overtaken,
     HopEnd::Lacking,
 ];
 const NOTES: [Option<Note>; 8] = [
@@ -159,7 +160,12 @@
     fn check(&mut self, decisions: Vec<Decision>) {
         for decision in decisions {
             match decision {
-                Decision::Hop { txn, member, fill, limit } => {
+                Decision::Hop { txn, member, fill, begin_by, limit } => {
+                    // Before this one is booked as sent, or it would be its own first.
+                    let (ask, first) = (&self.asked[&txn], self.asked[&txn].ran.as_ref().map(|ran| ran.1));
+                    let rule = &self.set.rules[ask.rule];
+                    let known = first.filter(|_| rule.effect == Effect::Keyed).map(|at| at + rule.memory);
+                    assert!(begin_by <= known.unwrap_or(ask.limit));
                     self.check_hop(txn, &member, fill.as_ref());
                     assert!(limit <= self.asked[&txn].limit);
                 }
