--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! A small world for the tests: one zone of caches, two parents and the origin, driven by hand.
+#![allow(dead_code, reason = "each test file uses its part")]
 
 use kelpcart::interface::*;
 use kelpcart::{Gateway, Span, Time};
