Settings of other deployments start it; a bulletin that says nothing usable is left

Seen by reading. A bulletin that stood and sent bytes without ever ending a line was held to be alive, since each byte began the 2 s anew (gateway/src/bulletin.rs, read): it is now counted from the last whole line, longer only for long lines that come. Settings that say nothing of marks for rules without one, nothing of parents where there are none, or name a state that is not known here, refused the start; without the gateways by zone each took a cold cache's whole budget for its own (settings/src/lib.rs). Signals before the configuration was read ended the process by their default: they are heeded first.

Settled without a change, each by a test: numbers below the last are old news (the protocol's run on, also on a move); a flood of idle clients leaves descriptors for the bulletin and a cache, under a limit of 33.

--- a/gateway/src/bulletin.rs
+++ b/gateway/src/bulletin.rs
@@ -15,8 +15,10 @@
 use std::rc::Rc;
 
 const MOST_LINE: usize = 1024 * 1024;
-/// It writes a line each second; this long without one, and the connection is held to be dead.
+/// It writes a line each second; this long without a whole one, and the connection is held to be dead. A long line has
+/// as long again for each piece of it that has come.
 const SILENT: Span = Span::from_millis(2_000);
+const PIECE: usize = 16 * 1024;
 const CONNECT: Span = Span::from_millis(500);
 const WAITS: std::ops::Range<Span> = Span::from_millis(50)..Span::from_millis(400);
 
@@ -88,12 +90,17 @@
             Some(Err(_)) => return End::Refused,
             None => return End::NoConnection,
         };
-        if stream.write_all(format!("after {}\n", self.hears.after()).as_bytes()).await.is_err() {
-            return End::PeerLeft;
+        let ask = format!("after {}\n", self.hears.after());
+        match self.clock.within(SILENT, stream.write_all(ask.as_bytes())).await {
+            Some(Ok(())) => {}
+            Some(Err(_)) => return End::PeerLeft,
+            None => return End::PeerSilent,
         }
-        let (mut held, mut bytes) = (Vec::new(), vec![0; 16 * 1024]);
+        let (mut held, mut bytes, mut heard) = (Vec::new(), vec![0; PIECE], self.clock.now());
         loop {
-            let read = async { Some(self.clock.within(SILENT, stream.read(&mut bytes)).await) };
+            // Guards against one that stands and sends a byte now and then, but nothing that can be used.
+            let silent = heard + SILENT * (1 + held.len() / PIECE) as f64;
+            let read = async { Some(self.clock.by(silent, stream.read(&mut bytes)).await) };
             let unwanted = async {
                 self.hears.unwanted().await;
                 None
@@ -114,6 +121,7 @@
                     return End::PeerDamaged;
                 }
                 *healthy = true;
+                heard = self.clock.now();
                 used = end + 1;
             }
             held.drain(..used);
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -38,13 +38,14 @@
 }
 
 fn start() -> Result<(), String> {
+    // Before all else: what comes while the configuration is read must not end the process by its default.
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup]);
+    let signals = signals.map_err(|e| format!("signals: {e}"))?;
     let path = env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG is not set")?;
     let mut config = read(&path, Config::read)?;
     if let Ok(listen) = env::var("NODE_LISTEN") {
         config.listen = listen.parse().map_err(|_| "NODE_LISTEN is not an address")?;
     }
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup]);
-    let signals = signals.map_err(|e| format!("signals: {e}"))?;
     let listener = Async::<TcpListener>::bind(config.listen);
     let listener = listener.map_err(|e| format!("{}: {e}", config.listen))?;
     let tasks: Tasks = Box::leak(Box::new(LocalExecutor::new()));
--- a/gateway/tests/crossings.rs
+++ b/gateway/tests/crossings.rs
@@ -4,6 +4,9 @@
 
 use serde_json::json;
 use stand_ins::*;
+use std::io::{BufRead, BufReader, Write};
+use std::process::{Command, Stdio};
+use std::time::Duration;
 
 #[test]
 fn a_keyed_txn_carries_its_mark_on_every_hop() {
@@ -180,3 +183,116 @@
     assert_eq!(origin.came().body, b"stays");
     assert_eq!(origin.came_so_far(), 0);
 }
+
+#[test]
+fn a_bulletin_that_sends_bytes_but_no_line_is_asked_again() {
+    let bulletin = Bulletin::start(Vec::new());
+    let _gateway = Gateway::start(&config(&[Member("o", "origin", nobody())], bulletin.address, 64));
+    bulletin.asked();
+    let first = bulletin.last.lock().unwrap().as_ref().unwrap().try_clone().unwrap();
+    let asked = || bulletin.told.recv_timeout(Duration::from_millis(50)).is_ok();
+    // One byte of an endless line now and then, for longer than anybody waits.
+    let asks_again = (0..400).any(|_| {
+        _ = (&first).write_all(b" ");
+        asked()
+    });
+    assert!(asks_again, "it hangs on one that says nothing");
+}
+
+#[test]
+fn numbers_below_the_last_are_neither_news_nor_a_reason_to_ask() {
+    let edge = Cache::start(|_| ok(b"x"));
+    let bulletin = Bulletin::start(Vec::new());
+    let member = Member("e1", "box", edge.address);
+    let mut gateway =
+        Gateway::start(&config(&[member, Member("o", "origin", nobody())], bulletin.address, 64));
+    bulletin.asked();
+    bulletin.tell(&json!({"no": 2, "recall": {"lot": 200, "issued": 1}}).to_string());
+    while gateway.now()["purges kept"] != 1 {}
+    // As it was told before: the protocol's numbers run on, also on a move, so that this is old.
+    bulletin.tell(&change(1, json!([endpoint(&member, "removed")])));
+    bulletin.tell("1");
+    bulletin.tell(&json!({"no": 3, "recall": {"lot": 201, "issued": 1}}).to_string());
+    while gateway.now()["purges kept"] != 2 {}
+    let mut client = Client::of(&gateway);
+    client.ask("segment", 1, 15_000, &[]);
+    assert_eq!(client.answer().body, b"x");
+    assert!(bulletin.told.try_recv().is_err());
+}
+
+#[test]
+fn a_flood_of_idle_clients_leaves_a_descriptor_for_the_bulletin_and_one_for_a_cache() {
+    let edge = Cache::start(|_| ok(b"x"));
+    let down = nobody();
+    let mut all = config(&[Member("o", "origin", nobody())], down, 64);
+    all["limits"]["sockets"] = json!(33);
+    let gateway = Gateway::start_limited(&all);
+    // More than there are descriptors, while nobody answers at the bulletin's address.
+    let flood: Vec<Client> = (0..60).map(|_| Client::of(&gateway)).collect();
+    let mut client = Client::of(&gateway);
+    assert!(client.check());
+    let bulletin = Bulletin::start(Vec::new());
+    all["bulletin"] = json!(bulletin.address.to_string());
+    gateway.replace(&all.to_string());
+    assert_eq!(bulletin.asked(), "after 1\n");
+    bulletin.tell(&change(2, json!([endpoint(&Member("e1", "box", edge.address), "up")])));
+    loop {
+        client.ask("segment", 1, 15_000, &[]);
+        if client.answer().body == b"x" {
+            break;
+        }
+    }
+    drop(flood);
+}
+
+#[test]
+fn a_signal_that_comes_before_the_configuration_is_read_does_not_end_it() {
+    let path = format!("{}/{}-early.fifo", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    assert!(Command::new("mkfifo").arg(&path).status().unwrap().success());
+    let mut command = Command::new(env!("CARGO_BIN_EXE_kelpcart"));
+    command.env_remove("NODE_LISTEN").env_remove("KELPCART_LOG").env("NODE_CONFIG", &path);
+    let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+    // It comes up once the other side has it open, and so waits for the configuration.
+    let mut file = std::fs::OpenOptions::new().write(true).open(&path).unwrap();
+    let kill = format!("kill -s USR1 {}", child.id());
+    assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+    file.write_all(config(&[], nobody(), 64).to_string().as_bytes()).unwrap();
+    drop(file);
+    let mut line = String::new();
+    BufReader::new(child.stderr.take().unwrap()).read_line(&mut line).unwrap();
+    assert!(line.contains("listens on"), "{line}");
+    _ = child.kill();
+    _ = child.wait();
+    _ = std::fs::remove_file(path);
+}
+
+#[test]
+fn a_configuration_of_another_deployment_starts_and_serves() {
+    let edge = Cache::start(|_| ok(b"x"));
+    let mut all = config(&[Member("e1", "box", edge.address), Member("o", "origin", nobody())], nobody(), 64);
+    // Zones without number, no parents, and nothing said of what is not there; words that are not known here.
+    let settings = all["settings"].as_object_mut().unwrap();
+    settings["Zones"] = (0..500).map(|n| format!("zone {n}")).collect::<Vec<_>>().into();
+    settings["Locality"] = json!(400);
+    settings.insert("Unheard".to_owned(), json!({"of": [1, null]}));
+    for class in settings["Classes"].as_array_mut().unwrap() {
+        let class = class.as_object_mut().unwrap();
+        class.retain(|name, _| !["DedupScope", "MemorySpanUs", "AimStretch"].contains(&name.as_str()));
+    }
+    let family = settings["FamilyInfo"].as_object_mut().unwrap();
+    family["ParentKind"] = json!(-1);
+    let untold = ["CrewByZone", "ParentColdFrom", "UpperColdUs", "ParentFallMultiple", "ClientKbPerS"];
+    family.retain(|name, _| !untold.contains(&name.as_str()));
+    let listed = all["known"]["items"][0]["roster"]["endpoints"].as_array_mut().unwrap();
+    listed[0]["zone"] = json!("zone 400");
+    let mut odd = listed[0].clone();
+    (odd["name"], odd["status"], odd["type"]) = (json!("e2"), json!("resting"), json!("unheard of"));
+    odd["address"] = json!(nobody().to_string());
+    listed.push(odd);
+    let gateway = Gateway::start(&all);
+    let mut client = Client::of(&gateway);
+    for object in 0..20 {
+        client.ask("segment", object, 15_000, &[]);
+        assert_eq!(client.answer().body, b"x");
+    }
+}
--- a/gateway/tests/stand_ins/mod.rs
+++ b/gateway/tests/stand_ins/mod.rs
@@ -224,19 +224,33 @@
 }
 
 pub fn spawn(config: &Value) -> (Child, String) {
+    spawn_by(Command::new(env!("CARGO_BIN_EXE_kelpcart")), config)
+}
+
+fn spawn_by(mut command: Command, config: &Value) -> (Child, String) {
     static NEXT: Mutex<u32> = Mutex::new(0);
     let mut next = NEXT.lock().unwrap();
     *next += 1;
     let name = format!("{}/{}-{}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id(), *next);
     std::fs::write(&name, config.to_string()).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_kelpcart"));
     command.env_remove("NODE_LISTEN").env_remove("KELPCART_LOG").env("NODE_CONFIG", &name);
     (command.stderr(Stdio::piped()).spawn().unwrap(), name)
 }
 
 impl Gateway {
     pub fn start(config: &Value) -> Gateway {
-        let (mut child, config) = spawn(config);
+        Gateway::begun(spawn(config))
+    }
+
+    /// One that gets no more descriptors than the configuration says.
+    pub fn start_limited(config: &Value) -> Gateway {
+        let mut command = Command::new("sh");
+        let limit = format!("ulimit -n {}; exec \"$0\"", config["limits"]["sockets"]);
+        command.args(["-c", &limit, env!("CARGO_BIN_EXE_kelpcart")]);
+        Gateway::begun(spawn_by(command, config))
+    }
+
+    fn begun((mut child, config): (Child, String)) -> Gateway {
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
         log.read_line(&mut line).unwrap();
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -16,12 +16,25 @@
     let kind = |name| Ok::<_, String>(whole(family, name)?.and_then(|k| usize::try_from(k).ok()));
     let classes = list(all, "Classes")?;
     let over = span(contract, "TipAfterUs")?;
+    let parent_kind = kind("ParentKind")?;
+    // Where there are no parents, nothing need be said of them.
+    let cold_parent = || -> Found<ColdStart> {
+        Ok(ColdStart {
+            from: number(family, "ParentColdFrom")?,
+            within: span(family, "UpperColdUs")?,
+            multiple: number(family, "ParentFallMultiple")?,
+            over,
+        })
+    };
+    let gateways = int(all, "Instances")? as u32;
+    // Where it is not told how many there are in the own zone, all of them may be there.
+    let in_zone = at(family, "CrewByZone", zone).and_then(Value::as_u64).filter(|&n| n > 0);
     Ok(Settings {
-        gateways: int(all, "Instances")? as u32,
-        zone_gateways: at(family, "CrewByZone", zone).and_then(Value::as_u64).unwrap_or(0) as u32,
+        gateways,
+        zone_gateways: in_zone.map_or(gateways, |n| n as u32),
         zone,
         rules: classes.iter().enumerate().map(|(i, c)| rule(c, i, family)).collect::<Found<_>>()?,
-        parent_kind: kind("ParentKind")?,
+        parent_kind,
         origin_kind: kind("OriginKind")?,
         client_pace: optional(family, "ClientKbPerS", number)?.unwrap_or(0.0),
         sized: text(all, "Weights")? == "nominal",
@@ -43,12 +56,7 @@
             multiple: number(contract, "FallMultiple")?,
             over,
         },
-        cold_parent: ColdStart {
-            from: number(family, "ParentColdFrom")?,
-            within: span(family, "UpperColdUs")?,
-            multiple: number(family, "ParentFallMultiple")?,
-            over,
-        },
+        cold_parent: if parent_kind.is_some() { cold_parent()? } else { ColdStart::default() },
         purge_done: span(family, "GoneEverywhereUs")?,
         list_asked: text(all, "Discovery")? == "ask",
         list_within: span(contract, "AskWithinUs")?,
@@ -59,20 +67,28 @@
 fn rule(class: &Value, i: usize, family: &Fields) -> Found<RemapRule> {
     let class = class.as_object().ok_or("a class is not an object")?;
     let of = |name| at(family, name, i);
-    Ok(RemapRule {
-        effect: match text(class, "Repeat")? {
-            "pure" => Effect::Repeatable,
-            "token" => Effect::Keyed,
-            "side_effect" => Effect::Unrepeatable,
-            effect => return Err(format!("unknown Repeat {effect}")),
-        },
-        group: match text(class, "DedupScope")? {
+    let effect = match text(class, "Repeat")? {
+        "pure" => Effect::Repeatable,
+        "token" => Effect::Keyed,
+        "side_effect" => Effect::Unrepeatable,
+        effect => return Err(format!("unknown Repeat {effect}")),
+    };
+    // What says how a mark is known is told of keyed rules only.
+    let (group, memory) = if effect == Effect::Keyed {
+        let group = match text(class, "DedupScope")? {
             "all" => RepeatGroup::All,
             "zone" => RepeatGroup::Zone,
             "cell" => RepeatGroup::Cell,
             group => return Err(format!("unknown DedupScope {group}")),
-        },
-        memory: span(class, "MemorySpanUs")?,
+        };
+        (group, span(class, "MemorySpanUs")?)
+    } else {
+        (RepeatGroup::All, Span::ZERO)
+    };
+    Ok(RemapRule {
+        effect,
+        group,
+        memory,
         sla: span(class, "SloUs")?,
         sla_stretch: optional(class, "AimStretch", number)?.unwrap_or(0.0),
         fresh: Span::from_micros(of("LifetimeByClassUs").and_then(Value::as_u64).unwrap_or(0)),
@@ -81,13 +97,14 @@
     })
 }
 
-/// A member's state, by the word that both the wire and the bulletin use.
+/// A member's state, by the word that both the wire and the bulletin use. One in a state that is not known here gets
+/// nothing new.
 pub fn state(body: &Fields, name: &str) -> Found<MemberState> {
     match text(body, name)? {
         "up" => Ok(MemberState::Up),
         "draining" => Ok(MemberState::Draining),
         "removed" => Ok(MemberState::Gone),
-        word => Err(format!("unknown {name} {word}")),
+        _ => Ok(MemberState::Draining),
     }
 }
 
