--- a/gateway/src/caches.rs
+++ b/gateway/src/caches.rs
@@ -9,10 +9,9 @@
 use crate::counters::{Counters, Held};
 use crate::end::End;
 use crate::http;
-use crate::seam::{Common, Ended, Event, Job, Permit};
-use async_channel::Sender;
+use crate::seam::{Common, Ended, Job, Permit};
 use async_io::Async;
-use event_listener::Event as Sign;
+use event_listener::Event;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use kelpcart::interface::{MemberId, MemberState};
 use kelpcart::{Span, Time};
@@ -67,15 +66,13 @@
     places: RefCell<BTreeMap<MemberId, Place>>,
     kept: RefCell<BTreeMap<MemberId, Vec<Kept>>>,
     /// A hop has ended, so that its descriptor may be free.
-    freed: Sign,
-    /// Where connections that are late are awaited, and who hears that one has come.
-    late: OnceCell<(Tasks, Sender<Event>)>,
+    freed: Event,
     /// Bounds in common with other gateways, where there are any.
     common: OnceCell<Rc<dyn Common>>,
 }
 
 /// Tells of the end of a hop, also of one that is taken back.
-struct Tells<'a>(&'a Sign);
+struct Tells<'a>(&'a Event);
 
 impl Drop for Tells<'_> {
     fn drop(&mut self) {
@@ -94,8 +91,7 @@
             bounds,
             places,
             kept,
-            freed: Sign::new(),
-            late: OnceCell::new(),
+            freed: Event::new(),
             common: OnceCell::new(),
         })
     }
@@ -112,8 +108,7 @@
     }
 
     /// Closes idle connections well before the caches would, lest one is closed just as it is used.
-    pub fn sweep(self: &Rc<Self>, tasks: Tasks, desk: Sender<Event>) {
-        _ = self.late.set((tasks, desk));
+    pub fn sweep(self: &Rc<Self>, tasks: Tasks) {
         let caches = Rc::clone(self);
         let sweep = async move {
             loop {
@@ -167,7 +162,7 @@
     }
 
     /// Runs one hop to its end, which comes by the job's time at the latest.
-    pub async fn hop(self: &Rc<Self>, job: Job) -> Ended {
+    pub async fn hop(&self, job: Job) -> Ended {
         let progress = Progress { late: Cell::new(End::LateUnsent), own: Cell::default() };
         let _tells = Tells(&self.freed);
         let run = self.clock.by(job.until, self.run(&job, &progress));
@@ -195,7 +190,7 @@
         got
     }
 
-    async fn run(self: &Rc<Self>, job: &Job, progress: &Progress) -> Ended {
+    async fn run(&self, job: &Job, progress: &Progress) -> Ended {
         let place = self.places.borrow().get(&job.member).map(|p| p.address);
         let Some(address) = place else { return End::NoSocket.into() };
         let mut fill = None;
@@ -213,10 +208,10 @@
         ended
     }
 
-    async fn talk(self: &Rc<Self>, job: &Job, address: SocketAddr, progress: &Progress) -> Ended {
+    async fn talk(&self, job: &Job, address: SocketAddr, progress: &Progress) -> Ended {
         let (mut link, again) = match self.take_kept(&job.member) {
             Some(link) => (link, true),
-            None => match self.connect(job, address, progress).await {
+            None => match self.connect(&job.member, address, progress).await {
                 Ok(link) => (link, false),
                 Err(end) => return end.into(),
             },
@@ -329,12 +324,11 @@
     }
 
     async fn connect(
-        self: &Rc<Self>,
-        job: &Job,
+        &self,
+        member: &MemberId,
         address: SocketAddr,
         progress: &Progress,
     ) -> Result<Link, End> {
-        let member = &job.member;
         let room = self.clock.within(self.bounds.connect, self.room());
         self.own(progress, End::LateUnsent, room).await.ok_or(End::NoSocket)?;
         let mut permit = None;
@@ -349,47 +343,12 @@
         let limit = self.clock.now() + self.bounds.connect;
         let held = Held::new(&self.counters.hops);
         self.counters.add("hop connections opened");
-        let mut connecting = Box::pin(Async::<TcpStream>::connect(address));
-        let Some(connected) = self.clock.by(limit, connecting.as_mut()).await else {
-            self.await_late(job, address, async move {
-                let stream = connecting.await?;
-                stream.get_ref().set_nodelay(true)?;
-                Ok(Link { stream, _held: held, _permit: permit })
-            });
-            return Err(End::NoConnection);
-        };
-        let stream = connected.map_err(refusal)?;
+        let connected = self.clock.by(limit, Async::<TcpStream>::connect(address)).await;
+        let stream = connected.ok_or(End::NoConnection)?.map_err(refusal)?;
         stream.get_ref().set_nodelay(true).map_err(refusal)?;
         Ok(Link { stream, _held: held, _permit: permit })
     }
 
-    /// A connection that does not come up in time may still come: the next hop to the member then needs none. It is
-    /// awaited while its txn's client waits, and only while descriptors are plenty.
-    fn await_late(
-        self: &Rc<Self>,
-        job: &Job,
-        address: SocketAddr,
-        coming: impl Future<Output = io::Result<Link>> + 'static,
-    ) {
-        if self.counters.hops.get() * 2 > self.bounds.most {
-            return;
-        }
-        let (caches, member, until) = (Rc::clone(self), job.member.clone(), job.until);
-        let late = async move {
-            if let Some(Ok(link)) = caches.clock.by(until, coming).await {
-                caches.counters.add("hop connections that came late");
-                caches.keep(&member, address, link);
-                if let Some((_, desk)) = caches.late.get() {
-                    _ = desk.try_send(Event::Alive { member });
-                }
-            }
-            caches.freed.notify_additional(1);
-        };
-        if let Some((tasks, _)) = self.late.get() {
-            tasks.spawn(late).detach();
-        }
-    }
-
     /// Guards txns at the bound of descriptors against being told off at once by every cache in turn: a hop waits
     /// for one as it would for its connection.
     async fn room(&self) {
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -88,7 +88,7 @@
     let pool = Pool::new(config.memory / 2);
     let bounds = Bounds { connect: config.settings.connect_limit, idle: config.idle, most: hops };
     let caches = Caches::new(clock, Rc::clone(&pool), Rc::clone(&counters), bounds);
-    caches.sweep(tasks, desk.clone());
+    caches.sweep(tasks);
     let (moved, moves) = async_channel::unbounded();
     let keys = Keys::default();
     let means = Means {
