Large txns are no longer turned away for the fixed time that hops take

A log of one gateway there: 109 rejections, 100 before any hop, of large txns with 3.8 s left and of others with 0.2 to 0.4 s, while no gate was near full. Ruled out: late connections (8 hops in 233; awaiting them, tried and reverted, moved nothing), cold budgets, silence. At fault: src/logic.rs, stretch: the mean time of hops over the mean sending time took connections and ways, which are alike for all, for a pace of sending, so that a txn ten times the mean was held to take ten times that.

Now a line is kept through what hops took by their sending times: its start is what is fixed, its slope the pace.

A case fails without it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -277,8 +277,7 @@
         // Answers that never come, while later hops are completed in time, are no sign of a jam.
         let jammed = o.end == HopEnd::TimedOut && c.prompt <= hop.sent;
         if (o.end == HopEnd::Completed || jammed) && hop.sized {
-            follow(&mut self.book.took, o.took.as_secs_f64(), SLOW);
-            follow(&mut self.book.sent, hop.sending, SLOW);
+            self.book.pace.record(hop.sending, o.took.as_secs_f64(), SLOW);
         }
         if let Some(link) = o.load.link.filter(|_| near) {
             follow(&mut self.book.link, link, QUICK);
@@ -513,7 +512,7 @@
         self.book.arrivals = 0.0;
         // With nothing out nothing is measured: the pace of late is forgotten, lest all be rejected for good.
         if self.book.hops.is_empty() {
-            self.book.took += (self.book.sent - self.book.took) * QUICK;
+            self.book.pace.forget(QUICK);
         }
         let purge_done = self.set.purge_done;
         self.book.purges.retain(|p| now - p.at < purge_done + SECOND);
@@ -576,11 +575,6 @@
         rule.sla + Span::from_secs_f64(sending * rule.sla_stretch)
     }
 
-    /// What a txn's sending time stretches to of late.
-    fn stretch(&self) -> f64 {
-        (self.book.took / self.book.sent.max(1e-6)).max(1.0)
-    }
-
     /// The txn's own sending time, as far as it is told.
     pub(crate) fn sending(&self, txn: &Txn) -> f64 {
         match txn.size {
@@ -731,7 +725,7 @@
         let paid = open.hops == 0 || self.further >= 1.0;
         // Guards capacity against large txns that can't be sent before the client gives up: they would hold
         // their places for seconds and time out. Harmful where one cache is slow and the rest are not.
-        let ends = Span::from_secs_f64(sending * self.stretch());
+        let ends = Span::from_secs_f64(self.book.pace.takes(sending));
         let in_time = now + ends < open.limit && (open.hops > 0 || ends < sla);
         let fixed = rule.effect == Effect::Unrepeatable && open.may_have_run.is_some();
         let plan = (paid && in_time && !fixed && open.hops < self.set.max_hops)
--- a/src/state.rs
+++ b/src/state.rs
@@ -153,6 +153,48 @@
     pub told: bool,
 }
 
+/// A line through what hops of late took by their txns' sending times, from running means.
+#[derive(Clone, Default)]
+pub struct Pace {
+    weight: f64,
+    sent: f64,
+    took: f64,
+    sent_sent: f64,
+    sent_took: f64,
+}
+
+impl Pace {
+    pub fn record(&mut self, sent: f64, took: f64, part: f64) {
+        follow(&mut self.weight, 1.0, part);
+        follow(&mut self.sent, sent, part);
+        follow(&mut self.took, took, part);
+        follow(&mut self.sent_sent, sent * sent, part);
+        follow(&mut self.sent_took, sent * took, part);
+    }
+
+    /// Moves the line by `part` of the way to where all take their sending time and no more.
+    pub fn forget(&mut self, part: f64) {
+        let (sent, sent_sent) = (self.sent, self.sent_sent);
+        follow(&mut self.took, sent, part);
+        follow(&mut self.sent_took, sent_sent, part);
+    }
+
+    /// What a txn of this sending time takes on the line: at least that. Where sizes hardly differ, or the line would
+    /// start below nothing, a multiple of it.
+    pub fn takes(&self, sending: f64) -> f64 {
+        let n = self.weight.max(1e-9);
+        let (sent, took) = (self.sent / n, self.took / n);
+        let spread = self.sent_sent / n - sent * sent;
+        let slope = (self.sent_took / n - sent * took) / spread.max(1e-12);
+        let base = took - slope.max(1.0) * sent;
+        if spread > sent * sent * 0.01 && base >= 0.0 {
+            base + sending * slope.max(1.0)
+        } else {
+            sending * (took / sent.max(1e-6)).max(1.0)
+        }
+    }
+}
+
 #[derive(Clone)]
 pub struct Purge {
     pub object: Option<u64>,
@@ -176,9 +218,8 @@
     pub purges: Vec<Purge>,
     pub mean_load: f64,
     pub mean_sending: f64,
-    /// Means of what hops took and of their txns' sending times, where sizes are told.
-    pub took: f64,
-    pub sent: f64,
+    /// What hops took by their txns' sending times, where sizes are told.
+    pub pace: Pace,
     /// Sending time a second that this gateway saw a warm cache and a warm parent complete, at most lately.
     pub borne: [f64; 2],
     pub origin: Option<usize>,
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -341,6 +341,20 @@
     assert!(taken(&world.ask(at(20_000), large(902))));
 }
 
+#[test]
+fn a_fixed_time_on_top_does_not_turn_large_txns_away() {
+    // Connections and ways take as long for a small txn as for a large one: no pace of sending.
+    let mut world = World::new(settings());
+    for id in 0..200 {
+        let kb = if id % 2 == 0 { 20 } else { 80 };
+        world.ask(at(id * 20), Txn { size: Some(kb as f64), ..txn(id, 0, id) });
+        let note = Some(Note::Held);
+        world.end_after(at(id * 20 + 10), id, HopEnd::Completed, note, ms(100 + kb), Load::default());
+    }
+    let large = world.ask(at(4_000), Txn { size: Some(300.0), ..txn(900, 0, 900) });
+    assert!(matches!(large[..], [Decision::Hop { .. }]), "{large:?}");
+}
+
 #[test]
 fn spoilt_answers_and_txns_that_every_member_errs_on_narrow_no_gate() {
     // Guards usual clients against those whose txns no cache can use.
