--- a/gateway/tests/schedules.rs
+++ b/gateway/tests/schedules.rs
@@ -196,7 +196,7 @@
     }
 
     fn ask(&mut self, at: usize, what: u16) {
-        let (write, object) = (what % 4 == 0, u64::from(what / 4 % 12));
+        let (write, object) = (what.is_multiple_of(4), u64::from(what / 4 % 12));
         self.effects += u32::from(write);
         let effect = if write { format!("effect {}", self.effects) } else { String::new() };
         let method = if write { "commit" } else { "segment" };
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -351,7 +351,7 @@
         let note = Some(Note::Held);
         world.end_after(at(id * 20 + 10), id, HopEnd::Completed, note, ms(100 + kb), Load::default());
     }
-    let large = world.ask(at(4_000), Txn { size: Some(300.0), ..txn(900, 0, 900) });
+    let large = world.ask(at(4_000), Txn { size: Some(600.0), ..txn(900, 0, 900) });
     assert!(matches!(large[..], [Decision::Hop { .. }]), "{large:?}");
 }
 
