--- a/gateway/src/bulletin.rs
+++ b/gateway/src/bulletin.rs
@@ -1,4 +1,4 @@
-//! Follows the bulletin: its events reach the desk in the order of their numbers, each once, also when its address
+//! Follows the bulletin: its events reach the dispatcher in the order of their numbers, each once, also when its address
 //! is changed on the way. Must never pass on an event after a gap, nor take silence for news: it connects anew and
 //! asks for what follows the last good one.
 
@@ -27,7 +27,7 @@
 const _: () = assert!(2 * ONE_TRY < 2_000_000 && SILENT.as_micros() + 2 * ONE_TRY < 4_000_000);
 
 /// Who hears the lines. What comes after a gap or can't be read ends the connection.
-pub trait Hears {
+pub trait Subscriber {
     /// The number of the last event that is known.
     fn after(&self) -> u64;
     fn line(&mut self, line: &[u8]) -> Result<(), String>;
@@ -44,10 +44,10 @@
     pub moves: Receiver<SocketAddr>,
     pub clock: Clock,
     pub counters: Rc<Counters>,
-    pub hears: H,
+    pub subscriber: H,
 }
 
-impl<H: Hears> Bulletin<H> {
+impl<H: Subscriber> Bulletin<H> {
     pub async fn follow(mut self) {
         let (moves, mut wait) = (self.moves.clone(), WAITS.start);
         loop {
@@ -61,15 +61,15 @@
                 future::pending().await
             };
             let followed = async {
-                self.hears.wanted().await;
-                let (before, mut healthy) = (self.hears.after(), false);
+                self.subscriber.wanted().await;
+                let (before, mut healthy) = (self.subscriber.after(), false);
                 let end = self.read(&mut healthy).await;
                 self.counters.ended(end);
-                let after = self.hears.after();
+                let after = self.subscriber.after();
                 if end == End::PeerDamaged || after > before && end != End::Withdrawn {
                     log::warn!("the bulletin's connection ended ({end:?}); asking again after {after}");
                 }
-                self.hears.ended();
+                self.subscriber.ended();
                 wait = if healthy { WAITS.start } else { (wait * 2.0).min(WAITS.end) };
                 self.clock.sleep(wait).await;
                 here
@@ -77,7 +77,7 @@
             self.address = future::or(moved, followed).await;
             if self.address != here {
                 wait = WAITS.start;
-                let after = self.hears.after();
+                let after = self.subscriber.after();
                 log::info!("the bulletin is now followed at {}, after {after}", self.address);
             }
         }
@@ -90,7 +90,7 @@
             Some(Err(_)) => return End::Refused,
             None => return End::NoConnection,
         };
-        let ask = format!("after {}\n", self.hears.after());
+        let ask = format!("after {}\n", self.subscriber.after());
         match self.clock.within(SILENT, stream.write_all(ask.as_bytes())).await {
             Some(Ok(())) => {}
             Some(Err(_)) => return End::PeerLeft,
@@ -102,7 +102,7 @@
             let silent = heard + SILENT * (1 + held.len() / PIECE) as f64;
             let read = async { Some(self.clock.by(silent, stream.read(&mut bytes)).await) };
             let unwanted = async {
-                self.hears.unwanted().await;
+                self.subscriber.unwanted().await;
                 None
             };
             let Some(got) = future::or(read, unwanted).await else { return End::Withdrawn };
@@ -116,7 +116,7 @@
             let mut used = 0;
             while let Some(end) = held[seen.max(used)..].iter().position(|&b| b == b'\n') {
                 let end = seen.max(used) + end;
-                if let Err(why) = self.hears.line(&held[used..end]) {
+                if let Err(why) = self.subscriber.line(&held[used..end]) {
                     log::warn!("a line of the bulletin can't be used: {why}");
                     return End::PeerDamaged;
                 }
@@ -132,16 +132,16 @@
     }
 }
 
-/// Passes events on to the desk; a connection is always wanted.
+/// Passes events on to the dispatcher; a connection is always wanted.
 pub struct Alone {
     /// The number of the last event that was passed on.
     pub last: u64,
     pub names: Names,
     pub counters: Rc<Counters>,
-    pub desk: Sender<Event>,
+    pub dispatcher: Sender<Event>,
 }
 
-impl Hears for Alone {
+impl Subscriber for Alone {
     fn after(&self) -> u64 {
         self.last
     }
@@ -169,8 +169,8 @@
             self.last = no;
             self.counters.add("bulletin events");
             if let Some(said) = said {
-                // It fails only when the desk has ended, and with it the process.
-                _ = self.desk.try_send(Event::News(said));
+                // It fails only when the dispatcher has ended, and with it the process.
+                _ = self.dispatcher.try_send(Event::News(said));
             }
         }
         Ok(())
--- a/gateway/src/caches.rs
+++ b/gateway/src/caches.rs
@@ -209,7 +209,7 @@
     }
 
     async fn talk(&self, job: &Job, address: SocketAddr, progress: &Progress) -> Ended {
-        let (mut link, again) = match self.take_kept(&job.member) {
+        let (mut link, again) = match self.take_idle(&job.member) {
             Some(link) => (link, true),
             None => match self.connect(&job.member, address, progress).await {
                 Ok(link) => (link, false),
@@ -302,7 +302,7 @@
     }
 
     /// A connection kept from an earlier hop on which nothing has come since, its end included.
-    fn take_kept(&self, id: &MemberId) -> Option<Link> {
+    fn take_idle(&self, id: &MemberId) -> Option<Link> {
         let (mut kept, rested) = (self.kept.borrow_mut(), self.clock.now().back(REST));
         let all = kept.get_mut(id)?;
         while let Some(last) = all.iter().rposition(|k| k.since <= rested) {
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -9,7 +9,7 @@
 use crate::counters::{Counters, Held};
 use crate::end::End;
 use crate::rpc::{self, Fault, Message, Word};
-use crate::seam::{Beside, Caller, Event as Said, Keys};
+use crate::seam::{Caller, Event as Said, Keys, Service};
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use event_listener::Event;
@@ -152,7 +152,7 @@
     pub clock: Clock,
     pub counters: Rc<Counters>,
     pub pool: Rc<Pool>,
-    pub desk: Sender<Said>,
+    pub dispatcher: Sender<Said>,
     pub most: usize,
     pub connected: Rc<RefCell<BTreeMap<u64, Rc<Client>>>>,
     pub keys: Keys,
@@ -168,7 +168,7 @@
     deaf: Cell<bool>,
 }
 
-impl Beside for Front {
+impl Service for Front {
     fn stop(&self) {}
 
     fn close(&self) {
@@ -282,13 +282,13 @@
         }
         frames.close();
         self.counters.ended(end);
-        _ = self.desk.send(Said::Left { client: id }).await;
+        _ = self.dispatcher.send(Said::Left { client: id }).await;
         self.connected.borrow_mut().remove(&id);
     }
 
     /// The end of one that sent what can't be read: each of its open requests gets an answer that promises nothing.
     async fn give_up(&self, client: &Client) {
-        _ = self.desk.send(Said::Left { client: client.id }).await;
+        _ = self.dispatcher.send(Said::Left { client: client.id }).await;
         let open: Vec<u64> = client.open.borrow().iter().copied().collect();
         open.into_iter().for_each(|id| client.refuse(id, Word::Lost, &[]));
         client.out.close();
@@ -434,7 +434,7 @@
                 for id in ids {
                     if client.open.borrow_mut().remove(&id) {
                         self.counters.add("requests interrupted");
-                        _ = self.desk.send(Said::Interrupted { client: client.id, id }).await;
+                        _ = self.dispatcher.send(Said::Interrupted { client: client.id, id }).await;
                     }
                 }
                 return true;
@@ -454,8 +454,8 @@
                 Said::Asked { client: Rc::clone(client) as _, id, method, ask, at }
             }
         };
-        // It fails only when the desk has ended, and with it the process.
-        _ = self.desk.send(event).await;
+        // It fails only when the dispatcher has ended, and with it the process.
+        _ = self.dispatcher.send(event).await;
         true
     }
 
--- a/gateway/src/desk.rs
+++ b/gateway/src/dispatcher.rs
@@ -10,7 +10,7 @@
 use crate::counters::Counters;
 use crate::end::End;
 use crate::http;
-use crate::seam::{Ask, Beside, Caller, Carrier, Ended, Event, Job};
+use crate::seam::{Ask, Caller, Carrier, Ended, Event, Job, Service};
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use kelpcart::interface::*;
@@ -30,7 +30,7 @@
 /// A client that leaves this shortly before its time is over has waited for it.
 const AT_LIMIT: Span = Span::from_millis(20);
 
-/// What the desk knows of a remap rule.
+/// What the dispatcher knows of a remap rule.
 #[derive(Clone)]
 struct Rule {
     name: Rc<str>,
@@ -60,14 +60,14 @@
     until: Time,
 }
 
-pub struct Desk {
+pub struct Dispatcher {
     gateway: Gateway,
     clock: Clock,
     tasks: Tasks,
     caches: Rc<Caches>,
     carriers: Vec<Rc<dyn Carrier>>,
     /// What is told of a stop and asked for its sizes.
-    beside: Vec<Rc<dyn Beside>>,
+    services: Vec<Rc<dyn Service>>,
     /// Members that carriers reach, listed beside those of the bulletin.
     carried: Vec<Listed>,
     counters: Rc<Counters>,
@@ -92,7 +92,7 @@
     stopped: Option<Time>,
 }
 
-impl Desk {
+impl Dispatcher {
     pub fn new(
         config: Config,
         clock: Clock,
@@ -100,7 +100,7 @@
         caches: Rc<Caches>,
         counters: Rc<Counters>,
         queue: (Sender<Event>, Receiver<Event>),
-    ) -> Desk {
+    ) -> Dispatcher {
         let set = config.settings;
         let rule = |(name, r): (&String, &RemapRule)| Rule {
             name: Rc::from(name.as_str()),
@@ -109,7 +109,7 @@
             sla: (r.sla, r.sla_stretch),
         };
         let rules = config.names.rules.iter().zip(&set.rules).map(rule);
-        let mut desk = Desk {
+        let mut dispatcher = Dispatcher {
             rules: rules.collect(),
             pace: set.client_pace,
             max_hops: set.max_hops,
@@ -122,7 +122,7 @@
             tasks,
             caches,
             carriers: Vec::new(),
-            beside: Vec::new(),
+            services: Vec::new(),
             carried: Vec::new(),
             counters,
             queue,
@@ -135,21 +135,21 @@
             stopped: None,
         };
         for said in config.known {
-            desk.news(said);
+            dispatcher.news(said);
         }
-        desk
+        dispatcher
     }
 
     /// Adds a way to members of its own; they stay listed whatever the bulletin says.
     pub fn add(&mut self, carrier: Rc<dyn Carrier>, members: Vec<Listed>) {
-        self.beside.push(carrier.clone());
+        self.services.push(carrier.clone());
         self.carriers.push(carrier);
         self.carried.extend(members.iter().cloned());
         self.news(News::Roster { whole: false, list: members });
     }
 
-    pub fn add_beside(&mut self, beside: Rc<dyn Beside>) {
-        self.beside.push(beside);
+    pub fn add_service(&mut self, service: Rc<dyn Service>) {
+        self.services.push(service);
     }
 
     /// Ends some time after `Stop`, with all answered.
@@ -165,10 +165,10 @@
                 // Requests cross the close of the connection they come on, and what crosses is still served: the
                 // work goes on until every connection has ended.
                 if now - at >= STILL_COMING {
-                    self.beside.iter().for_each(|b| b.close());
+                    self.services.iter().for_each(|b| b.close());
                 }
                 let quiet = self.open.is_empty() && self.counters.unwritten.get() == 0;
-                let quiet = quiet && now - at >= STILL_COMING && self.beside.iter().all(|b| b.is_closed());
+                let quiet = quiet && now - at >= STILL_COMING && self.services.iter().all(|b| b.is_closed());
                 if quiet || now + LEAVING >= end {
                     self.clock.sleep(LEAVING).await;
                     return self.tell();
@@ -204,7 +204,7 @@
             Event::Stop => {
                 log::info!("told to stop, {} txns open", self.open.len());
                 self.stopped.get_or_insert(self.clock.now());
-                self.beside.iter().for_each(|b| b.stop());
+                self.services.iter().for_each(|b| b.stop());
             }
         }
     }
@@ -218,8 +218,8 @@
             ("hops out", self.out.len()),
             ("bytes of writes", self.held),
         ];
-        let beside = self.beside.iter().flat_map(|b| b.sizes());
-        let all = own.into_iter().chain(self.caches.sizes()).chain(beside);
+        let services = self.services.iter().flat_map(|b| b.sizes());
+        let all = own.into_iter().chain(self.caches.sizes()).chain(services);
         let all = all.chain(self.gateway.sizes(self.clock.now()));
         *self.counters.sizes.borrow_mut() = all.collect();
         log::info!("{}", self.counters);
@@ -445,7 +445,7 @@
         let queue = self.queue.0.clone();
         self.tasks.spawn(async move {
             let ended = running.await;
-            // It fails only when the desk has ended, and with it the process.
+            // It fails only when the dispatcher has ended, and with it the process.
             _ = queue.try_send(Event::HopEnded { txn, hop, ended });
         })
     }
--- a/gateway/src/fleet.rs
+++ b/gateway/src/fleet.rs
@@ -1,14 +1,14 @@
 //! Joins the gateway to its fleet: one UDP socket, the bulletin's connection while the core wants one, events to the
-//! desk, and permits of budgets in common to hops. Owns no decision: who asks, what is believed and what is lent is
+//! dispatcher, and permits of budgets in common to hops. Owns no decision: who asks, what is believed and what is lent is
 //! decided by the core in `kelpcart-fleet`. Nothing of it runs unless `KELPCART_FLEET` names a file.
 
 use crate::Tasks;
-use crate::bulletin::Hears;
+use crate::bulletin::Subscriber;
 use crate::caches::Caches;
 use crate::clock::Clock;
 use crate::config::{self, Config, Names};
 use crate::counters::Counters;
-use crate::seam::{Beside, Common, Event, Job, Permit, Permits};
+use crate::seam::{Common, Event, Job, Permit, Permits, Service};
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use event_listener::Event as Woken;
@@ -36,7 +36,7 @@
     socket: Async<UdpSocket>,
     clock: Clock,
     counters: Rc<Counters>,
-    desk: Sender<Event>,
+    dispatcher: Sender<Event>,
     names: Names,
     /// The core was told something: its next time may have moved.
     moved: Woken,
@@ -70,7 +70,7 @@
     pub tasks: Tasks,
     pub clock: Clock,
     pub counters: Rc<Counters>,
-    pub desk: Sender<Event>,
+    pub dispatcher: Sender<Event>,
     pub caches: Rc<Caches>,
 }
 
@@ -97,7 +97,7 @@
             socket,
             clock: means.clock,
             counters: means.counters,
-            desk: means.desk,
+            dispatcher: means.dispatcher,
             names: config.names.clone(),
             moved: Woken::new(),
             sleeps_until: Cell::new(now),
@@ -113,8 +113,8 @@
         if counts {
             means.caches.bound_by(Rc::new(Bounds(Rc::clone(&fleet))));
         }
-        let (hears, drives) = (Rc::clone(&fleet), Rc::clone(&fleet));
-        means.tasks.spawn(async move { hears.hear().await }).detach();
+        let (subscriber, drives) = (Rc::clone(&fleet), Rc::clone(&fleet));
+        means.tasks.spawn(async move { subscriber.hear().await }).detach();
         means.tasks.spawn(async move { drives.drive().await }).detach();
         log::info!("{} is of the fleet {} at {}", file.gateway, file.fleet, file.listen);
         Ok(fleet)
@@ -238,8 +238,8 @@
         match value.map_err(|e| e.to_string()).and_then(|v| config::news(&v, &self.names)) {
             Ok((_, Some(said))) => {
                 self.counters.add("bulletin events");
-                // It fails only when the desk has ended, and with it the process.
-                _ = self.desk.try_send(Event::News(said));
+                // It fails only when the dispatcher has ended, and with it the process.
+                _ = self.dispatcher.try_send(Event::News(said));
             }
             Ok((_, None)) => {}
             Err(why) => {
@@ -380,7 +380,7 @@
     }
 }
 
-impl Beside for Fleet {
+impl Service for Fleet {
     fn stop(&self) {
         self.tell(|node, now| node.leave(now));
     }
@@ -431,10 +431,10 @@
     }
 }
 
-/// The bulletin's lines go to the core, which passes them on to the desk and the others.
+/// The bulletin's lines go to the core, which passes them on to the dispatcher and the others.
 pub struct Asker(pub Rc<Fleet>);
 
-impl Hears for Asker {
+impl Subscriber for Asker {
     fn after(&self) -> u64 {
         self.0.node.borrow().relay.list.no()
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,7 +7,7 @@
 pub mod clock;
 pub mod config;
 pub mod counters;
-pub mod desk;
+pub mod dispatcher;
 pub mod end;
 pub mod fleet;
 pub mod http;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -13,8 +13,8 @@
 use kelpcart_gateway::clock::Clock;
 use kelpcart_gateway::config::{self, Config};
 use kelpcart_gateway::counters::Counters;
-use kelpcart_gateway::desk::Desk;
-use kelpcart_gateway::fleet::{Asker, Fleet, Means as Company};
+use kelpcart_gateway::dispatcher::Dispatcher;
+use kelpcart_gateway::fleet::{Asker, Fleet, Means as FleetMeans};
 use kelpcart_gateway::seam::{Event, Keys};
 use kelpcart_gateway::sites::{Between, Means};
 use kelpcart_gateway::{Tasks, logger};
@@ -81,7 +81,7 @@
     mut signals: Signals,
 ) -> Result<(), String> {
     let (clock, counters) = (Clock::start(), Rc::new(Counters::default()));
-    let (desk, events) = async_channel::unbounded();
+    let (dispatcher, events) = async_channel::unbounded();
     // Clients hold a third of the descriptors at most; some of theirs may still be closing.
     let clients = config.sockets / 3 + RESERVE / 2;
     let hops = config.sockets.saturating_sub(clients + RESERVE).max(1);
@@ -96,18 +96,18 @@
         clock,
         pool: Rc::clone(&pool),
         counters: Rc::clone(&counters),
-        desk: desk.clone(),
+        dispatcher: dispatcher.clone(),
         keys: keys.clone(),
     };
     let whole = |text: &str| Ok(text.to_owned());
     let copies = files.copies.as_ref().map(|path| read(path, whole)).transpose()?;
     let start = |path: &String| read(path, |text| Between::start(means, text, copies.as_deref(), &config));
     let between = files.sites.as_ref().map(start).transpose()?;
-    let of_fleet = Company {
+    let of_fleet = FleetMeans {
         tasks,
         clock,
         counters: Rc::clone(&counters),
-        desk: desk.clone(),
+        dispatcher: dispatcher.clone(),
         caches: Rc::clone(&caches),
     };
     let join = |of: &String| {
@@ -118,18 +118,18 @@
     let address = config.bulletin;
     match &fleet {
         None => {
-            let hears = Alone {
+            let subscriber = Alone {
                 last: config.last,
                 names: config.names.clone(),
                 counters: Rc::clone(&counters),
-                desk: desk.clone(),
+                dispatcher: dispatcher.clone(),
             };
-            let bulletin = Bulletin { address, moves, clock, counters: Rc::clone(&counters), hears };
+            let bulletin = Bulletin { address, moves, clock, counters: Rc::clone(&counters), subscriber };
             tasks.spawn(bulletin.follow()).detach();
         }
         Some(fleet) => {
-            let hears = Asker(Rc::clone(fleet));
-            let bulletin = Bulletin { address, moves, clock, counters: Rc::clone(&counters), hears };
+            let subscriber = Asker(Rc::clone(fleet));
+            let bulletin = Bulletin { address, moves, clock, counters: Rc::clone(&counters), subscriber };
             tasks.spawn(bulletin.follow()).detach();
         }
     }
@@ -140,26 +140,26 @@
         clock,
         counters: Rc::clone(&counters),
         pool: Rc::clone(&pool),
-        desk: desk.clone(),
+        dispatcher: dispatcher.clone(),
         most: clients,
         connected: Rc::default(),
         keys,
         ending: Rc::default(),
     };
     tasks.spawn(front.clone().accept(listener)).detach();
-    let mut work = Desk::new(config, clock, tasks, caches, counters, (desk.clone(), events));
-    work.add_beside(Rc::new(front));
+    let mut work = Dispatcher::new(config, clock, tasks, caches, counters, (dispatcher.clone(), events));
+    work.add_service(Rc::new(front));
     let rekeys = between.as_ref().map(|(between, _)| Rc::clone(between));
     if let Some((between, members)) = between {
         work.add(between, members);
     }
     if let Some(fleet) = &fleet {
-        work.add_beside(fleet.clone());
+        work.add_service(fleet.clone());
     }
     let told = async {
         while let Some(signal) = signals.next().await {
             match signal {
-                Ok(Signal::Usr1) => _ = desk.send(Event::Tell).await,
+                Ok(Signal::Usr1) => _ = dispatcher.send(Event::Tell).await,
                 Ok(Signal::Hup) => {
                     match read(path, config::bulletin) {
                         Ok(address) => _ = moved.try_send(address),
@@ -171,7 +171,7 @@
                         fleet.rekey(read(of, whole));
                     }
                 }
-                Ok(_) => _ = desk.send(Event::Stop).await,
+                Ok(_) => _ = dispatcher.send(Event::Stop).await,
                 Err(e) => log::warn!("signals: {e}"),
             }
         }
--- a/gateway/src/seam.rs
+++ b/gateway/src/seam.rs
@@ -1,6 +1,6 @@
-//! Where fronts and carriers meet the desk: what a txn asks, whom it is answered to, and how a member is reached.
+//! Where fronts and carriers meet the dispatcher: what a txn asks, whom it is answered to, and how a member is reached.
 //! Fronts decode into `Event`s and carry out what a `Caller` is told; carriers run hops. Must never know a protocol,
-//! nor decide: the desk and all fronts and carriers depend on this, and none of them on another.
+//! nor decide: the dispatcher and all fronts and carriers depend on this, and none of them on another.
 
 use crate::buffers::Body;
 use crate::config::News;
@@ -134,8 +134,8 @@
 
 pub type Running = Pin<Box<dyn Future<Output = Ended>>>;
 
-/// Work beside that of the desk.
-pub trait Beside {
+/// Work beside that of the dispatcher.
+pub trait Service {
     /// The process is told to stop.
     fn stop(&self);
     /// Nothing more comes: what is owed goes out, and then connections end.
@@ -148,7 +148,7 @@
 }
 
 /// A way to some members other than a connection of HTTP to each.
-pub trait Carrier: Beside {
+pub trait Carrier: Service {
     /// Members that are reached by it.
     fn carries(&self, member: &MemberId) -> bool;
     /// Runs one hop to its end, which comes by the job's time at the latest; dropped, the hop is given up.
--- a/gateway/src/sites.rs
+++ b/gateway/src/sites.rs
@@ -1,4 +1,4 @@
-//! Joins links between sites to the gateway: starts both ends as the file says, and is the desk's one carrier for
+//! Joins links between sites to the gateway: starts both ends as the file says, and is the dispatcher's one carrier for
 //! members that stand for gateways of other sites. Owns no decision: what goes over which link and what becomes of it
 //! is decided by the module and by the core in `kelpcart-sites`. Nothing of it runs unless the file is named.
 
@@ -11,7 +11,7 @@
 use crate::clock::Clock;
 use crate::config::{Config, Listed};
 use crate::counters::{Counters, Held};
-use crate::seam::{Beside, Carrier, Event, Job, Keys, Running};
+use crate::seam::{Carrier, Event, Job, Keys, Running, Service};
 use async_channel::{Receiver, Sender};
 use copies::Copies;
 use far::Door;
@@ -36,7 +36,7 @@
     pub clock: Clock,
     pub pool: Rc<Pool>,
     pub counters: Rc<Counters>,
-    pub desk: Sender<Event>,
+    pub dispatcher: Sender<Event>,
     pub keys: Keys,
 }
 
@@ -183,7 +183,7 @@
     }
 }
 
-impl Beside for Between {
+impl Service for Between {
     fn stop(&self) {
         self.door.iter().for_each(|door| door.stop());
         self.copies.iter().for_each(|copies| copies.stop());
--- a/gateway/src/sites/copies.rs
+++ b/gateway/src/sites/copies.rs
@@ -377,7 +377,7 @@
         }
     }
 
-    /// Hears a holder until its connection ends.
+    /// Subscriber a holder until its connection ends.
     async fn hear(self: &Rc<Self>, incoming: Incoming) -> Result<(), String> {
         let clock = self.means.clock;
         let begun = async {
--- a/gateway/src/sites/far.rs
+++ b/gateway/src/sites/far.rs
@@ -1,5 +1,5 @@
 //! The far end of links on sockets: a front like any other. Takes in gateways of other sites, decodes their requests
-//! into txns for the desk, and writes the answers. Must never hand a request to the desk without the core's word, nor
+//! into txns for the dispatcher, and writes the answers. Must never hand a request to the dispatcher without the core's word, nor
 //! answer one twice.
 
 use super::copies::{Copies, Heard};
@@ -277,8 +277,8 @@
                 }
                 Do::HangUp { call } => {
                     self.calls.borrow_mut().remove(&call);
-                    // It fails only when the desk has ended, and with it the process.
-                    _ = self.means.desk.try_send(Event::Interrupted { client: self.key, id: call });
+                    // It fails only when the dispatcher has ended, and with it the process.
+                    _ = self.means.dispatcher.try_send(Event::Interrupted { client: self.key, id: call });
                     let answer = Arc::new(Answer { ending: Ending::Aborted, body: Vec::new() });
                     self.core.borrow_mut().ended(now, call, &answer);
                 }
@@ -329,8 +329,8 @@
         }
         let Some(client) = self.itself.upgrade() else { return };
         self.means.counters.add("far requests");
-        // It fails only when the desk has ended, and with it the process.
-        _ = self.means.desk.try_send(Event::Asked { client, id: call, method, ask, at });
+        // It fails only when the dispatcher has ended, and with it the process.
+        _ = self.means.dispatcher.try_send(Event::Asked { client, id: call, method, ask, at });
     }
 
     fn control(&self, session: SessionId, frame: Frame) {
@@ -370,7 +370,7 @@
         self.write(session, number, frame, true);
     }
 
-    /// What the desk says of a call; each has one answer.
+    /// What the dispatcher says of a call; each has one answer.
     fn ended(&self, call: Call, ending: Ending, body: Option<Body>, until: Option<Time>) {
         let Some(once) = self.calls.borrow_mut().remove(&call) else { return };
         let kept = body.iter().filter(|_| once).flat_map(Body::slices).flatten().copied().collect();
--- a/gateway/src/sites/near.rs
+++ b/gateway/src/sites/near.rs
@@ -167,8 +167,8 @@
                 Act::Ping { link, number } => self.say(link, Said::Ping(number)),
                 Act::Back { link } => {
                     for (member, _) in self.members.iter().filter(|(_, of)| **of == link) {
-                        // It fails only when the desk has ended, and with it the process.
-                        _ = self.means.desk.try_send(Event::Alive { member: member.clone() });
+                        // It fails only when the dispatcher has ended, and with it the process.
+                        _ = self.means.dispatcher.try_send(Event::Alive { member: member.clone() });
                     }
                 }
                 Act::Settle { link, below } => self.say(link, Said::Settle(below)),
--- a/gateway/tests/closing.rs
+++ b/gateway/tests/closing.rs
@@ -1,5 +1,5 @@
 //! Where the end of a client's connection crosses what comes on it. The front runs in the test's own thread and the
-//! test plays the desk, so that each case is forced by the order of events: what the test writes before it lets the
+//! test plays the dispatcher, so that each case is forced by the order of events: what the test writes before it lets the
 //! front run again has come, and what it writes after it has seen the end of the connection has crossed it.
 
 use async_channel::Receiver;
@@ -12,7 +12,7 @@
 use kelpcart_gateway::clients::Front;
 use kelpcart_gateway::clock::Clock;
 use kelpcart_gateway::counters::Counters;
-use kelpcart_gateway::seam::{Ask, Beside, Caller, Event, Keys};
+use kelpcart_gateway::seam::{Ask, Caller, Event, Keys, Service};
 use std::future::Future;
 use std::io::{ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -29,7 +29,7 @@
     clock: Clock,
 }
 
-/// What the desk is given of a txn.
+/// What the dispatcher is given of a txn.
 struct Asked {
     caller: Rc<dyn Caller>,
     id: u64,
@@ -136,14 +136,14 @@
     let tasks: Tasks = Box::leak(Box::new(LocalExecutor::new()));
     let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
     let address = listener.get_ref().local_addr().unwrap();
-    let (desk, events) = async_channel::unbounded();
+    let (dispatcher, events) = async_channel::unbounded();
     let (clock, pool) = (Clock::start(), Pool::new(64 << 20));
     let front = Front {
         tasks,
         clock,
         counters: Rc::<Counters>::default(),
         pool: Rc::clone(&pool),
-        desk,
+        dispatcher,
         most,
         connected: Rc::default(),
         keys: Keys::default(),
--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -373,7 +373,7 @@
     }
     assert!(client.check());
     (0..8).for_each(|_| _ = edge.came());
-    // The module's view, the desk's and the sockets': eight of the sixteen wait for a descriptor.
+    // The module's view, the dispatcher's and the sockets': eight of the sixteen wait for a descriptor.
     let now = gateway.now();
     assert_eq!((now["hops decided on"], now["hops out"], now["hops"], now["clients"]), (16, 16, 8, 1));
     assert_eq!(edge.came_so_far(), 0);
--- a/rig/src/plan.rs
+++ b/rig/src/plan.rs
@@ -25,7 +25,7 @@
     WipeZone,
     /// The one that leads is stopped, and goes on at the end.
     StopLeader,
-    /// It is cut off from the others that keep copies: both ways, or what it says, or what it hears.
+    /// It is cut off from the others that keep copies: both ways, or what it says, or what it subscriber.
     CutLeader,
     MuteLeader,
     DeafLeader,
--- a/rig/src/switch.rs
+++ b/rig/src/switch.rs
@@ -167,7 +167,7 @@
                 Some(at) if at <= now => {
                     let Some(Reverse((_, _, from, to, bytes))) = due.0.pop() else { continue };
                     drop(due);
-                    // A gateway that is not there is an address at which nobody hears.
+                    // A gateway that is not there is an address at which nobody subscriber.
                     _ = self.sockets[from].send_to(&bytes, own(to));
                     self.passed.fetch_add(1, Ordering::Relaxed);
                     self.bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
