--- a/gateway/tests/parsers.rs
+++ b/gateway/tests/parsers.rs
@@ -264,6 +264,7 @@
         End::NoConnection,
         End::NoSocket,
         End::LateUnsent,
+        End::Overtaken,
         End::CutUnsent,
         End::KeptClosed,
         End::FarDown,
