A test of answers that never end: their time is bounded, their room and connection given back

Settled by reading and by this test, without a change: a hop's time bounds it whatever its answer does, and its task's end drops the body's room and the connection.

--- a/gateway/tests/crossings.rs
+++ b/gateway/tests/crossings.rs
@@ -296,3 +296,36 @@
         assert_eq!(client.answer().body, b"x");
     }
 }
+
+#[test]
+fn answers_that_never_end_cost_their_time_and_give_back_their_room() {
+    let edge = Cache::start(|seen| {
+        let body = bytes_of("whole", 240_000);
+        let whole = answer("200 OK", "", &body);
+        // Two that stop in the middle, each with the room of half of what there is.
+        let stops = ["/x/segment/0000000000000001/3", "/x/segment/0000000000000002/3"];
+        let stops = stops.iter().any(|path| seen.head.contains(path));
+        Reply::Send(if stops { whole[..1_000].to_vec() } else { whole })
+    });
+    let members = [Member("e1", "box", edge.address), Member("o", "origin", nobody())];
+    let mut gateway = Gateway::start(&config(&members, nobody(), 1));
+    let mut client = Client::of(&gateway);
+    let stopped = [client.ask("segment", 1, 700, &[]), client.ask("segment", 2, 700, &[])];
+    edge.came();
+    edge.came();
+    let whole = client.ask("segment", 3, 15_000, &[]);
+    let mut served = Vec::new();
+    for _ in 0..3 {
+        let answer = client.answer();
+        if answer.word.is_none() {
+            served.push((answer.id, answer.body == bytes_of("whole", 240_000)));
+        } else {
+            assert!(stopped.contains(&answer.id));
+        }
+    }
+    assert_eq!(served, [(whole, true)]);
+    // Their connections are closed, and nothing of them is left.
+    edge.closed();
+    edge.closed();
+    assert_eq!(gateway.now()["hops out"], 0);
+}
