--- a/gateway/tests/crossings.rs
+++ b/gateway/tests/crossings.rs
@@ -329,3 +329,17 @@
     edge.closed();
     assert_eq!(gateway.now()["hops out"], 0);
 }
+
+#[test]
+fn a_client_that_closes_its_half_has_gone() {
+    // The protocol knows no half-closed clients: one that closed is not waiting, and nothing more is begun for it.
+    let (edge, _release) = Cache::holding(b"x");
+    let mut gateway = Gateway::with_edge(&edge);
+    let mut client = Client::of(&gateway);
+    client.ask("segment", 1, 15_000, &[]);
+    edge.came();
+    client.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    // Its hop is given up.
+    while gateway.now()["hops out"] > 0 {}
+    assert!(client.is_closed());
+}
