--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -418,6 +418,22 @@
     assert!(taken(10.0) > 0 && taken(100.0) == 0, "{} {}", taken(10.0), taken(100.0));
 }
 
+#[test]
+fn the_largest_txns_are_not_the_only_ones_turned_away() {
+    // Of the counts of mean txns out, those at which one of the size still finds room.
+    let room = |size: f64| {
+        let taken = |out: &u64| {
+            let mut world = World::new(Settings { direct: false, client_pace: 50_000.0, ..settings() });
+            let sized = |id, size| Txn { size: Some(size), ..txn(id, 0, id) };
+            (0..*out).for_each(|i| drop(world.ask(at(i / 2), sized(i, 100.0))));
+            matches!(world.ask(at(301), sized(900, size))[..], [Decision::Hop { .. }])
+        };
+        (0..120).step_by(2).filter(taken).count()
+    };
+    let (mean, large) = (room(100.0), room(300.0));
+    assert!(large * 10 > mean * 7, "{large} of {mean}");
+}
+
 /// Fills named among fifty txns that end as hits, each report giving `link`, after some seconds of the same.
 fn fills_behind(link: f64) -> usize {
     let sibs = Reach::Off;
