Interfaces of the size issue: short names, the feed's file and seal, simulated network, slopes

Need: parts of the size issue are built beside each other and start from the same words. Change: names.rs (sets of hashes cut to some bits that cover at least what they were made of), package feed (its file with checks; the seal and rendezvous hashing, moved there from the fleet, which uses them), package scale (a network in simulated time with an ordered queue of wake times, and the form of the file of slopes). Nothing of it runs yet.

--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -7,8 +7,9 @@
 pub mod list;
 pub mod members;
 pub mod node;
-pub mod rank;
 pub mod relay;
 pub mod seal;
 pub mod settings;
 pub mod wire;
+
+pub use kelpcart_feed::rank;
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -1,12 +1,13 @@
 //! Owns what operators write of the fleet, and its checks: a file that can't be used is told by the path of the field
 //! and what is wrong with it. Must never hold a decision; what is not written has the value that stands here.
 
+use kelpcart_feed::settings::{Feed, is_name};
 use schemars::JsonSchema;
 use serde::Deserialize;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-pub const MOST_NAME: usize = 64;
+pub use kelpcart_feed::settings::Key;
 
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -30,14 +31,9 @@
     pub relays: Relays,
     #[serde(default)]
     pub budgets: Budgets,
-}
-
-#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq)]
-#[serde(deny_unknown_fields)]
-pub struct Key {
-    pub id: u32,
-    /// 32 bytes or more in hex digits.
-    pub secret: String,
+    /// Where many sites are one installation: this fleet is one of them. The list is not relayed then.
+    #[serde(default)]
+    pub feed: Option<Feed>,
 }
 
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
@@ -134,10 +130,6 @@
     Field(String, &'static str),
 }
 
-pub fn is_name(text: &str) -> bool {
-    !text.is_empty() && text.len() <= MOST_NAME && text.bytes().all(|b| b.is_ascii_graphic())
-}
-
 impl Fleet {
     pub fn read(text: &str) -> Result<Fleet, Unusable> {
         let file: Fleet = serde_json::from_str(text)?;
@@ -191,7 +183,13 @@
         need(b.fills != Some(0), "budgets.fills", "1 at the least")?;
         need(b.fills_at_cache != Some(0), "budgets.fills_at_cache", "1 at the least")?;
         need((200..=60_000).contains(&b.lease_ms), "budgets.lease_ms", "200 to 60,000")?;
-        need((0.0..=0.9).contains(&b.wait_part), "budgets.wait_part", "0 to 0.9")
+        need((0.0..=0.9).contains(&b.wait_part), "budgets.wait_part", "0 to 0.9")?;
+        match &self.feed {
+            Some(feed) => {
+                feed.check().map_err(|(field, what)| Unusable::Field(format!("feed.{field}"), what))
+            }
+            None => Ok(()),
+        }
     }
 
     pub fn reached(&self) -> SocketAddr {
@@ -203,11 +201,3 @@
         serde_json::to_string_pretty(&schemars::schema_for!(Fleet)).unwrap_or_default()
     }
 }
-
-impl Key {
-    pub fn bytes(&self) -> Option<Vec<u8>> {
-        let digits = self.secret.as_bytes();
-        let pair = |p: &[u8]| u8::from_str_radix(std::str::from_utf8(p).ok()?, 16).ok();
-        digits.len().is_multiple_of(2).then(|| digits.chunks(2).map(pair).collect::<Option<Vec<u8>>>())?
-    }
-}
--- a/fleet/src/wire.rs
+++ b/fleet/src/wire.rs
@@ -1,7 +1,7 @@
 //! What gateways of a fleet say to each other (protobuf by prost), and what may stand in it. Must never be trusted
 //! before `seal` has checked its code; a packet that is not sound is thrown away whole.
 
-use crate::settings::is_name;
+use kelpcart_feed::settings::is_name;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 pub const VERSION: u8 = 1;
--- /dev/null
+++ b/scale/src/lib.rs
@@ -0,0 +1,6 @@
+//! How costs grow with the size of an installation: hosts that run the real cores many at a time, ladders of sizes, the
+//! laws that fit them, and what a target size then asks of each role. Must never run on the platform, nor hold a figure
+//! that a run did not give.
+
+pub mod sim;
+pub mod slopes;
--- /dev/null
+++ b/scale/src/slopes.rs
@@ -0,0 +1,68 @@
+//! The file of slopes: what a run measured, on which ladder of sizes, and the law that fits it. Owns its form; must never
+//! change a figure that a run gave.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Slopes {
+    pub seed: u64,
+    /// Short ladders, as CI plays them.
+    pub quick: bool,
+    /// The most memory that the run held, in bytes.
+    pub peak_memory: u64,
+    pub ladders: Vec<Ladder>,
+}
+
+/// One quantity at growing sizes of one thing, all else fixed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Ladder {
+    /// Unique: what is measured, of whom, and over what, such as `feed.bytes-out.by-gateways`.
+    pub id: String,
+    /// What grows: `gateways`, `caches`, `sites`, `purges_per_s`, `changes_per_s`, `restarts_per_h`, `lost_part`.
+    pub over: String,
+    /// What stood still, by the same names.
+    pub fixed: BTreeMap<String, f64>,
+    /// `B/s`, `datagrams/s`, `us`, `us/s`, `ms`, `B`, `count`, `txns/s`, `MB/s`, `objects`.
+    pub unit: String,
+    /// What it ran on: `simulated`, `loopback` or `core`.
+    pub host: Host,
+    /// The file in the repository that carries the mechanism.
+    pub mechanism: String,
+    /// The command line that gives it again, from the root.
+    pub command: String,
+    /// Depends on the machine's speed: CI does not compare it.
+    pub timed: bool,
+    pub points: Vec<Point>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Host {
+    Simulated,
+    Loopback,
+    Core,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Point {
+    /// The size.
+    pub at: f64,
+    /// Over all members of the role.
+    pub mean: f64,
+    /// Of the member that has most; of a delay, the longest.
+    pub worst: f64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub p50: Option<f64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub p99: Option<f64>,
+}
+
+impl Slopes {
+    pub fn get(&self, id: &str) -> Option<&Ladder> {
+        self.ladders.iter().find(|l| l.id == id)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 mod histogram;
 pub mod interface;
 mod logic;
+pub mod names;
 mod state;
 mod time;
 
