Scale: ladders of the module's processor time and tables

What deciding costs a gateway at the target's lists was not measured by a run that stands in the tree.

Adds scale/src/ladders/module.rs: the module by its public interface, by caches listed, caches of one zone, parents, purges, open txns and changes of the list.

--- /dev/null
+++ b/scale/src/ladders/mod.rs
@@ -0,0 +1,3 @@
+//! The ladders, each by what it measures.
+
+pub mod module;
--- /dev/null
+++ b/scale/src/ladders/module.rs
@@ -0,0 +1,367 @@
+//! What deciding costs one gateway: the module itself, driven by its public interface, between members that answer as
+//! told. Owns simulated time and the members' answers. Must never decide in the module's place.
+
+use crate::slopes::{Host, Ladder, Point};
+use cpu_time::ThreadTime;
+use kelpcart::interface::*;
+use kelpcart::{Gateway, Span, Time};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+const EDGE: usize = 0;
+const PARENT: usize = 1;
+const ORIGIN: usize = 2;
+/// Zones beside the own one.
+const OTHERS: usize = 29;
+/// Gateways in all and before one zone's caches.
+const GATEWAYS: u32 = 8_000;
+const ZONE_GATEWAYS: u32 = 267;
+const KB: f64 = 120.0;
+const CLIENT_KB_PER_S: f64 = 5_000.0;
+const OBJECTS: u64 = 1 << 20;
+/// Of the txns, those that a cache holds.
+const HELD: f64 = 0.9;
+/// How many times what is in flight at a member it bears: nothing is to be turned away here.
+const BEARS: f64 = 16.0;
+const LOGIC: &str = "src/logic.rs";
+const COMMAND: &str = "cargo run --release -p kelpcart-scale -- measure --only module --json FILE";
+
+/// One size of everything.
+#[derive(Clone, Copy, Debug)]
+pub struct Case {
+    /// Listed, those of the own zone among them.
+    pub caches: usize,
+    pub zone_caches: usize,
+    pub parents: usize,
+    pub purges_per_s: u32,
+    pub open: usize,
+    pub txns_per_s: f64,
+    pub sibs: Reach,
+}
+
+impl Default for Case {
+    fn default() -> Case {
+        let (caches, zone_caches, parents, purges_per_s) = (1_100, 37, 11, 0);
+        Case { caches, zone_caches, parents, purges_per_s, open: 60, txns_per_s: 1_200.0, sibs: Reach::All }
+    }
+}
+
+impl Case {
+    fn fixed(&self, over: &str) -> BTreeMap<String, f64> {
+        let all = [
+            ("caches", self.caches as f64),
+            ("zone_caches", self.zone_caches as f64),
+            ("parents", self.parents as f64),
+            ("purges_per_s", f64::from(self.purges_per_s)),
+            ("open_txns", self.open as f64),
+            ("txns_per_s", self.txns_per_s),
+        ];
+        let rest = all.into_iter().filter(|(name, _)| *name != over);
+        rest.map(|(name, n)| (name.to_owned(), n)).collect()
+    }
+
+    fn takes(&self) -> Span {
+        Span::from_secs_f64(self.open as f64 / self.txns_per_s)
+    }
+
+    fn settings(&self) -> Settings {
+        let sla = Span::from_millis(500).max(self.takes() * 4.0);
+        let rule = RemapRule {
+            effect: Effect::Repeatable,
+            group: RepeatGroup::All,
+            memory: Span::ZERO,
+            sla,
+            sla_stretch: 1.6,
+            fresh: Span::ZERO,
+            grace: Span::ZERO,
+            write: false,
+        };
+        let cold = |from| ColdStart {
+            from,
+            within: Span::from_millis(15_000),
+            multiple: 2.0,
+            over: Span::from_millis(3_000),
+        };
+        Settings {
+            gateways: GATEWAYS,
+            zone_gateways: ZONE_GATEWAYS,
+            zone: 0,
+            rules: vec![rule],
+            parent_kind: Some(PARENT),
+            origin_kind: Some(ORIGIN),
+            client_pace: CLIENT_KB_PER_S,
+            sized: true,
+            direct: true,
+            joins: false,
+            sibs: self.sibs,
+            cancel: true,
+            come_back: true,
+            longest_come_back: Span::from_millis(2_000),
+            max_hops: 6,
+            connect_limit: Span::from_millis(400),
+            cold: cold(0.2),
+            cold_parent: cold(0.1),
+            purge_done: Span::from_millis(6_000),
+            list_asked: false,
+            list_within: Span::from_millis(10_000),
+            tick: Span::from_millis(1),
+        }
+    }
+
+    fn list(&self) -> Vec<Member> {
+        let size =
+            |sharers: u32, of: usize| BEARS * self.open as f64 / of.max(1) as f64 * f64::from(sharers) / 4.0;
+        let (cache, parent) = (size(ZONE_GATEWAYS, self.zone_caches), size(GATEWAYS, self.parents));
+        let far = |i: usize| if i < self.zone_caches { 0 } else { 1 + i % OTHERS };
+        let caches = (0..self.caches).map(|i| member(format!("cache-{i}"), EDGE, far(i), cache));
+        let parents =
+            (0..self.parents).map(|i| member(format!("parent-{i}"), PARENT, 1 + i % OTHERS, parent));
+        let origin = (self.parents > 0).then(|| member("origin".to_owned(), ORIGIN, 1, parent));
+        caches.chain(parents).chain(origin).collect()
+    }
+}
+
+pub fn member(id: String, kind: usize, zone: usize, size: f64) -> Member {
+    let (id, state) = (Arc::from(id), MemberState::Up);
+    Member { id, zone, kind, cell: 0, state, size, started: None, far: false }
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    pub asked: u64,
+    pub hops: u64,
+    /// Rejected and aborted.
+    pub refused: u64,
+}
+
+/// A gateway's module and members that all answer after one time.
+pub struct World {
+    pub gateway: Gateway,
+    pub now: Time,
+    pub counts: Counts,
+    case: Case,
+    rng: Pcg64Mcg,
+    out: VecDeque<(Time, Outcome, MemberId)>,
+    next_purge: Time,
+}
+
+impl World {
+    pub fn new(case: Case, seed: u64) -> World {
+        let now = Time::from_micros(1_000_000_000);
+        let mut gateway = Gateway::new(case.settings(), seed, now);
+        gateway.members(now, true, case.list());
+        let (counts, rng) = (Counts::default(), Pcg64Mcg::seed_from_u64(seed));
+        let mut world = World { gateway, now, counts, case, rng, out: VecDeque::new(), next_purge: now };
+        world.purges_before();
+        world
+    }
+
+    /// Those that are kept after a long time at this rate.
+    fn purges_before(&mut self) {
+        let kept = Span::from_millis(7_000);
+        for i in 0..self.case.purges_per_s * 7 {
+            let ago = kept * (1.0 - f64::from(i) / f64::from(self.case.purges_per_s * 7));
+            self.purge(ago);
+        }
+    }
+
+    fn purge(&mut self, ago: Span) {
+        let object = self.rng.random_range(0..OBJECTS);
+        self.gateway.purged(self.now, Some(object), object % 256, ago);
+    }
+
+    /// One txn's turn; `sent` sees the hops.
+    pub fn txn(&mut self, sent: &mut impl FnMut(Time, &MemberId, bool)) {
+        self.now += Span::from_secs_f64(1.0 / self.case.txns_per_s);
+        while self.case.purges_per_s > 0 && self.next_purge <= self.now {
+            self.purge(Span::ZERO);
+            self.next_purge += Span::from_secs_f64(1.0 / f64::from(self.case.purges_per_s));
+        }
+        while self.out.front().is_some_and(|(at, ..)| *at <= self.now) {
+            let Some((at, outcome, member)) = self.out.pop_front() else { break };
+            sent(at, &member, false);
+            self.gateway.outcome(at, outcome);
+            self.pull(at, sent);
+        }
+        self.counts.asked += 1;
+        let (object, rule, part, write) = (self.rng.random_range(0..OBJECTS), 0, 0, false);
+        let (id, group, size) = (self.counts.asked, object % 256, Some(KB));
+        let left = self.case.settings_left();
+        self.gateway.txn(self.now, Txn { id, rule, object, group, part, write, size, left, oldest: None });
+        self.pull(self.now, sent);
+    }
+
+    fn pull(&mut self, now: Time, sent: &mut impl FnMut(Time, &MemberId, bool)) {
+        while let Some(decision) = self.gateway.poll(now) {
+            match decision {
+                Decision::Hop { txn, member, .. } => {
+                    sent(now, &member, true);
+                    self.counts.hops += 1;
+                    let took = self.case.takes();
+                    let held = self.rng.random_bool(HELD);
+                    let note = Some(if held { Note::Held } else { Note::Filled });
+                    let (end, closed, first_byte) = (HopEnd::Completed, true, Some(Span::from_millis(20)));
+                    let load = Load::default();
+                    let o = Outcome { txn, hop: 0, end, took, closed, note, first_byte, load };
+                    self.out.push_back((now + took, o, member));
+                }
+                Decision::Reject { .. } | Decision::Abort { .. } => self.counts.refused += 1,
+                Decision::Cancel { .. } | Decision::Subscribe => {}
+            }
+        }
+    }
+
+    /// Entries of all tables; what is measured in ms or counts a part of another table is none.
+    fn kept(&self) -> usize {
+        let no_table = ["members left out", "ms of the longest silence"];
+        self.gateway.sizes(self.now).filter(|(name, _)| !no_table.contains(name)).map(|(_, n)| n).sum()
+    }
+}
+
+impl Case {
+    fn settings_left(&self) -> Span {
+        Span::from_millis(6_000).max(self.takes() * 16.0)
+    }
+}
+
+struct Played {
+    /// Processor time a txn, of each batch.
+    us: Vec<f64>,
+    kept: usize,
+    refused: f64,
+}
+
+/// All that is in flight, then batches of a second's txns.
+fn play(case: Case, seed: u64, quick: bool) -> Played {
+    let mut world = World::new(case, seed);
+    let (batch, batches) = if quick { (50, 2) } else { (case.txns_per_s as usize, 5) };
+    // Until as many are open as are to be, and the first ones have closed.
+    for _ in 0..case.open + 100 {
+        world.txn(&mut |_, _, _| {});
+    }
+    let kept = world.kept();
+    let us = (0..batches).map(|_| {
+        let began = ThreadTime::now();
+        for _ in 0..batch {
+            world.txn(&mut |_, _, _| {});
+        }
+        began.elapsed().as_secs_f64() * 1e6 / batch as f64
+    });
+    let us = us.collect();
+    Played { us, kept, refused: world.counts.refused as f64 / world.counts.asked as f64 }
+}
+
+pub fn point(at: f64, all: &[f64]) -> Point {
+    let mean = all.iter().sum::<f64>() / all.len().max(1) as f64;
+    Point { at, mean, worst: all.iter().copied().fold(0.0, f64::max), p50: None, p99: None }
+}
+
+/// What a quantity is, beside its points.
+pub struct Head<'a> {
+    pub id: &'a str,
+    pub over: &'a str,
+    pub unit: &'a str,
+    pub mechanism: &'a str,
+    pub command: &'a str,
+    pub host: Host,
+    pub timed: bool,
+}
+
+impl Head<'_> {
+    pub fn with(&self, fixed: BTreeMap<String, f64>, points: Vec<Point>) -> Ladder {
+        Ladder {
+            id: self.id.to_owned(),
+            over: self.over.to_owned(),
+            fixed,
+            unit: self.unit.to_owned(),
+            host: self.host,
+            mechanism: self.mechanism.to_owned(),
+            command: self.command.to_owned(),
+            timed: self.timed,
+            points,
+        }
+    }
+}
+
+type Grown = fn(usize) -> Case;
+
+fn head<'a>(id: &'a str, over: &'a str, unit: &'a str, timed: bool) -> Head<'a> {
+    Head { id, over, unit, mechanism: LOGIC, command: COMMAND, host: Host::Core, timed }
+}
+
+/// Processor time a txn, entries kept and the part refused, by one thing that grows.
+fn txns(name: &str, over: &str, sizes: &[usize], grown: Grown, (seed, quick): (u64, bool)) -> Vec<Ladder> {
+    let played: Vec<(f64, Played)> = sizes.iter().map(|&n| (n as f64, play(grown(n), seed, quick))).collect();
+    let fixed = grown(sizes[0]).fixed(over);
+    let one = |what: &str, unit: &str, timed: bool, of: fn(&Played) -> Vec<f64>| {
+        let id = format!("module.{what}.by-{name}");
+        let points = played.iter().map(|(at, p)| point(*at, &of(p))).collect();
+        head(&id, over, unit, timed).with(fixed.clone(), points)
+    };
+    vec![
+        one("processor", "us", true, |p| p.us.clone()),
+        one("kept", "objects", false, |p| vec![p.kept as f64]),
+        one("refused-part", "part", false, |p| vec![p.refused]),
+    ]
+}
+
+/// Processor time of one change of the list, at growing lists.
+fn changes(id: &str, sizes: &[usize], (seed, quick): (u64, bool), change: fn(&mut World, usize)) -> Ladder {
+    let rounds = if quick { 2 } else { 20 };
+    let points = sizes.iter().map(|&caches| {
+        let mut world = World::new(Case { caches, ..Case::default() }, seed);
+        (0..300).for_each(|_| world.txn(&mut |_, _, _| {}));
+        let us = (0..rounds).map(|round| {
+            let began = ThreadTime::now();
+            change(&mut world, round);
+            began.elapsed().as_secs_f64() * 1e6
+        });
+        let us: Vec<f64> = us.collect();
+        point(caches as f64, &us)
+    });
+    let points = points.collect();
+    head(id, "caches", "us", true).with(Case::default().fixed("caches"), points)
+}
+
+fn one_drains(world: &mut World, round: usize) {
+    let mut one = member(format!("cache-{}", round / 2), EDGE, 0, 100.0);
+    one.state = if round.is_multiple_of(2) { MemberState::Draining } else { MemberState::Up };
+    world.gateway.members(world.now, false, vec![one]);
+}
+
+/// One goes and another one, with a name of its own, comes.
+fn one_is_replaced(world: &mut World, round: usize) {
+    let name = |round: usize| if round == 0 { "cache-0".to_owned() } else { format!("new-{round}") };
+    let mut gone = member(name(round), EDGE, 0, 100.0);
+    gone.state = MemberState::Gone;
+    let news = vec![gone, member(name(round + 1), EDGE, 0, 100.0)];
+    world.gateway.members(world.now, false, news);
+}
+
+fn whole_list(world: &mut World, _: usize) {
+    world.gateway.members(world.now, true, world.case.list());
+}
+
+pub fn measure(seed: u64, quick: bool) -> Vec<Ladder> {
+    let how = (seed, quick);
+    let caches = [100, 300, 600, 1_100, 2_200];
+    let mut all = txns("caches", "caches", &caches, |caches| Case { caches, ..Case::default() }, how);
+    let one_zone = |n| Case { caches: n, zone_caches: n, ..Case::default() };
+    all.extend(txns("caches-of-one-zone", "caches", &caches, one_zone, how));
+    let zone = |n| Case { zone_caches: n, ..Case::default() };
+    all.extend(txns("zone-caches", "zone_caches", &[10, 20, 37, 75, 150, 300], zone, how));
+    let no_source = |n| Case { caches: n, parents: 0, ..Case::default() };
+    all.extend(txns("caches-without-parents", "caches", &caches, no_source, how));
+    let parents = |n| Case { parents: n, ..Case::default() };
+    all.extend(txns("parents", "parents", &[5, 11, 33, 66, 110, 220], parents, how));
+    let purges = |n: usize| Case { purges_per_s: n as u32, ..Case::default() };
+    all.extend(txns("purges", "purges_per_s", &[0, 15, 50, 150, 300, 1_500], purges, how));
+    let open = |open| Case { open, ..Case::default() };
+    all.extend(txns("open-txns", "open_txns", &[60, 250, 1_000, 4_000, 16_000], open, how));
+    all.push(changes("module.processor-of-a-change.by-caches", &caches, how, one_drains));
+    all.push(changes("module.processor-of-a-replacement.by-caches", &caches, how, one_is_replaced));
+    all.push(changes("module.processor-of-a-whole-list.by-caches", &caches, how, whole_list));
+    all
+}
--- /dev/null
+++ b/scale/tests/ladders.rs
@@ -0,0 +1,37 @@
+//! The ladders of single roles: at least five sizes each, ids of their own, and counts that are as the sizes say.
+
+use kelpcart_scale::ladders::module;
+use kelpcart_scale::slopes::Ladder;
+use std::collections::BTreeSet;
+
+fn sound(all: &[Ladder]) {
+    let ids: BTreeSet<&str> = all.iter().map(|l| l.id.as_str()).collect();
+    assert_eq!(ids.len(), all.len(), "two ladders of one id");
+    for l in all {
+        assert!(l.points.len() >= 5, "{}", l.id);
+        assert!(l.points.windows(2).all(|p| p[0].at < p[1].at), "{}", l.id);
+        assert!(l.points.iter().all(|p| p.mean.is_finite() && p.mean <= p.worst), "{}", l.id);
+        assert!(!l.fixed.contains_key(&l.over), "{}", l.id);
+        let root = concat!(env!("CARGO_MANIFEST_DIR"), "/..");
+        assert!(std::path::Path::new(root).join(&l.mechanism).is_file(), "{}", l.mechanism);
+    }
+}
+
+fn counts(all: &[Ladder]) -> Vec<&Ladder> {
+    all.iter().filter(|l| !l.timed).collect()
+}
+
+#[test]
+fn the_module_decides_on_all_txns_and_keeps_what_it_was_told() {
+    let all = module::measure(3, true);
+    sound(&all);
+    assert_eq!(counts(&all), counts(&module::measure(3, true)), "one seed, other counts");
+    for l in all.iter().filter(|l| l.id.starts_with("module.refused")) {
+        assert!(l.points.iter().all(|p| p.worst == 0.0), "{}: what is turned away costs nothing", l.id);
+    }
+    let kept = all.iter().find(|l| l.id == "module.kept.by-caches").expect("a ladder");
+    for pair in kept.points.windows(2) {
+        // One entry by place and one by id.
+        assert_eq!(pair[1].mean - pair[0].mean, 2.0 * (pair[1].at - pair[0].at));
+    }
+}
