--- a/scale/tests/ladders.rs
+++ b/scale/tests/ladders.rs
@@ -1,6 +1,6 @@
 //! The ladders of single roles: at least five sizes each, ids of their own, and counts that are as the sizes say.
 
-use kelpcart_scale::ladders::module;
+use kelpcart_scale::ladders::{data_path, module};
 use kelpcart_scale::slopes::Ladder;
 use std::collections::BTreeSet;
 
@@ -35,3 +35,15 @@
         assert_eq!(pair[1].mean - pair[0].mean, 2.0 * (pair[1].at - pair[0].at));
     }
 }
+
+#[test]
+fn the_program_is_measured_where_it_is_there() {
+    match data_path::run(3, true) {
+        Ok(all) => {
+            let spent = all.iter().filter(|l| l.id.starts_with("data-path.processor"));
+            assert!(spent.clone().count() == 2 && spent.flat_map(|l| &l.points).all(|p| p.mean > 0.0));
+        }
+        Err(data_path::Failed::NoProgram(path)) => eprintln!("not run: no program at {}", path.display()),
+        Err(why) => panic!("{why}"),
+    }
+}
