Scale: laws of growth, the operators' target, and the program that sets one against the other

Need: what 8,000 gateways ask of each role has to be read from runs, not guessed. Change: fit (constant, log n, n, n log n, n squared by the one-standard-error rule, rivals kept), target (deploy/target.json, refused by field), capacity (rows as data, verdicts, what breaks first, the page's tables), plot (SVG), the program with measure and capacity.

--- /dev/null
+++ b/scale/src/capacity.rs
@@ -0,0 +1,460 @@
+//! What a target asks of each role and what the slopes give: the rows of docs/CAPACITY.md. Owns which ladder a row is
+//! read from and what its budget is; must never hold a figure of a run.
+
+use crate::fit::{self, Basis, Figure, Fit};
+use crate::slopes::Slopes;
+use crate::target::Target;
+use serde::Serialize;
+
+type Of = fn(&Target) -> f64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Quantity {
+    State,
+    Messages,
+    Processor,
+    Memory,
+    Delay,
+}
+
+/// A value of a ladder at a size, times something.
+pub struct Read {
+    pub id: &'static str,
+    pub figure: Figure,
+    pub at: Of,
+    pub times: Of,
+}
+
+pub enum Source {
+    /// The sum of these.
+    Ladders(&'static [Read]),
+    /// Of the target alone.
+    Computed(Of),
+}
+
+pub struct Row {
+    pub what: &'static str,
+    pub quantity: Quantity,
+    pub unit: &'static str,
+    pub source: Source,
+    /// None: the row is told, not judged.
+    pub budget: Option<Of>,
+    /// The file that carries it.
+    pub mechanism: &'static str,
+}
+
+pub struct Role {
+    /// As the page's markers name it.
+    pub id: &'static str,
+    pub title: &'static str,
+    pub rows: &'static [Row],
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    Green,
+    Red,
+    /// The law keeps within the budget, another that fits as well does not.
+    Open,
+    NotMeasured,
+    /// No budget.
+    Told,
+}
+
+impl State {
+    /// Not shown to be within the budget.
+    pub fn fails(self) -> bool {
+        matches!(self, State::Red | State::Open | State::NotMeasured)
+    }
+
+    pub fn name(self) -> &'static str {
+        match self {
+            State::Green => "green",
+            State::Red => "**red**",
+            State::Open => "**open**",
+            State::NotMeasured => "**not measured**",
+            State::Told => "",
+        }
+    }
+}
+
+/// A row at the target.
+#[derive(Clone, Debug, Serialize)]
+pub struct Verdict {
+    pub role: &'static str,
+    pub what: &'static str,
+    pub quantity: Quantity,
+    pub unit: &'static str,
+    pub ladders: Vec<&'static str>,
+    /// What the target asks to be borne, as the size that the first ladder is read at.
+    pub at: Option<f64>,
+    pub over: Option<String>,
+    pub value: Option<f64>,
+    pub least: Option<f64>,
+    pub most: Option<f64>,
+    /// How the value came about: run, a law between sizes that were run, or so far beyond them.
+    pub basis: String,
+    /// Of the fits, the greatest.
+    pub error: Option<f64>,
+    pub budget: Option<f64>,
+    /// The budget in the ladder's own unit, where there is one ladder.
+    pub limit: Option<f64>,
+    pub share: Option<f64>,
+    pub state: State,
+    pub mechanism: &'static str,
+}
+
+/// Where a row passes its budget as its size grows, all else as at the target.
+#[derive(Clone, Debug, Serialize)]
+pub struct Break {
+    pub role: &'static str,
+    pub what: &'static str,
+    pub over: String,
+    pub size: f64,
+    /// The size over that of the target.
+    pub times: f64,
+    pub mechanism: &'static str,
+}
+
+struct Reading<'a> {
+    read: &'a Read,
+    fit: Fit,
+    over: &'a str,
+}
+
+fn readings<'a>(row: &'a Row, slopes: &'a Slopes) -> Option<Vec<Reading<'a>>> {
+    let Source::Ladders(reads) = &row.source else { return Some(Vec::new()) };
+    let one = |read: &'a Read| {
+        let ladder = slopes.get(read.id)?;
+        Some(Reading { read, fit: fit::of_ladder(ladder, read.figure)?, over: &ladder.over })
+    };
+    reads.iter().map(one).collect()
+}
+
+fn basis(all: &[Basis]) -> String {
+    let beyond =
+        all.iter().fold(0.0_f64, |m, b| if let Basis::Beyond(times) = b { m.max(*times) } else { m });
+    if beyond > 0.0 {
+        return format!("law, ×{} beyond", digits(beyond));
+    }
+    let has = |wanted: Basis| all.contains(&wanted);
+    if has(Basis::Below) {
+        "law, below the smallest"
+    } else if has(Basis::Between) {
+        "law"
+    } else {
+        "run"
+    }
+    .to_owned()
+}
+
+fn judge(role: &Role, row: &'static Row, slopes: &Slopes, target: &Target) -> Verdict {
+    let budget = row.budget.map(|of| of(target));
+    let ladders = match &row.source {
+        Source::Ladders(reads) => reads.iter().map(|r| r.id).collect(),
+        Source::Computed(_) => Vec::new(),
+    };
+    let mut verdict = Verdict {
+        role: role.id,
+        what: row.what,
+        quantity: row.quantity,
+        unit: row.unit,
+        ladders,
+        at: None,
+        over: None,
+        value: None,
+        least: None,
+        most: None,
+        basis: String::new(),
+        error: None,
+        budget,
+        limit: None,
+        share: None,
+        state: State::NotMeasured,
+        mechanism: row.mechanism,
+    };
+    if let Source::Ladders(reads) = &row.source {
+        verdict.at = reads.first().map(|r| (r.at)(target));
+        if let [read] = reads {
+            verdict.limit = budget.map(|b| b / (read.times)(target));
+        }
+    }
+    let Some(readings) = readings(row, slopes) else { return verdict };
+    let (mut value, mut least, mut most) = (0.0, 0.0, 0.0);
+    match &row.source {
+        Source::Computed(of) => {
+            value = of(target);
+            (least, most) = (value, value);
+            verdict.basis = "computed".to_owned();
+        }
+        Source::Ladders(_) => {
+            let mut bases = Vec::new();
+            for r in &readings {
+                let (given, times) = (r.fit.at((r.read.at)(target)), (r.read.times)(target));
+                value += given.value * times;
+                least += given.least * times;
+                most += given.most * times;
+                bases.push(given.basis);
+            }
+            verdict.over = readings.first().map(|r| r.over.to_owned());
+            verdict.error = readings.iter().map(|r| r.fit.error).reduce(f64::max);
+            verdict.basis = basis(&bases);
+        }
+    }
+    (verdict.value, verdict.least, verdict.most) = (Some(value), Some(least), Some(most));
+    verdict.share = budget.map(|b| value / b);
+    verdict.state = match budget {
+        None => State::Told,
+        Some(budget) if value > budget => State::Red,
+        Some(budget) if most > budget => State::Open,
+        Some(_) => State::Green,
+    };
+    verdict
+}
+
+/// All rows, in the order of the page.
+pub fn verdicts(slopes: &Slopes, target: &Target) -> Vec<Verdict> {
+    let rows = ROLES.iter().flat_map(|role| role.rows.iter().map(move |row| (role, row)));
+    rows.map(|(role, row)| judge(role, row, slopes, target)).collect()
+}
+
+/// Times the target's size up to which breaks are sought.
+const FURTHEST: f64 = 1_000.0;
+
+/// What passes its budget as the installation grows, the first first: rows that are read from ladders, by their laws.
+pub fn breaks(slopes: &Slopes, target: &Target) -> Vec<Break> {
+    let mut all: Vec<Break> = Vec::new();
+    for role in ROLES {
+        for row in role.rows {
+            let (Some(budget), Some(readings)) = (row.budget, readings(row, slopes)) else { continue };
+            let Some(first) = readings.first() else { continue };
+            let budget = budget(target);
+            let at = |times: f64| -> f64 {
+                let one = |r: &Reading| r.fit.curve.at((r.read.at)(target) * times) * (r.read.times)(target);
+                readings.iter().map(one).sum()
+            };
+            if at(FURTHEST) <= budget {
+                continue;
+            }
+            let (mut low, mut high) = (0.0, FURTHEST);
+            for _ in 0..200 {
+                let middle = (low + high) / 2.0;
+                if at(middle) <= budget { low = middle } else { high = middle }
+            }
+            all.push(Break {
+                role: role.id,
+                what: row.what,
+                over: first.over.to_owned(),
+                size: (first.read.at)(target) * high,
+                times: high,
+                mechanism: row.mechanism,
+            });
+        }
+    }
+    all.sort_by(|x, y| x.times.total_cmp(&y.times));
+    all
+}
+
+/// Three digits that count, thousands set apart.
+pub fn digits(value: f64) -> String {
+    let size = value.abs();
+    if size >= 1e9 {
+        return format!("{value:.2e}");
+    }
+    if size >= 99.95 {
+        let step = 10f64.powi((size.log10().floor() as i32 - 2).max(0));
+        let whole = format!("{:.0}", (size / step).round() * step);
+        let mut out = String::new();
+        for (i, digit) in whole.chars().enumerate() {
+            if i > 0 && (whole.len() - i).is_multiple_of(3) {
+                out.push(',');
+            }
+            out.push(digit);
+        }
+        return if value < 0.0 { format!("-{out}") } else { out };
+    }
+    if size == 0.0 {
+        return "0".to_owned();
+    }
+    if size < 1e-3 {
+        return format!("{value:.1e}");
+    }
+    let places = (2 - size.log10().floor() as i32).clamp(0, 5) as usize;
+    let text = format!("{value:.places$}");
+    if text.contains('.') { text.trim_end_matches('0').trim_end_matches('.').to_owned() } else { text }
+}
+
+fn percent(share: Option<f64>) -> String {
+    share.map_or(String::new(), |s| format!("{}%", digits(s * 100.0)))
+}
+
+fn cell(v: &Verdict) -> String {
+    let Some(value) = v.value else { return String::new() };
+    match (v.least, v.most) {
+        (Some(least), Some(most)) if digits(least) != digits(most) => {
+            format!("{} ({} to {})", digits(value), digits(least), digits(most))
+        }
+        _ => digits(value),
+    }
+}
+
+/// A role's table as it stands on the page.
+pub fn table(role: &str, verdicts: &[Verdict]) -> String {
+    let mut out = "| what | ladder, read at | gives | budget | share | | mechanism |\n".to_owned();
+    out += "| --- | --- | --- | --- | --- | --- | --- |\n";
+    for v in verdicts.iter().filter(|v| v.role == role) {
+        let read = match (v.ladders.is_empty(), v.at) {
+            (true, _) => v.basis.clone(),
+            (false, at) => {
+                let size = at.map_or(String::new(), |at| format!(" at {}", digits(at)));
+                let how = if v.basis.is_empty() { String::new() } else { format!("; {}", v.basis) };
+                let error = v.error.map_or(String::new(), |e| format!(", ±{}", percent(Some(e))));
+                let ids: Vec<String> = v.ladders.iter().map(|id| format!("`{id}`")).collect();
+                format!("{}{size}{how}{error}", ids.join(" + "))
+            }
+        };
+        let budget = v.budget.map_or(String::new(), |b| format!("{} {}", digits(b), v.unit));
+        let given = if v.value.is_some() { format!("{} {}", cell(v), v.unit) } else { String::new() };
+        out += &format!(
+            "| {} | {read} | {given} | {budget} | {} | {} | [{}](../{}) |\n",
+            v.what,
+            percent(v.share),
+            v.state.name(),
+            v.mechanism,
+            v.mechanism,
+        );
+    }
+    out
+}
+
+/// The table of what breaks first, as it stands on the page.
+pub fn breaks_table(breaks: &[Break]) -> String {
+    let mut out = "| | what | passes its budget above | times the target | mechanism |\n".to_owned();
+    out += "| --- | --- | --- | --- | --- |\n";
+    for (i, b) in breaks.iter().enumerate() {
+        let title = ROLES.iter().find(|r| r.id == b.role).map_or(b.role, |r| r.title);
+        out += &format!(
+            "| {} | {title}: {} | {} {} | {} | [{}](../{}) |\n",
+            i + 1,
+            b.what,
+            digits(b.size),
+            b.over.replace('_', " "),
+            digits(b.times),
+            b.mechanism,
+            b.mechanism,
+        );
+    }
+    out
+}
+
+fn columns(rows: Vec<Vec<String>>) -> String {
+    let count = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let wide = |i: usize| rows.iter().filter_map(|r| r.get(i)).map(|c| c.chars().count()).max();
+    let widths: Vec<usize> = (0..count).map(|i| wide(i).unwrap_or(0)).collect();
+    let line = |row: &Vec<String>| {
+        let cells = row.iter().zip(&widths).map(|(c, w)| format!("{c:<w$}"));
+        format!("  {}\n", cells.collect::<Vec<_>>().join("  ").trim_end())
+    };
+    rows.iter().map(line).collect()
+}
+
+/// A role's table for a terminal: what the target asks, what the slopes give, the share, where from.
+pub fn plain(role: &str, verdicts: &[Verdict]) -> String {
+    let one = |v: &Verdict| {
+        let asked = v.budget.map_or(String::new(), |b| format!("of {}", digits(b)));
+        let state = v.state.name().replace('*', "");
+        let from = if v.ladders.is_empty() { String::new() } else { v.ladders.join(" + ") };
+        let from = format!("{from} {}", v.basis).trim().to_owned();
+        let what = format!("{} [{}]", v.what, v.unit);
+        vec![what, cell(v), asked, percent(v.share), state, from, v.mechanism.to_owned()]
+    };
+    columns(verdicts.iter().filter(|v| v.role == role).map(one).collect())
+}
+
+pub fn breaks_plain(breaks: &[Break]) -> String {
+    let one = |(i, b): (usize, &Break)| {
+        let size = format!("above {} {}", digits(b.size), b.over.replace('_', " "));
+        let times = format!("×{}", digits(b.times));
+        vec![format!("{}.", i + 1), format!("{}: {}", b.role, b.what), size, times, b.mechanism.to_owned()]
+    };
+    columns(breaks.iter().enumerate().map(one).collect())
+}
+
+/// What a picture of a ladder shows beside it: budgets of rows that are that ladder alone, and the size they are read at.
+pub fn marks(id: &str, verdicts: &[Verdict]) -> (Vec<f64>, Option<f64>) {
+    let rows: Vec<&Verdict> = verdicts.iter().filter(|v| v.ladders == [id]).collect();
+    let mut budgets: Vec<f64> = rows.iter().filter_map(|v| v.limit).collect();
+    budgets.sort_by(f64::total_cmp);
+    budgets.dedup();
+    (budgets, rows.iter().filter_map(|v| v.at).reduce(f64::max))
+}
+
+/// Where a table stands on the page: `<!-- table: ROLE -->` and `<!-- end -->`, each on a line of its own.
+const BREAKS: &str = "breaks";
+
+#[derive(Debug, thiserror::Error, PartialEq)]
+pub enum Unwritable {
+    #[error("table {0}: there is no such role")]
+    Unknown(String),
+    #[error("table {0}: no end")]
+    Endless(String),
+    #[error("table {0}: stands twice or not at all")]
+    Count(String),
+}
+
+/// The page with its tables as the slopes and the target give them.
+pub fn page(text: &str, slopes: &Slopes, target: &Target) -> Result<String, Unwritable> {
+    let verdicts = verdicts(slopes, target);
+    let (mut out, mut told, mut inside) = (String::new(), Vec::new(), None);
+    for line in text.lines() {
+        let marker = line.strip_prefix("<!-- table: ").and_then(|l| l.strip_suffix(" -->"));
+        if let Some(role) = marker {
+            if let Some(open) = inside {
+                return Err(Unwritable::Endless(open));
+            }
+            let known = ROLES.iter().any(|r| r.id == role);
+            let table = match role {
+                BREAKS => breaks_table(&breaks(slopes, target)),
+                _ if known => table(role, &verdicts),
+                _ => return Err(Unwritable::Unknown(role.to_owned())),
+            };
+            out += &format!("{line}\n\n{table}\n");
+            told.push(role);
+            inside = Some(role.to_owned());
+        } else if line == "<!-- end -->" {
+            inside = None;
+            out += &format!("{line}\n");
+        } else if inside.is_none() {
+            out += &format!("{line}\n");
+        }
+    }
+    if let Some(open) = inside {
+        return Err(Unwritable::Endless(open));
+    }
+    for role in ROLES.iter().map(|r| r.id).chain([BREAKS]) {
+        if told.iter().filter(|t| **t == role).count() != 1 {
+            return Err(Unwritable::Count(role.to_owned()));
+        }
+    }
+    Ok(out)
+}
+
+const fn read(id: &'static str, figure: Figure, at: Of) -> Read {
+    Read { id, figure, at, times: |_| 1.0 }
+}
+
+const fn row(
+    what: &'static str,
+    quantity: Quantity,
+    unit: &'static str,
+    source: Source,
+    budget: Option<Of>,
+    mechanism: &'static str,
+) -> Row {
+    Row { what, quantity, unit, source, budget, mechanism }
+}
+
+mod rows;
+pub use rows::ROLES;
--- /dev/null
+++ b/scale/src/fit.rs
@@ -0,0 +1,244 @@
+//! The growth law that holds for a ladder: a + b f(n) with neither below zero, f one of log n, n, n log n and n squared,
+//! or the constant a alone. Must never hide that a size lies beyond those that were run.
+//!
+//! Fitted by least squared relative error, so that small sizes weigh as much as large ones. The law is the one that
+//! grows least among those whose leave-one-out error is within one standard error of the least (the one-standard-error
+//! rule: Breiman, Friedman, Olshen and Stone, "Classification and Regression Trees", 1984, 3.4.3). The others within it
+//! are kept as rivals: what they give at a size beyond the ladder is the range within which the law is not known.
+
+use crate::slopes::{Ladder, Point};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Law {
+    Constant,
+    Log,
+    Linear,
+    LinearLog,
+    Square,
+}
+
+/// From what grows least to what grows most.
+pub const LAWS: [Law; 5] = [Law::Constant, Law::Log, Law::Linear, Law::LinearLog, Law::Square];
+
+impl Law {
+    /// f(n); the logarithm is that of 1 + n, so that nothing lost and nobody there are sizes, too.
+    pub fn of(self, n: f64) -> f64 {
+        let log = (1.0 + n.max(0.0)).log2();
+        match self {
+            Law::Constant => 0.0,
+            Law::Log => log,
+            Law::Linear => n,
+            Law::LinearLog => n * log,
+            Law::Square => n * n,
+        }
+    }
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Law::Constant => "constant",
+            Law::Log => "log n",
+            Law::Linear => "n",
+            Law::LinearLog => "n log n",
+            Law::Square => "n²",
+        }
+    }
+}
+
+/// Which figure of the points.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Figure {
+    Mean,
+    Worst,
+    P99,
+}
+
+impl Figure {
+    pub fn of(self, point: &Point) -> Option<f64> {
+        match self {
+            Figure::Mean => Some(point.mean),
+            Figure::Worst => Some(point.worst),
+            Figure::P99 => point.p99,
+        }
+    }
+}
+
+/// a + b f(n).
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Curve {
+    pub law: Law,
+    pub a: f64,
+    pub b: f64,
+}
+
+impl Curve {
+    pub fn at(&self, n: f64) -> f64 {
+        self.a + self.b * self.law.of(n)
+    }
+
+    /// The size from which on it is above a bound; none: it never is.
+    pub fn passes(&self, bound: f64) -> Option<f64> {
+        if self.at(0.0) > bound {
+            return Some(0.0);
+        }
+        let (mut low, mut high) = (0.0, 1e-6);
+        while self.at(high) <= bound {
+            (low, high) = (high, high * 2.0);
+            if high > 1e18 {
+                return None;
+            }
+        }
+        for _ in 0..100 {
+            let middle = (low + high) / 2.0;
+            if self.at(middle) <= bound { low = middle } else { high = middle }
+        }
+        Some(high)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Fit {
+    pub curve: Curve,
+    /// Root of the mean squared relative error over the points.
+    pub error: f64,
+    /// Laws that fit as well, by the rule above.
+    pub rivals: Vec<Curve>,
+    /// Sizes and values that were run, by size.
+    points: Vec<(f64, f64)>,
+}
+
+/// What a ladder gives at a size.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    pub value: f64,
+    /// Of the law and its rivals.
+    pub least: f64,
+    pub most: f64,
+    pub basis: Basis,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Basis {
+    /// The size itself was run: the value is the run's.
+    Run,
+    /// Between sizes that were run.
+    Between,
+    /// Below the smallest size that was run.
+    Below,
+    /// So many times the largest size that was run.
+    Beyond(f64),
+}
+
+/// A point weighs by its own value; one near zero by the ladder's greatest, so that it alone does not decide.
+fn weights(points: &[(f64, f64)]) -> Vec<f64> {
+    let greatest = points.iter().fold(0.0_f64, |m, p| m.max(p.1.abs()));
+    let floor = if greatest > 0.0 { greatest * 1e-3 } else { 1.0 };
+    points.iter().map(|p| 1.0 / p.1.abs().max(floor)).collect()
+}
+
+fn squares(curve: &Curve, points: &[(f64, f64)], weights: &[f64]) -> f64 {
+    points.iter().zip(weights).map(|(p, w)| ((curve.at(p.0) - p.1) * w).powi(2)).sum()
+}
+
+/// The best of one law over some points.
+fn best(law: Law, points: &[(f64, f64)], weights: &[f64]) -> Curve {
+    // Relative residuals: (a + b f - y) w.
+    let (mut ww, mut wf, mut ff, mut wy, mut fy) = (0.0, 0.0, 0.0, 0.0, 0.0);
+    // Scaled by the greatest, so that squares of squares stay exact enough.
+    let unit = points.iter().fold(0.0_f64, |m, p| m.max(law.of(p.0).abs()));
+    let unit = if unit > 0.0 { unit } else { 1.0 };
+    for (p, w) in points.iter().zip(weights) {
+        let (f, w2) = (law.of(p.0) / unit, w * w);
+        ww += w2;
+        wf += w2 * f;
+        ff += w2 * f * f;
+        wy += w2 * p.1;
+        fy += w2 * f * p.1;
+    }
+    let flat = Curve { law, a: (wy / ww).max(0.0), b: 0.0 };
+    if law == Law::Constant || ff <= 0.0 {
+        return flat;
+    }
+    let through = Curve { law, a: 0.0, b: (fy / ff).max(0.0) / unit };
+    let det = ww * ff - wf * wf;
+    let (a, b) = ((wy * ff - fy * wf) / det, (fy * ww - wy * wf) / det);
+    if det > 1e-12 * ww * ff && a >= 0.0 && b >= 0.0 {
+        return Curve { law, a, b: b / unit };
+    }
+    let less = squares(&through, points, weights) < squares(&flat, points, weights);
+    if less { through } else { flat }
+}
+
+/// The squared relative error at each point of the curve that the others give.
+fn left_out(law: Law, points: &[(f64, f64)], weights: &[f64]) -> Vec<f64> {
+    let one = |i: usize| {
+        let (mut others, mut theirs) = (points.to_vec(), weights.to_vec());
+        let (point, weight) = (others.remove(i), theirs.remove(i));
+        ((best(law, &others, &theirs).at(point.0) - point.1) * weight).powi(2)
+    };
+    (0..points.len()).map(one).collect()
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len() as f64
+}
+
+/// Squared relative error below which nothing is told apart: a millionth, squared.
+const EXACT: f64 = 1e-12;
+
+/// Of sizes and values; none where there are no points or one is not a number.
+pub fn fit(points: &[(f64, f64)]) -> Option<Fit> {
+    let mut points = points.to_vec();
+    let usable = |p: &(f64, f64)| p.0.is_finite() && p.0 >= 0.0 && p.1.is_finite() && p.1 >= 0.0;
+    if points.is_empty() || !points.iter().all(usable) {
+        return None;
+    }
+    points.sort_by(|x, y| x.0.total_cmp(&y.0));
+    let weights = weights(&points);
+    let mut distinct: Vec<f64> = points.iter().map(|p| p.0).collect();
+    distinct.dedup();
+    // Two sizes can't tell laws apart: what grows is taken to grow as they do.
+    let (chosen, rivals) = if distinct.len() < 3 {
+        let law = if distinct.len() == 1 { Law::Constant } else { Law::Linear };
+        (law, Vec::new())
+    } else {
+        let errors: Vec<Vec<f64>> = LAWS.iter().map(|law| left_out(*law, &points, &weights)).collect();
+        let least = errors.iter().min_by(|x, y| mean(x).total_cmp(&mean(y)))?;
+        let deviation = mean(&least.iter().map(|e| (e - mean(least)).powi(2)).collect::<Vec<_>>());
+        let within = mean(least) + (deviation / least.len() as f64).sqrt() + EXACT;
+        let mut holds = LAWS.iter().zip(&errors).filter(|(_, e)| mean(e) <= within).map(|(law, _)| *law);
+        (holds.next()?, holds.collect())
+    };
+    let curve = best(chosen, &points, &weights);
+    let curve = if curve.b == 0.0 { Curve { law: Law::Constant, ..curve } } else { curve };
+    let error = (squares(&curve, &points, &weights) / points.len() as f64).sqrt();
+    let rivals = rivals.iter().map(|law| best(*law, &points, &weights)).filter(|c| c.b > 0.0).collect();
+    Some(Fit { curve, error, rivals, points })
+}
+
+/// Of one figure of a ladder, where all its points have it.
+pub fn of_ladder(ladder: &Ladder, figure: Figure) -> Option<Fit> {
+    let points: Option<Vec<_>> = ladder.points.iter().map(|p| Some((p.at, figure.of(p)?))).collect();
+    fit(&points?)
+}
+
+impl Fit {
+    pub fn largest(&self) -> f64 {
+        self.points.last().map_or(0.0, |p| p.0)
+    }
+
+    pub fn at(&self, n: f64) -> Estimate {
+        let run: Vec<f64> = self.points.iter().filter(|p| p.0 == n).map(|p| p.1).collect();
+        if !run.is_empty() {
+            let value = mean(&run);
+            return Estimate { value, least: value, most: value, basis: Basis::Run };
+        }
+        let value = self.curve.at(n);
+        let all = || self.rivals.iter().map(|c| c.at(n));
+        let basis = match () {
+            () if n > self.largest() => Basis::Beyond(n / self.largest()),
+            () if self.points.first().is_some_and(|p| n < p.0) => Basis::Below,
+            () => Basis::Between,
+        };
+        Estimate { value, least: all().fold(value, f64::min), most: all().fold(value, f64::max), basis }
+    }
+}
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -2,5 +2,10 @@
 //! laws that fit them, and what a target size then asks of each role. Must never run on the platform, nor hold a figure
 //! that a run did not give.
 
+pub mod capacity;
+pub mod fit;
+pub mod ladders;
+pub mod plot;
 pub mod sim;
 pub mod slopes;
+pub mod target;
--- /dev/null
+++ b/scale/src/main.rs
@@ -0,0 +1,182 @@
+//! `kelpcart-scale`: measures slopes, and says what a target size asks of each role. Exits with 1 where a budget is
+//! exceeded or a row is not measured, with 2 where a file can't be used.
+
+use clap::{Parser, Subcommand};
+use kelpcart_scale::capacity::{self, State, digits};
+use kelpcart_scale::fit::{self, Figure};
+use kelpcart_scale::ladders;
+use kelpcart_scale::plot;
+use kelpcart_scale::slopes::{Ladder, Slopes};
+use kelpcart_scale::target::Target;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(about = "How costs grow with an installation's size, and what a target size asks of each role.")]
+struct Line {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Plays the ladders and writes the file of slopes.
+    Measure(Measure),
+    /// Role by role: what the target asks, what the slopes give, the share of the budget.
+    Capacity(Capacity),
+}
+
+#[derive(clap::Args)]
+struct Measure {
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// The file of slopes that is written.
+    #[arg(long)]
+    json: PathBuf,
+    /// Short ladders, as CI plays them.
+    #[arg(long)]
+    quick: bool,
+    /// Only modules of ladders whose name begins so.
+    #[arg(long)]
+    only: Option<String>,
+    /// Ladders of this file that are not measured anew are taken over.
+    #[arg(long)]
+    merge: Option<PathBuf>,
+}
+
+#[derive(clap::Args)]
+struct Capacity {
+    #[arg(long)]
+    slopes: PathBuf,
+    #[arg(long)]
+    target: PathBuf,
+    /// A picture of each ladder is written there.
+    #[arg(long)]
+    plot: Option<PathBuf>,
+    /// The rows are written there as JSON.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// The tables as they stand in docs/CAPACITY.md.
+    #[arg(long)]
+    markdown: bool,
+    /// Writes the tables into this page, between its markers.
+    #[arg(long)]
+    page: Option<PathBuf>,
+}
+
+type Outcome = Result<bool, Box<dyn std::error::Error>>;
+
+fn main() -> ExitCode {
+    let result = match Line::parse().what {
+        What::Measure(options) => measure(&options),
+        What::Capacity(options) => capacity(&options),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(why) => {
+            eprintln!("kelpcart-scale: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn text(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn write(path: &Path, text: &str) -> Result<(), String> {
+    std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn slopes(path: &Path) -> Result<Slopes, String> {
+    Slopes::read(&text(path)?).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn law(ladder: &Ladder, figure: Figure) -> String {
+    let Some(fit) = fit::of_ladder(ladder, figure) else { return "-".to_owned() };
+    let (a, b) = (fit.curve.a, fit.curve.b);
+    let grows = if b > 0.0 { format!(" + {} {}", digits(b), fit.curve.law.name()) } else { String::new() };
+    format!("{}{grows} (±{}%)", digits(a), digits(fit.error * 100.0))
+}
+
+fn print(ladder: &Ladder) {
+    println!("{}  [{}, over {}]", ladder.id, ladder.unit, ladder.over);
+    for p in &ladder.points {
+        let p99 = p.p99.map_or(String::new(), |p| format!("  p99 {}", digits(p)));
+        println!("  {:>10}  mean {:>10}  worst {:>10}{p99}", digits(p.at), digits(p.mean), digits(p.worst));
+    }
+    println!("  mean: {}; worst: {}", law(ladder, Figure::Mean), law(ladder, Figure::Worst));
+}
+
+fn measure(options: &Measure) -> Outcome {
+    let old = options.merge.as_deref().map(slopes).transpose()?;
+    let wanted = |name: &str| options.only.as_deref().is_none_or(|only| name.starts_with(only));
+    let chosen: Vec<_> = ladders::MODULES.iter().filter(|(name, _)| wanted(name)).collect();
+    if chosen.is_empty() {
+        let names: Vec<&str> = ladders::MODULES.iter().map(|(name, _)| *name).collect();
+        return Err(format!("--only: there are {}", names.join(", ")).into());
+    }
+    let mut all = Vec::new();
+    for (name, measure) in chosen {
+        println!("{name}");
+        let given = measure(options.seed, options.quick);
+        given.iter().for_each(print);
+        all.extend(given);
+    }
+    let mut new =
+        Slopes { seed: options.seed, quick: options.quick, peak_memory: ladders::peak(), ladders: all };
+    if let Some(old) = old {
+        new = new.over(old)?;
+    }
+    new.check()?;
+    write(&options.json, &(serde_json::to_string_pretty(&new)? + "\n"))?;
+    Ok(true)
+}
+
+fn capacity(options: &Capacity) -> Outcome {
+    let slopes = slopes(&options.slopes)?;
+    let target =
+        Target::read(&text(&options.target)?).map_err(|e| format!("{}: {e}", options.target.display()))?;
+    let verdicts = capacity::verdicts(&slopes, &target);
+    let breaks = capacity::breaks(&slopes, &target);
+    if let Some(page) = &options.page {
+        let new = capacity::page(&text(page)?, &slopes, &target);
+        write(page, &new.map_err(|e| format!("{}: {e}", page.display()))?)?;
+    }
+    for role in capacity::ROLES {
+        println!("{}{}\n", if options.markdown { "## " } else { "" }, role.title);
+        if options.markdown {
+            println!("{}", capacity::table(role.id, &verdicts));
+        } else {
+            println!("{}", capacity::plain(role.id, &verdicts));
+        }
+    }
+    println!("{}What breaks first\n", if options.markdown { "## " } else { "" });
+    if options.markdown {
+        println!("{}", capacity::breaks_table(&breaks));
+    } else {
+        println!("{}", capacity::breaks_plain(&breaks));
+    }
+    if let Some(folder) = &options.plot {
+        std::fs::create_dir_all(folder)?;
+        for ladder in &slopes.ladders {
+            let (budgets, size) = capacity::marks(&ladder.id, &verdicts);
+            plot::draw(ladder, &budgets, size, folder)?;
+        }
+    }
+    if let Some(path) = &options.json {
+        let all = serde_json::json!({ "rows": verdicts, "breaks": breaks });
+        write(path, &(serde_json::to_string_pretty(&all)? + "\n"))?;
+    }
+    let count = |state: State| verdicts.iter().filter(|v| v.state == state).count();
+    println!(
+        "{} green, {} red, {} open, {} not measured, {} told",
+        count(State::Green),
+        count(State::Red),
+        count(State::Open),
+        count(State::NotMeasured),
+        count(State::Told)
+    );
+    Ok(!verdicts.iter().any(|v| v.state.fails()))
+}
--- a/scale/src/slopes.rs
+++ b/scale/src/slopes.rs
@@ -2,7 +2,7 @@
 //! change a figure that a run gave.
 
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -66,3 +66,49 @@
         self.ladders.iter().find(|l| l.id == id)
     }
 }
+
+#[derive(Debug, thiserror::Error)]
+pub enum Unusable {
+    #[error("{0}")]
+    Form(#[from] serde_json::Error),
+    #[error("ladder {0}: {1}")]
+    Ladder(String, &'static str),
+    #[error("quick ladders and full ones don't go into one file")]
+    Quick,
+}
+
+impl Slopes {
+    pub fn read(text: &str) -> Result<Slopes, Unusable> {
+        let slopes: Slopes = serde_json::from_str(text)?;
+        slopes.check()?;
+        Ok(slopes)
+    }
+
+    pub fn check(&self) -> Result<(), Unusable> {
+        let mut seen = BTreeSet::new();
+        for ladder in &self.ladders {
+            let need = |is: bool, what: &'static str| {
+                if is { Ok(()) } else { Err(Unusable::Ladder(ladder.id.clone(), what)) }
+            };
+            need(seen.insert(&ladder.id), "stands twice")?;
+            need(!ladder.points.is_empty(), "no points")?;
+            let figures = |p: &Point| [Some(p.at), Some(p.mean), Some(p.worst), p.p50, p.p99];
+            let mut all = ladder.points.iter().flat_map(figures).flatten();
+            need(all.all(|f| f.is_finite() && f >= 0.0), "a figure is below zero or none")?;
+            need(ladder.points.windows(2).all(|w| w[0].at < w[1].at), "sizes don't rise")?;
+        }
+        Ok(())
+    }
+
+    /// These, and those of an older file that were not measured anew, by id.
+    pub fn over(mut self, old: Slopes) -> Result<Slopes, Unusable> {
+        if self.quick != old.quick {
+            return Err(Unusable::Quick);
+        }
+        self.peak_memory = self.peak_memory.max(old.peak_memory);
+        let kept: Vec<Ladder> = old.ladders.into_iter().filter(|l| self.get(&l.id).is_none()).collect();
+        self.ladders.extend(kept);
+        self.ladders.sort_by(|x, y| x.id.cmp(&y.id));
+        Ok(self)
+    }
+}
--- /dev/null
+++ b/scale/tests/fit.rs
@@ -0,0 +1,100 @@
+//! The law of growth is found again, whatever its size and unit.
+
+use kelpcart_scale::fit::{self, Basis, Law};
+use quickcheck::{TestResult, quickcheck};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const SIZES: [f64; 8] = [25.0, 50.0, 100.0, 300.0, 1_000.0, 2_000.0, 4_000.0, 8_000.0];
+const NOISE: f64 = 0.03;
+
+fn law(n: u8) -> Law {
+    fit::LAWS[usize::from(n) % fit::LAWS.len()]
+}
+
+/// A law whose part that grows is `part` of the constant one at the smallest size.
+fn truth(law: Law, part: f64) -> impl Fn(f64) -> f64 {
+    move |n| 100.0 + 100.0 * part * law.of(n) / law.of(SIZES[0]).max(1.0)
+}
+
+quickcheck! {
+    fn a_law_with_noise_is_found_again_or_one_that_is_nearer_than_the_noise(n: u8, part: u8, seed: u64) -> bool {
+        let (law, mut rng) = (law(n), Pcg64Mcg::seed_from_u64(seed));
+        let truth = truth(law, f64::from(part) / 64.0);
+        let points: Vec<_> =
+            SIZES.iter().map(|n| (*n, truth(*n) * rng.random_range(1.0 - NOISE..1.0 + NOISE))).collect();
+        let found = fit::fit(&points).unwrap();
+        let off = |n: &f64| (found.curve.at(*n) / truth(*n) - 1.0).powi(2);
+        let off = (SIZES.iter().map(off).sum::<f64>() / SIZES.len() as f64).sqrt();
+        found.curve.law == law || off < NOISE
+    }
+
+    fn a_law_without_noise_is_found_exactly(n: u8, part: u8) -> TestResult {
+        if part < 8 {
+            return TestResult::discard();
+        }
+        let law = law(n);
+        let truth = truth(law, f64::from(part) / 64.0);
+        let found = fit::fit(&SIZES.map(|n| (n, truth(n)))).unwrap();
+        let far = found.at(80_000.0);
+        let near = (far.value / truth(80_000.0) - 1.0).abs() < 1e-4;
+        TestResult::from_bool(found.curve.law == law && found.error < 1e-6 && near)
+    }
+
+    fn units_change_no_law(n: u8, part: u8, seed: u64, unit: i8) -> bool {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let truth = truth(law(n), f64::from(part) / 64.0);
+        let unit = 10f64.powi(i32::from(unit) / 12);
+        let points: Vec<_> =
+            SIZES.iter().map(|n| (*n, truth(*n) * rng.random_range(1.0 - NOISE..1.0 + NOISE))).collect();
+        let scaled: Vec<_> = points.iter().map(|p| (p.0, p.1 * unit)).collect();
+        let (one, other) = (fit::fit(&points).unwrap(), fit::fit(&scaled).unwrap());
+        let same = (other.curve.at(5e4) / one.curve.at(5e4) / unit - 1.0).abs() < 1e-6;
+        one.curve.law == other.curve.law && same && (one.error - other.error).abs() < 1e-9
+    }
+
+    fn figures_that_fall_or_jump_give_no_negative_parts(values: Vec<u16>) -> TestResult {
+        if values.is_empty() || values.len() > 12 {
+            return TestResult::discard();
+        }
+        let points: Vec<_> = values.iter().enumerate().map(|(i, v)| (10.0 * i as f64, f64::from(*v))).collect();
+        let found = fit::fit(&points).unwrap();
+        let whole = found.curve.a >= 0.0 && found.curve.b >= 0.0 && found.error.is_finite();
+        let at = found.at(1e4);
+        TestResult::from_bool(whole && at.least <= at.value && at.value <= at.most)
+    }
+}
+
+#[test]
+fn a_size_beyond_the_ladder_is_told_with_how_far() {
+    let found = fit::fit(&SIZES.map(|n| (n, 3.0 * n))).unwrap();
+    assert_eq!(found.curve.law, Law::Linear);
+    assert_eq!(found.at(16_000.0).basis, Basis::Beyond(2.0));
+    assert_eq!(found.at(500.0).basis, Basis::Between);
+    assert_eq!(found.at(1.0).basis, Basis::Below);
+    assert_eq!(found.at(4_000.0).basis, Basis::Run);
+    assert!((found.curve.passes(30_000.0).unwrap() - 10_000.0).abs() < 1.0);
+}
+
+#[test]
+fn a_size_that_was_run_gives_what_the_run_gave() {
+    let mut points = SIZES.map(|n| (n, 3.0 * n));
+    points[6].1 *= 1.2;
+    assert_eq!(fit::fit(&points).unwrap().at(4_000.0).value, 14_400.0);
+}
+
+/// Of sizes near each other all laws look alike: what they differ by further out has to be seen.
+#[test]
+fn laws_that_a_short_ladder_does_not_tell_apart_give_a_range() {
+    let near =
+        [100.0, 110.0, 120.0, 130.0].map(|n: f64| (n, 300.0 + n * if n == 110.0 { 1.05 } else { 1.0 }));
+    let far = fit::fit(&near).unwrap().at(10_000.0);
+    assert!(far.most > 2.0 * far.least, "{far:?}");
+}
+
+#[test]
+fn what_is_not_a_number_is_not_fitted() {
+    assert!(fit::fit(&[]).is_none());
+    assert!(fit::fit(&[(1.0, f64::NAN)]).is_none());
+    assert!(fit::fit(&[(1.0, -1.0)]).is_none());
+}
