--- a/scale/src/capacity.rs
+++ b/scale/src/capacity.rs
@@ -1,10 +1,11 @@
 //! What a target asks of each role and what the slopes give: the rows of docs/CAPACITY.md. Owns which ladder a row is
 //! read from and what its budget is; must never hold a figure of a run.
 
-use crate::fit::{self, Basis, Figure, Fit};
+use crate::fit::{self, Basis, Figure, Fit, digits};
 use crate::slopes::Slopes;
 use crate::target::Target;
 use serde::Serialize;
+use std::collections::BTreeSet;
 
 type Of = fn(&Target) -> f64;
 
@@ -231,8 +232,14 @@
             let (Some(budget), Some(readings)) = (row.budget, readings(row, slopes)) else { continue };
             let Some(first) = readings.first() else { continue };
             let budget = budget(target);
+            // What is read at another size, such as that of a site, stands still.
+            let size = (first.read.at)(target);
             let at = |times: f64| -> f64 {
-                let one = |r: &Reading| r.fit.curve.at((r.read.at)(target) * times) * (r.read.times)(target);
+                let one = |r: &Reading| {
+                    let own = (r.read.at)(target);
+                    let own = if own == size && r.over == first.over { own * times } else { own };
+                    r.fit.curve.at(own) * (r.read.times)(target)
+                };
                 readings.iter().map(one).sum()
             };
             if at(FURTHEST) <= budget {
@@ -247,7 +254,7 @@
                 role: role.id,
                 what: row.what,
                 over: first.over.to_owned(),
-                size: (first.read.at)(target) * high,
+                size: size * high,
                 times: high,
                 mechanism: row.mechanism,
             });
@@ -257,35 +264,6 @@
     all
 }
 
-/// Three digits that count, thousands set apart.
-pub fn digits(value: f64) -> String {
-    let size = value.abs();
-    if size >= 1e9 {
-        return format!("{value:.2e}");
-    }
-    if size >= 99.95 {
-        let step = 10f64.powi((size.log10().floor() as i32 - 2).max(0));
-        let whole = format!("{:.0}", (size / step).round() * step);
-        let mut out = String::new();
-        for (i, digit) in whole.chars().enumerate() {
-            if i > 0 && (whole.len() - i).is_multiple_of(3) {
-                out.push(',');
-            }
-            out.push(digit);
-        }
-        return if value < 0.0 { format!("-{out}") } else { out };
-    }
-    if size == 0.0 {
-        return "0".to_owned();
-    }
-    if size < 1e-3 {
-        return format!("{value:.1e}");
-    }
-    let places = (2 - size.log10().floor() as i32).clamp(0, 5) as usize;
-    let text = format!("{value:.places$}");
-    if text.contains('.') { text.trim_end_matches('0').trim_end_matches('.').to_owned() } else { text }
-}
-
 fn percent(share: Option<f64>) -> String {
     share.map_or(String::new(), |s| format!("{}%", digits(s * 100.0)))
 }
@@ -391,8 +369,38 @@
     (budgets, rows.iter().filter_map(|v| v.at).reduce(f64::max))
 }
 
+/// The ladders that rows are read from, with their laws and how they are played again.
+pub fn ladders_table(slopes: &Slopes) -> String {
+    let mut out = "| ladder | run on | sizes | mean | worst | again by |\n".to_owned();
+    out += "| --- | --- | --- | --- | --- | --- |\n";
+    let reads = ROLES.iter().flat_map(|r| r.rows).filter_map(|row| match &row.source {
+        Source::Ladders(reads) => Some(reads.iter().map(|r| r.id)),
+        Source::Computed(_) => None,
+    });
+    let ids: BTreeSet<&str> = reads.flatten().collect();
+    for ladder in ids.iter().filter_map(|id| slopes.get(id)) {
+        let (first, last) = (ladder.points.first(), ladder.points.last());
+        let ends =
+            first.zip(last).map_or(String::new(), |(f, l)| format!("{} to {}", digits(f.at), digits(l.at)));
+        let law = |figure| fit::of_ladder(ladder, figure).map_or(String::new(), |f| f.told());
+        out += &format!(
+            "| `{}`, {} | {} | {}, {ends} {} | {} | {} | `{}` |\n",
+            ladder.id,
+            ladder.unit,
+            ladder.host.name(),
+            ladder.points.len(),
+            ladder.over.replace('_', " "),
+            law(Figure::Mean),
+            law(Figure::Worst),
+            ladder.command,
+        );
+    }
+    out
+}
+
 /// Where a table stands on the page: `<!-- table: ROLE -->` and `<!-- end -->`, each on a line of its own.
 const BREAKS: &str = "breaks";
+const LADDERS: &str = "ladders";
 
 #[derive(Debug, thiserror::Error, PartialEq)]
 pub enum Unwritable {
@@ -417,6 +425,7 @@
             let known = ROLES.iter().any(|r| r.id == role);
             let table = match role {
                 BREAKS => breaks_table(&breaks(slopes, target)),
+                LADDERS => ladders_table(slopes),
                 _ if known => table(role, &verdicts),
                 _ => return Err(Unwritable::Unknown(role.to_owned())),
             };
@@ -433,7 +442,7 @@
     if let Some(open) = inside {
         return Err(Unwritable::Endless(open));
     }
-    for role in ROLES.iter().map(|r| r.id).chain([BREAKS]) {
+    for role in ROLES.iter().map(|r| r.id).chain([BREAKS, LADDERS]) {
         if told.iter().filter(|t| **t == role).count() != 1 {
             return Err(Unwritable::Count(role.to_owned()));
         }
--- a/scale/src/capacity/rows.rs
+++ b/scale/src/capacity/rows.rs
@@ -14,12 +14,16 @@
     f64::from(t.caches)
 }
 
+fn sites(t: &Target) -> f64 {
+    f64::from(t.sites)
+}
+
 fn site(t: &Target) -> f64 {
     t.gateways_per_site()
 }
 
-fn zones(t: &Target) -> f64 {
-    f64::from(t.zones)
+fn zone_gateways(t: &Target) -> f64 {
+    gateways(t) / f64::from(t.zones)
 }
 
 fn purges(t: &Target) -> f64 {
@@ -35,20 +39,44 @@
 const MEMORY: Option<Of> = Some(|t| t.control.memory as f64);
 const TXN_CORES: Option<Of> = Some(|t| t.assumed.data_path_cores * 1e6);
 
-/// Names of so many bits that a purge hits beside the one that was meant.
+/// Objects that a name of so many bits hits beside the one that was meant.
 fn hits(t: &Target, bits: i32) -> f64 {
     t.traffic.objects as f64 / 2f64.powi(bits)
 }
 
-/// The part of all objects that what a region missed covers by names of so many bits.
+/// Per cent of all objects that names of so many bits cover of what a region missed.
 fn covered(t: &Target, bits: i32) -> f64 {
     100.0 * (1.0 - (-t.purges_missed() / 2f64.powi(bits)).exp())
 }
 
+/// Names of `bits` that are sorted and told by their differences (Golomb-Rice) take about this many bits each.
+fn bits_told(bits: f64, names: f64) -> f64 {
+    bits - names.log2() + 1.5
+}
+
+/// Seconds until what a region missed is told again within a gateway's bytes in, beside live purges at 40 bits.
+fn told_again_s(t: &Target, bits: f64) -> f64 {
+    let gathered = t.purges.per_s * t.assumed.feed_period_ms as f64 / 1e3;
+    let live = t.purges.per_s * bits_told(40.0, gathered) / 8.0;
+    let missed = t.purges_missed() * bits_told(bits, t.purges_missed()) / 8.0;
+    missed / (t.control.bytes_in_per_s - live).max(0.0)
+}
+
 const FEED: &str = "feed/src/lib.rs";
 const RELAY: &str = "fleet/src/relay.rs";
 const MEMBERS: &str = "fleet/src/members.rs";
 const MODULE: &str = "src/logic.rs";
+const NAMES: &str = "src/names.rs";
+
+/// One ladder's figure at a size.
+macro_rules! of {
+    ($id:literal, $figure:expr, $at:expr) => {
+        Ladders(&[read($id, $figure, $at)])
+    };
+    ($id:literal, $figure:expr, $at:expr, times $times:expr) => {
+        Ladders(&[Read { id: $id, figure: $figure, at: $at, times: $times }])
+    };
+}
 
 pub const ROLES: &[Role] = &[
     Role {
@@ -66,26 +94,26 @@
                 MODULE,
             ),
             row(
-                "the largest site at the peak",
+                "the largest site's txns at the peak",
                 Messages,
-                "Gbit/s",
-                Computed(|t| f64::from(t.assumed.largest_site_gateways) * t.megabytes_per_s() * 8e-3),
+                "txns/s",
+                Computed(|t| f64::from(t.assumed.largest_site_gateways) * t.txns_per_s()),
                 None,
                 MODULE,
             ),
             row(
-                "the largest site at the peak",
+                "the largest site's payload at the peak",
                 Messages,
-                "txns/s",
-                Computed(|t| f64::from(t.assumed.largest_site_gateways) * t.txns_per_s()),
+                "Gbit/s",
+                Computed(|t| f64::from(t.assumed.largest_site_gateways) * t.megabytes_per_s() * 8e-3),
                 None,
                 MODULE,
             ),
             row(
-                "processor of the program at these txns",
+                "the program's processor at these txns",
                 Processor,
                 "us/s",
-                Ladders(&[read("data-path.processor.by-txns", Mean, Target::txns_per_s)]),
+                of!("data-path.processor.by-txns", Mean, Target::txns_per_s),
                 TXN_CORES,
                 "gateway/src/dispatcher.rs",
             ),
@@ -103,29 +131,22 @@
                 None,
                 MODULE,
             ),
-            row("the same, at one cache", State, "connections", Computed(gateways), None, MODULE),
-            row("the same, at one gateway", State, "connections", Computed(caches), None, MODULE),
+            row("the same at one cache", State, "connections", Computed(gateways), None, MODULE),
+            row("the same at one gateway", State, "connections", Computed(caches), None, MODULE),
             row(
-                "caches of a zone, at one gateway of it",
+                "caches of a gateway's zone",
                 State,
                 "caches",
                 Computed(Target::caches_per_zone),
                 None,
                 MODULE,
             ),
+            row("gateways of a cache's zone", State, "gateways", Computed(zone_gateways), None, MODULE),
             row(
-                "gateways of a zone, at one cache of it",
-                State,
-                "gateways",
-                Computed(|t| gateways(t) / zones(t)),
-                None,
-                MODULE,
-            ),
-            row(
-                "caches that a gateway keeps connections to",
-                State,
-                "caches",
-                Ladders(&[read("connections.caches.by-txns", Worst, Target::txns_per_s)]),
+                "txns at a cache at the mean",
+                Messages,
+                "txns/s",
+                Computed(|t| t.traffic.requests_per_s / caches(t)),
                 None,
                 MODULE,
             ),
@@ -136,28 +157,18 @@
         title: "Module",
         rows: &[
             row(
-                "processor of decisions at these txns",
+                "processor of decisions, caches spread over the zones",
                 Processor,
                 "us/s",
-                Ladders(&[Read {
-                    id: "module.processor.by-caches",
-                    figure: Mean,
-                    at: caches,
-                    times: Target::txns_per_s,
-                }]),
+                of!("module.processor.by-caches", Mean, caches, times Target::txns_per_s),
                 TXN_CORES,
                 MODULE,
             ),
             row(
-                "the same where all caches stand in one zone",
+                "the same, all caches in one zone",
                 Processor,
                 "us/s",
-                Ladders(&[Read {
-                    id: "module.processor.by-caches-of-one-zone",
-                    figure: Mean,
-                    at: caches,
-                    times: Target::txns_per_s,
-                }]),
+                of!("module.processor.by-caches-of-one-zone", Mean, caches, times Target::txns_per_s),
                 TXN_CORES,
                 MODULE,
             ),
@@ -165,21 +176,16 @@
                 "the same by purges kept",
                 Processor,
                 "us/s",
-                Ladders(&[Read {
-                    id: "module.processor.by-purges",
-                    figure: Mean,
-                    at: purges,
-                    times: Target::txns_per_s,
-                }]),
+                of!("module.processor.by-purges", Mean, purges, times Target::txns_per_s),
                 TXN_CORES,
                 MODULE,
             ),
             row(
-                "memory by caches listed",
-                Memory,
-                "B",
-                Ladders(&[read("module.memory.by-caches", Worst, caches)]),
-                MEMORY,
+                "entries of all tables",
+                State,
+                "objects",
+                of!("module.kept.by-caches", Worst, caches),
+                None,
                 "src/state.rs",
             ),
         ],
@@ -189,21 +195,46 @@
         title: "Membership",
         rows: &[
             row(
-                "before: all gateways one fleet, bytes out in calm",
+                "before, all in one fleet: bytes out in calm",
+                Messages,
+                "B/s",
+                of!("members.bytes-out.by-gateways", Mean, gateways),
+                BYTES_OUT,
+                MEMBERS,
+            ),
+            row(
+                "before: memory",
+                Memory,
+                "B",
+                of!("members.memory.by-gateways", Mean, gateways),
+                MEMORY,
+                MEMBERS,
+            ),
+            row(
+                "after, a fleet a site: bytes out in calm",
                 Messages,
                 "B/s",
-                Ladders(&[read("fleet.calm-bytes-out.by-gateways", Mean, gateways)]),
+                of!("members.bytes-out.by-gateways", Mean, site),
                 BYTES_OUT,
                 MEMBERS,
             ),
             row(
-                "after: a fleet a site, bytes out in calm",
+                "after: bytes out of the one that sends most",
                 Messages,
                 "B/s",
-                Ladders(&[read("fleet.calm-bytes-out.by-gateways", Mean, site)]),
+                of!("members.bytes-out.by-gateways", Worst, site),
                 BYTES_OUT,
                 MEMBERS,
             ),
+            row(
+                "after: processor",
+                Processor,
+                "us/s",
+                of!("members.processor.by-gateways", Mean, site),
+                CORE,
+                MEMBERS,
+            ),
+            row("after: memory", Memory, "B", of!("members.memory.by-gateways", Mean, site), MEMORY, MEMBERS),
         ],
     },
     Role {
@@ -211,69 +242,91 @@
         title: "List and purges",
         rows: &[
             row(
-                "before: relayed list, bytes out at the mean",
+                "before, the relayed list: bytes in",
                 Messages,
                 "B/s",
-                Ladders(&[read("fleet.bytes-out.by-gateways", Mean, gateways)]),
-                BYTES_OUT,
+                of!("fleet.bytes-in.by-gateways", Mean, gateways),
+                BYTES_IN,
                 RELAY,
             ),
             row(
-                "before: the one that sends most",
+                "before: bytes out of the one that sends most",
                 Messages,
                 "B/s",
-                Ladders(&[read("fleet.bytes-out.by-gateways", Worst, gateways)]),
+                of!("fleet.bytes-out.by-gateways", Worst, gateways),
                 BYTES_OUT,
                 RELAY,
             ),
             row(
-                "after: bytes in at the mean",
+                "before: processor",
+                Processor,
+                "us/s",
+                of!("fleet.processor.by-gateways", Mean, gateways),
+                CORE,
+                RELAY,
+            ),
+            row(
+                "before: memory",
+                Memory,
+                "B",
+                of!("fleet.memory.by-gateways", Mean, gateways),
+                MEMORY,
+                RELAY,
+            ),
+            row(
+                "before: delay to the last gateway",
+                Delay,
+                "ms",
+                of!("fleet.delay.by-gateways", Worst, gateways),
+                PURGE_MS,
+                RELAY,
+            ),
+            row(
+                "after, the feed: bytes in",
                 Messages,
                 "B/s",
-                Ladders(&[read("feed.bytes-in.by-gateways", Mean, gateways)]),
+                of!("feed.bytes-in.by-gateways", Mean, gateways),
                 BYTES_IN,
                 FEED,
             ),
             row(
-                "after: bytes out at the mean",
+                "after: bytes in of the one that takes most",
                 Messages,
                 "B/s",
-                Ladders(&[read("feed.bytes-out.by-gateways", Mean, gateways)]),
+                of!("feed.bytes-in.by-gateways", Worst, gateways),
+                BYTES_IN,
+                FEED,
+            ),
+            row(
+                "after: bytes out",
+                Messages,
+                "B/s",
+                of!("feed.bytes-out.by-gateways", Mean, gateways),
                 BYTES_OUT,
                 FEED,
             ),
             row(
-                "after: in and out together",
+                "after: bytes out of the one that sends most",
                 Messages,
                 "B/s",
-                Ladders(&[
-                    read("feed.bytes-in.by-gateways", Mean, gateways),
-                    read("feed.bytes-out.by-gateways", Mean, gateways),
-                ]),
-                BYTES_BOTH,
+                of!("feed.bytes-out.by-gateways", Worst, gateways),
+                BYTES_OUT,
                 FEED,
             ),
             row(
                 "after: processor",
                 Processor,
                 "us/s",
-                Ladders(&[read("feed.processor.by-gateways", Mean, gateways)]),
+                of!("feed.processor.by-gateways", Mean, gateways),
                 CORE,
                 FEED,
             ),
+            row("after: memory", Memory, "B", of!("feed.memory.by-gateways", Mean, gateways), MEMORY, FEED),
             row(
-                "after: memory",
-                Memory,
-                "B",
-                Ladders(&[read("feed.memory.by-gateways", Mean, gateways)]),
-                MEMORY,
-                FEED,
-            ),
-            row(
-                "after: delay to a gateway, p99",
+                "after: delay, p99",
                 Delay,
                 "ms",
-                Ladders(&[read("feed.delay.by-gateways", P99, gateways)]),
+                of!("feed.delay.by-gateways", P99, gateways),
                 PURGE_MS,
                 FEED,
             ),
@@ -281,33 +334,75 @@
                 "after: delay to the last gateway",
                 Delay,
                 "ms",
-                Ladders(&[read("feed.delay.by-gateways", Worst, gateways)]),
+                of!("feed.delay.by-gateways", Worst, gateways),
                 PURGE_MS,
                 FEED,
             ),
+            row("others hit by a purge, 40 bits", State, "objects", Computed(|t| hits(t, 40)), None, NAMES),
+            row("others hit by a purge, 32 bits", State, "objects", Computed(|t| hits(t, 32)), None, NAMES),
+            row("others hit by a purge, 21 bits", State, "objects", Computed(|t| hits(t, 21)), None, NAMES),
+        ],
+    },
+    Role {
+        id: "control",
+        title: "Control of a gateway, all together",
+        rows: &[
             row(
-                "others hit by a purge, 40 bits",
-                State,
-                "objects",
-                Computed(|t| hits(t, 40)),
-                None,
-                "src/names.rs",
+                "bytes in and out: feed and membership",
+                Messages,
+                "B/s",
+                Ladders(&[
+                    read("feed.bytes-in.by-gateways", Mean, gateways),
+                    read("feed.bytes-out.by-gateways", Mean, gateways),
+                    read("members.bytes-in.by-gateways", Mean, site),
+                    read("members.bytes-out.by-gateways", Mean, site),
+                ]),
+                BYTES_BOTH,
+                FEED,
             ),
             row(
-                "others hit by a purge, 32 bits",
-                State,
-                "objects",
-                Computed(|t| hits(t, 32)),
-                None,
-                "src/names.rs",
+                "bytes in: feed and membership",
+                Messages,
+                "B/s",
+                Ladders(&[
+                    read("feed.bytes-in.by-gateways", Mean, gateways),
+                    read("members.bytes-in.by-gateways", Mean, site),
+                ]),
+                BYTES_IN,
+                FEED,
             ),
             row(
-                "others hit by a purge, 21 bits",
-                State,
-                "objects",
-                Computed(|t| hits(t, 21)),
-                None,
-                "src/names.rs",
+                "bytes out: feed and membership",
+                Messages,
+                "B/s",
+                Ladders(&[
+                    read("feed.bytes-out.by-gateways", Mean, gateways),
+                    read("members.bytes-out.by-gateways", Mean, site),
+                ]),
+                BYTES_OUT,
+                FEED,
+            ),
+            row(
+                "processor: feed and membership",
+                Processor,
+                "us/s",
+                Ladders(&[
+                    read("feed.processor.by-gateways", Mean, gateways),
+                    read("members.processor.by-gateways", Mean, site),
+                ]),
+                CORE,
+                FEED,
+            ),
+            row(
+                "memory: feed and membership",
+                Memory,
+                "B",
+                Ladders(&[
+                    read("feed.memory.by-gateways", Mean, gateways),
+                    read("members.memory.by-gateways", Mean, site),
+                ]),
+                MEMORY,
+                FEED,
             ),
         ],
     },
@@ -320,48 +415,82 @@
                 "delay to the last gateway",
                 Delay,
                 "ms",
-                Ladders(&[read("feed.delay.by-changes", Worst, Target::changes_per_s)]),
+                of!("feed.delay.by-changes-per-s", Worst, Target::changes_per_s),
                 CHANGE_MS,
                 FEED,
             ),
         ],
     },
+    Role {
+        id: "machines",
+        title: "List services and the machines set aside",
+        rows: &[
+            row(
+                "a machine's bytes out by sites",
+                Messages,
+                "B/s",
+                of!("hub.bytes-out.by-sites", Worst, sites),
+                None,
+                FEED,
+            ),
+            row(
+                "a machine's processor by sites",
+                Processor,
+                "us/s",
+                of!("hub.processor.by-sites", Worst, sites),
+                None,
+                FEED,
+            ),
+        ],
+    },
     Role {
         id: "faults",
         title: "Faults",
         rows: &[
-            row("restarts and failures", State, "1/h", Computed(Target::restarts_per_h), None, FEED),
+            row("failures and restarts", State, "1/h", Computed(Target::restarts_per_h), None, FEED),
             row(
-                "purges that a region away for its hour misses",
+                "restarts an hour while a release goes over all",
                 State,
-                "purges",
-                Computed(Target::purges_missed),
+                "1/h",
+                Computed(|t| gateways(t) / t.assumed.release_s * 3_600.0),
                 None,
                 FEED,
             ),
+            row("gateways lost with a zone", State, "gateways", Computed(zone_gateways), None, FEED),
             row(
-                "objects covered by these, 40 bits",
+                "sites that a region's loss takes",
                 State,
-                "%",
-                Computed(|t| covered(t, 40)),
+                "sites",
+                Computed(|t| sites(t) / f64::from(t.regions)),
                 None,
-                "src/names.rs",
+                FEED,
             ),
             row(
-                "objects covered by these, 32 bits",
+                "purges missed by a region that is away",
                 State,
-                "%",
-                Computed(|t| covered(t, 32)),
+                "purges",
+                Computed(Target::purges_missed),
                 None,
-                "src/names.rs",
+                FEED,
             ),
+            row("objects that these cover, 40 bits", State, "%", Computed(|t| covered(t, 40)), None, NAMES),
+            row("objects that these cover, 32 bits", State, "%", Computed(|t| covered(t, 32)), None, NAMES),
+            row("objects that these cover, 21 bits", State, "%", Computed(|t| covered(t, 21)), None, NAMES),
             row(
-                "objects covered by these, 21 bits",
-                State,
-                "%",
-                Computed(|t| covered(t, 21)),
+                "these told again within the bytes in, 40 bits",
+                Delay,
+                "s",
+                Computed(|t| told_again_s(t, 40.0)),
+                None,
+                NAMES,
+            ),
+            row(
+                "these told again within the bytes in, 32 bits",
+                Delay,
+                "s",
+                Computed(|t| told_again_s(t, 32.0)),
                 None,
-                "src/names.rs",
+                NAMES,
             ),
         ],
     },
--- a/scale/src/fit.rs
+++ b/scale/src/fit.rs
@@ -226,6 +226,17 @@
         self.points.last().map_or(0.0, |p| p.0)
     }
 
+    /// The law in words, with its error.
+    pub fn told(&self) -> String {
+        let (law, a, b) = (self.curve.law.name(), self.curve.a, self.curve.b);
+        let grows = match (a > 0.0, b > 0.0) {
+            (_, false) => digits(a),
+            (false, true) => format!("{} {law}", digits(b)),
+            (true, true) => format!("{} + {} {law}", digits(a), digits(b)),
+        };
+        format!("{grows} ±{}%", digits(self.error * 100.0))
+    }
+
     pub fn at(&self, n: f64) -> Estimate {
         let run: Vec<f64> = self.points.iter().filter(|p| p.0 == n).map(|p| p.1).collect();
         if !run.is_empty() {
@@ -242,3 +253,32 @@
         Estimate { value, least: all().fold(value, f64::min), most: all().fold(value, f64::max), basis }
     }
 }
+
+/// Three digits that count, thousands set apart.
+pub fn digits(value: f64) -> String {
+    let size = value.abs();
+    if size >= 1e9 {
+        return format!("{value:.2e}");
+    }
+    if size >= 99.95 {
+        let step = 10f64.powi((size.log10().floor() as i32 - 2).max(0));
+        let whole = format!("{:.0}", (size / step).round() * step);
+        let mut out = String::new();
+        for (i, digit) in whole.chars().enumerate() {
+            if i > 0 && (whole.len() - i).is_multiple_of(3) {
+                out.push(',');
+            }
+            out.push(digit);
+        }
+        return if value < 0.0 { format!("-{out}") } else { out };
+    }
+    if size == 0.0 {
+        return "0".to_owned();
+    }
+    if size < 1e-3 {
+        return format!("{value:.1e}");
+    }
+    let places = (2 - size.log10().floor() as i32).clamp(0, 5) as usize;
+    let text = format!("{value:.places$}");
+    if text.contains('.') { text.trim_end_matches('0').trim_end_matches('.').to_owned() } else { text }
+}
--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -2,8 +2,8 @@
 //! exceeded or a row is not measured, with 2 where a file can't be used.
 
 use clap::{Parser, Subcommand};
-use kelpcart_scale::capacity::{self, State, digits};
-use kelpcart_scale::fit::{self, Figure};
+use kelpcart_scale::capacity::{self, State};
+use kelpcart_scale::fit::{self, Figure, digits};
 use kelpcart_scale::ladders;
 use kelpcart_scale::plot;
 use kelpcart_scale::slopes::{Ladder, Slopes};
@@ -94,10 +94,7 @@
 }
 
 fn law(ladder: &Ladder, figure: Figure) -> String {
-    let Some(fit) = fit::of_ladder(ladder, figure) else { return "-".to_owned() };
-    let (a, b) = (fit.curve.a, fit.curve.b);
-    let grows = if b > 0.0 { format!(" + {} {}", digits(b), fit.curve.law.name()) } else { String::new() };
-    format!("{}{grows} (±{}%)", digits(a), digits(fit.error * 100.0))
+    fit::of_ladder(ladder, figure).map_or("-".to_owned(), |f| f.told())
 }
 
 fn print(ladder: &Ladder) {
@@ -158,6 +155,9 @@
     } else {
         println!("{}", capacity::breaks_plain(&breaks));
     }
+    if options.markdown {
+        println!("## Ladders\n\n{}", capacity::ladders_table(&slopes));
+    }
     if let Some(folder) = &options.plot {
         std::fs::create_dir_all(folder)?;
         for ladder in &slopes.ladders {
@@ -169,6 +169,9 @@
         let all = serde_json::json!({ "rows": verdicts, "breaks": breaks });
         write(path, &(serde_json::to_string_pretty(&all)? + "\n"))?;
     }
+    if slopes.quick {
+        println!("these are slopes of short ladders");
+    }
     let count = |state: State| verdicts.iter().filter(|v| v.state == state).count();
     println!(
         "{} green, {} red, {} open, {} not measured, {} told",
--- a/scale/src/slopes.rs
+++ b/scale/src/slopes.rs
@@ -46,6 +46,16 @@
     Core,
 }
 
+impl Host {
+    pub fn name(self) -> &'static str {
+        match self {
+            Host::Simulated => "simulated",
+            Host::Loopback => "loopback",
+            Host::Core => "core",
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Point {
