Scale: a budget far above a ladder is named in its picture, not drawn

Need: a memory budget of 256 MB pressed a ladder of some KB flat. Change: budgets above eight times all else go into the caption.

--- a/scale/src/plot.rs
+++ b/scale/src/plot.rs
@@ -1,12 +1,15 @@
 //! A picture of each ladder: what was run, the law, the budget. Must never leave out a point.
 
-use crate::fit::{self, Figure};
+use crate::fit::{self, Figure, digits};
 use crate::slopes::Ladder;
 use plotters::prelude::*;
 use std::path::Path;
 
 type Drawn = Result<(), Box<dyn std::error::Error>>;
 
+/// A budget that many times above all else is named, not drawn: it would press the rest flat.
+const FAR: f64 = 8.0;
+
 const POINTS: [(Figure, &str, RGBColor); 2] = [(Figure::Mean, "mean", BLUE), (Figure::Worst, "worst", RED)];
 
 /// Writes `ID.svg`; `budgets` are lines across, `target` is the size up to which the laws are drawn.
@@ -17,13 +20,17 @@
     let fits: Vec<_> = POINTS.iter().map(|(figure, ..)| fit::of_ladder(ladder, *figure)).collect();
     let fitted = fits.iter().flatten().map(|f| f.curve.at(high));
     let run = ladder.points.iter().map(|p| p.mean.max(p.worst));
-    let top = run.chain(fitted).chain(budgets.iter().copied()).fold(0.0_f64, f64::max);
+    let top = run.chain(fitted).fold(0.0_f64, f64::max);
+    let (far, near): (Vec<f64>, Vec<f64>) = budgets.iter().partition(|b| **b > FAR * top);
+    let top = near.iter().copied().fold(top, f64::max);
     let top = if top > 0.0 { top * 1.05 } else { 1.0 };
+    let above: Vec<String> = far.iter().map(|b| format!("budget {} {}", digits(*b), ladder.unit)).collect();
+    let caption = format!("{}  {}", ladder.id, above.join(", "));
     let path = folder.join(format!("{}.svg", ladder.id));
     let area = SVGBackend::new(&path, (800, 500)).into_drawing_area();
     area.fill(&WHITE)?;
     let mut chart = ChartBuilder::on(&area)
-        .caption(&ladder.id, ("sans-serif", 18))
+        .caption(caption, ("sans-serif", 18))
         .margin(12)
         .x_label_area_size(40)
         .y_label_area_size(80)
@@ -41,7 +48,7 @@
             .label(label)
             .legend(|(x, y)| PathElement::new([(x, y), (x + 16, y)], *color));
     }
-    for budget in budgets {
+    for budget in &near {
         chart.draw_series(LineSeries::new([(low, *budget), (high, *budget)], BLACK.stroke_width(2)))?;
     }
     chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
