Scale: a law is taken by its error, and all within one standard error are its rivals

Change: the law that grows least within a tenth of the least leave-one-out error; the rule gives the rivals only, slower ones too.

--- a/scale/src/capacity.rs
+++ b/scale/src/capacity.rs
@@ -1,7 +1,7 @@
 //! What a target asks of each role and what the slopes give: the rows of docs/CAPACITY.md. Owns which ladder a row is
 //! read from and what its budget is; must never hold a figure of a run.
 
-use crate::fit::{self, Basis, Figure, Fit, digits};
+use crate::fit::{self, Basis, Figure, Fit, digits, off};
 use crate::slopes::Slopes;
 use crate::target::Target;
 use serde::Serialize;
@@ -288,7 +288,7 @@
             (false, at) => {
                 let size = at.map_or(String::new(), |at| format!(" at {}", digits(at)));
                 let how = if v.basis.is_empty() { String::new() } else { format!("; {}", v.basis) };
-                let error = v.error.map_or(String::new(), |e| format!(", ±{}", percent(Some(e))));
+                let error = v.error.map_or(String::new(), |e| format!(", {}", off(e)));
                 let ids: Vec<String> = v.ladders.iter().map(|id| format!("`{id}`")).collect();
                 format!("{}{size}{how}{error}", ids.join(" + "))
             }
--- a/scale/src/fit.rs
+++ b/scale/src/fit.rs
@@ -2,9 +2,10 @@
 //! or the constant a alone. Must never hide that a size lies beyond those that were run.
 //!
 //! Fitted by least squared relative error, so that small sizes weigh as much as large ones. The law is the one that
-//! grows least among those whose leave-one-out error is within one standard error of the least (the one-standard-error
-//! rule: Breiman, Friedman, Olshen and Stone, "Classification and Regression Trees", 1984, 3.4.3). The others within it
-//! are kept as rivals: what they give at a size beyond the ladder is the range within which the law is not known.
+//! grows least among those whose leave-one-out error (the root of the mean square) is at most a tenth above the least.
+//! All others within one standard error of the least are kept as rivals (the one-standard-error rule: Breiman, Friedman,
+//! Olshen and Stone, "Classification and Regression Trees", 1984, 3.4.3): what they give at a size beyond the ladder is
+//! the range within which the law is not known.
 
 use crate::slopes::{Ladder, Point};
 
@@ -182,6 +183,8 @@
     values.iter().sum::<f64>() / values.len() as f64
 }
 
+/// The least leave-one-out error times this: no law is preferred for less.
+const NEAR: f64 = 1.1;
 /// Squared relative error below which nothing is told apart: a millionth, squared.
 const EXACT: f64 = 1e-12;
 
@@ -197,21 +200,23 @@
     let mut distinct: Vec<f64> = points.iter().map(|p| p.0).collect();
     distinct.dedup();
     // Two sizes can't tell laws apart: what grows is taken to grow as they do.
-    let (chosen, rivals) = if distinct.len() < 3 {
+    let (chosen, rivals): (Law, Vec<Law>) = if distinct.len() < 3 {
         let law = if distinct.len() == 1 { Law::Constant } else { Law::Linear };
         (law, Vec::new())
     } else {
-        let errors: Vec<Vec<f64>> = LAWS.iter().map(|law| left_out(*law, &points, &weights)).collect();
+        let errors = LAWS.map(|law| left_out(law, &points, &weights));
         let least = errors.iter().min_by(|x, y| mean(x).total_cmp(&mean(y)))?;
         let deviation = mean(&least.iter().map(|e| (e - mean(least)).powi(2)).collect::<Vec<_>>());
-        let within = mean(least) + (deviation / least.len() as f64).sqrt() + EXACT;
-        let mut holds = LAWS.iter().zip(&errors).filter(|(_, e)| mean(e) <= within).map(|(law, _)| *law);
-        (holds.next()?, holds.collect())
+        let near = mean(least) * NEAR * NEAR + EXACT;
+        let within = near.max(mean(least) + (deviation / least.len() as f64).sqrt());
+        let up_to = |most: f64| LAWS.into_iter().zip(&errors).filter(move |(_, e)| mean(e) <= most);
+        let chosen = up_to(near).map(|(law, _)| law).next()?;
+        (chosen, up_to(within).map(|(law, _)| law).filter(|law| *law != chosen).collect())
     };
     let curve = best(chosen, &points, &weights);
     let curve = if curve.b == 0.0 { Curve { law: Law::Constant, ..curve } } else { curve };
     let error = (squares(&curve, &points, &weights) / points.len() as f64).sqrt();
-    let rivals = rivals.iter().map(|law| best(*law, &points, &weights)).filter(|c| c.b > 0.0).collect();
+    let rivals = rivals.iter().map(|law| best(*law, &points, &weights)).collect();
     Some(Fit { curve, error, rivals, points })
 }
 
@@ -234,7 +239,7 @@
             (false, true) => format!("{} {law}", digits(b)),
             (true, true) => format!("{} + {} {law}", digits(a), digits(b)),
         };
-        format!("{grows} ±{}%", digits(self.error * 100.0))
+        format!("{grows} {}", off(self.error))
     }
 
     pub fn at(&self, n: f64) -> Estimate {
@@ -254,6 +259,12 @@
     }
 }
 
+/// A relative error in per cent; below a hundredth of one it is none.
+pub fn off(error: f64) -> String {
+    let percent = error * 100.0;
+    format!("±{}%", if percent < 0.01 { "0".to_owned() } else { digits(percent) })
+}
+
 /// Three digits that count, thousands set apart.
 pub fn digits(value: f64) -> String {
     let size = value.abs();
--- a/scale/tests/fit.rs
+++ b/scale/tests/fit.rs
@@ -92,6 +92,13 @@
     assert!(far.most > 2.0 * far.least, "{far:?}");
 }
 
+/// Of a run: lists of 100 to 2,200 caches, us. One point far off does not make n log n out of it.
+#[test]
+fn a_law_that_is_clearly_nearer_is_taken_before_one_that_grows_less() {
+    let run = [(100.0, 21.6), (300.0, 97.9), (600.0, 364.0), (1_100.0, 902.0), (2_200.0, 2_800.0)];
+    assert_eq!(fit::fit(&run).unwrap().curve.law, Law::Square);
+}
+
 #[test]
 fn what_is_not_a_number_is_not_fitted() {
     assert!(fit::fit(&[]).is_none());
