Capacity: rows of the data path, connections and the module by their ladders

Need: part of the roles read ladders that stand now. Change: rows by payload, zone, parents, purges kept, connections at both ends, whole lists.

--- a/scale/src/capacity/rows.rs
+++ b/scale/src/capacity/rows.rs
@@ -26,6 +26,11 @@
     gateways(t) / f64::from(t.zones)
 }
 
+/// Of a txn at the mean.
+fn kb(t: &Target) -> f64 {
+    t.megabytes_per_s() / t.txns_per_s() * 1e3
+}
+
 fn purges(t: &Target) -> f64 {
     t.purges.per_s
 }
@@ -66,6 +71,7 @@
 const RELAY: &str = "fleet/src/relay.rs";
 const MEMBERS: &str = "fleet/src/members.rs";
 const MODULE: &str = "src/logic.rs";
+const GATEWAY: &str = "gateway/src/dispatcher.rs";
 const NAMES: &str = "src/names.rs";
 
 /// One ladder's figure at a size.
@@ -85,14 +91,7 @@
         rows: &[
             row("txns at the mean", Messages, "txns/s", Computed(Target::txns_per_s), None, MODULE),
             row("payload at the mean", Messages, "MB/s", Computed(Target::megabytes_per_s), None, MODULE),
-            row(
-                "a txn's payload at the mean",
-                Messages,
-                "KB",
-                Computed(|t| t.megabytes_per_s() / t.txns_per_s() * 1e3),
-                None,
-                MODULE,
-            ),
+            row("a txn's payload at the mean", Messages, "KB", Computed(kb), None, MODULE),
             row(
                 "the largest site's txns at the peak",
                 Messages,
@@ -115,7 +114,23 @@
                 "us/s",
                 of!("data-path.processor.by-txns", Mean, Target::txns_per_s),
                 TXN_CORES,
-                "gateway/src/dispatcher.rs",
+                GATEWAY,
+            ),
+            row(
+                "the program's processor by a txn's payload",
+                Processor,
+                "us/s",
+                of!("data-path.processor-a-txn.by-kb", Mean, kb, times Target::txns_per_s),
+                TXN_CORES,
+                GATEWAY,
+            ),
+            row(
+                "a txn's time at these txns, p99",
+                Delay,
+                "ms",
+                of!("data-path.delay.by-txns", P99, Target::txns_per_s),
+                None,
+                GATEWAY,
             ),
         ],
     },
@@ -150,6 +165,27 @@
                 None,
                 MODULE,
             ),
+            row(
+                "connections that a gateway has out at these txns",
+                State,
+                "connections",
+                of!("data-path.hop-connections.by-txns", Worst, Target::txns_per_s),
+                None,
+                "gateway/src/caches.rs",
+            ),
+            row(
+                "what a cache then has at the mean",
+                State,
+                "connections",
+                of!(
+                    "data-path.hop-connections.by-txns",
+                    Worst,
+                    Target::txns_per_s,
+                    times | t | gateways(t) / caches(t)
+                ),
+                None,
+                "gateway/src/caches.rs",
+            ),
         ],
     },
     Role {
@@ -157,7 +193,7 @@
         title: "Module",
         rows: &[
             row(
-                "processor of decisions, caches spread over the zones",
+                "processor of decisions",
                 Processor,
                 "us/s",
                 of!("module.processor.by-caches", Mean, caches, times Target::txns_per_s),
@@ -165,7 +201,7 @@
                 MODULE,
             ),
             row(
-                "the same, all caches in one zone",
+                "decisions, all caches in one zone",
                 Processor,
                 "us/s",
                 of!("module.processor.by-caches-of-one-zone", Mean, caches, times Target::txns_per_s),
@@ -173,7 +209,23 @@
                 MODULE,
             ),
             row(
-                "the same by purges kept",
+                "decisions, no parents in the list",
+                Processor,
+                "us/s",
+                of!("module.processor.by-caches-without-parents", Mean, caches, times Target::txns_per_s),
+                TXN_CORES,
+                MODULE,
+            ),
+            row(
+                "decisions by caches of the own zone",
+                Processor,
+                "us/s",
+                of!("module.processor.by-zone-caches", Mean, Target::caches_per_zone, times Target::txns_per_s),
+                TXN_CORES,
+                MODULE,
+            ),
+            row(
+                "decisions by purges kept",
                 Processor,
                 "us/s",
                 of!("module.processor.by-purges", Mean, purges, times Target::txns_per_s),
@@ -188,6 +240,14 @@
                 None,
                 "src/state.rs",
             ),
+            row(
+                "entries by purges kept",
+                State,
+                "objects",
+                of!("module.kept.by-purges", Worst, purges),
+                None,
+                "src/state.rs",
+            ),
         ],
     },
     Role {
@@ -419,6 +479,14 @@
                 CHANGE_MS,
                 FEED,
             ),
+            row(
+                "processor of the module, each change a whole list",
+                Processor,
+                "us/s",
+                of!("module.processor-of-a-whole-list.by-caches", Mean, caches, times Target::changes_per_s),
+                CORE,
+                MODULE,
+            ),
         ],
     },
     Role {
