--- a/scale/src/ladders/data_path.rs
+++ b/scale/src/ladders/data_path.rs
@@ -38,7 +38,7 @@
 /// The stand-ins are late themselves beyond this.
 const GENERATOR_LATE_MS: f64 = 20.0;
 const COMMAND: &str = "cargo build --release -p kelpcart-gateway && \
-    cargo run --release -p kelpcart-scale -- measure --only data --json FILE";
+    cargo run --release -p kelpcart-scale -- measure --only data-path --json FILE";
 
 #[derive(Debug, thiserror::Error)]
 pub enum Failed {
