--- /dev/null
+++ b/scale/src/capacity/rows.rs
@@ -0,0 +1,565 @@
+//! The rows, role by role. A row whose ladder nobody has measured stands all the same: it is red.
+
+use super::Quantity::{Delay, Memory, Messages, Processor, State};
+use super::Source::{Computed, Ladders};
+use super::{Of, Read, Role, read, row};
+use crate::fit::Figure::{Mean, P99, Worst};
+use crate::target::Target;
+
+fn gateways(t: &Target) -> f64 {
+    f64::from(t.gateways)
+}
+
+fn caches(t: &Target) -> f64 {
+    f64::from(t.caches)
+}
+
+fn sites(t: &Target) -> f64 {
+    f64::from(t.sites)
+}
+
+fn site(t: &Target) -> f64 {
+    t.gateways_per_site()
+}
+
+fn zone_gateways(t: &Target) -> f64 {
+    gateways(t) / f64::from(t.zones)
+}
+
+/// Of a txn at the mean.
+fn kb(t: &Target) -> f64 {
+    t.megabytes_per_s() / t.txns_per_s() * 1e3
+}
+
+fn purges(t: &Target) -> f64 {
+    t.purges.per_s
+}
+
+const PURGE_MS: Option<Of> = Some(|t| t.purges.within_ms as f64);
+const CHANGE_MS: Option<Of> = Some(|t| t.changes.within_ms as f64);
+const BYTES_IN: Option<Of> = Some(|t| t.control.bytes_in_per_s);
+const BYTES_OUT: Option<Of> = Some(|t| t.control.bytes_out_per_s);
+const BYTES_BOTH: Option<Of> = Some(|t| t.control.bytes_in_per_s + t.control.bytes_out_per_s);
+const CORE: Option<Of> = Some(|t| t.control.core_part * 1e6);
+const MEMORY: Option<Of> = Some(|t| t.control.memory as f64);
+const TXN_CORES: Option<Of> = Some(|t| t.assumed.data_path_cores * 1e6);
+
+/// Objects that a name of so many bits hits beside the one that was meant.
+fn hits(t: &Target, bits: i32) -> f64 {
+    t.traffic.objects as f64 / 2f64.powi(bits)
+}
+
+/// Per cent of all objects that names of so many bits cover of what a region missed.
+fn covered(t: &Target, bits: i32) -> f64 {
+    100.0 * (1.0 - (-t.purges_missed() / 2f64.powi(bits)).exp())
+}
+
+/// Names of `bits` that are sorted and told by their differences (Golomb-Rice) take about this many bits each.
+fn bits_told(bits: f64, names: f64) -> f64 {
+    bits - names.log2() + 1.5
+}
+
+/// Seconds until what a region missed is told again within a gateway's bytes in, beside live purges at 40 bits.
+fn told_again_s(t: &Target, bits: f64) -> f64 {
+    let gathered = t.purges.per_s * t.assumed.feed_period_ms as f64 / 1e3;
+    let live = t.purges.per_s * bits_told(40.0, gathered) / 8.0;
+    let missed = t.purges_missed() * bits_told(bits, t.purges_missed()) / 8.0;
+    missed / (t.control.bytes_in_per_s - live).max(0.0)
+}
+
+const FEED: &str = "feed/src/lib.rs";
+const RELAY: &str = "fleet/src/relay.rs";
+const MEMBERS: &str = "fleet/src/members.rs";
+const MODULE: &str = "src/logic.rs";
+const GATEWAY: &str = "gateway/src/dispatcher.rs";
+const NAMES: &str = "src/names.rs";
+
+/// One ladder's figure at a size.
+macro_rules! of {
+    ($id:literal, $figure:expr, $at:expr) => {
+        Ladders(&[read($id, $figure, $at)])
+    };
+    ($id:literal, $figure:expr, $at:expr, times $times:expr) => {
+        Ladders(&[Read { id: $id, figure: $figure, at: $at, times: $times }])
+    };
+}
+
+pub const ROLES: &[Role] = &[
+    Role {
+        id: "data-path",
+        title: "Gateway, data path",
+        rows: &[
+            row("txns at the mean", Messages, "txns/s", Computed(Target::txns_per_s), None, MODULE),
+            row("payload at the mean", Messages, "MB/s", Computed(Target::megabytes_per_s), None, MODULE),
+            row("a txn's payload at the mean", Messages, "KB", Computed(kb), None, MODULE),
+            row(
+                "the largest site's txns at the peak",
+                Messages,
+                "txns/s",
+                Computed(|t| f64::from(t.assumed.largest_site_gateways) * t.txns_per_s()),
+                None,
+                MODULE,
+            ),
+            row(
+                "the largest site's payload at the peak",
+                Messages,
+                "Gbit/s",
+                Computed(|t| f64::from(t.assumed.largest_site_gateways) * t.megabytes_per_s() * 8e-3),
+                None,
+                MODULE,
+            ),
+            row(
+                "the program's processor at these txns",
+                Processor,
+                "us/s",
+                of!("data-path.processor.by-txns", Mean, Target::txns_per_s),
+                TXN_CORES,
+                GATEWAY,
+            ),
+            row(
+                "the program's processor by a txn's payload",
+                Processor,
+                "us/s",
+                of!("data-path.processor-a-txn.by-kb", Mean, kb, times Target::txns_per_s),
+                TXN_CORES,
+                GATEWAY,
+            ),
+            row(
+                "a txn's time at these txns, p99",
+                Delay,
+                "ms",
+                of!("data-path.delay.by-txns", P99, Target::txns_per_s),
+                None,
+                GATEWAY,
+            ),
+        ],
+    },
+    Role {
+        id: "connections",
+        title: "Connections between gateways and caches",
+        rows: &[
+            row(
+                "every gateway to every cache, in all",
+                State,
+                "connections",
+                Computed(|t| gateways(t) * caches(t)),
+                None,
+                MODULE,
+            ),
+            row("the same at one cache", State, "connections", Computed(gateways), None, MODULE),
+            row("the same at one gateway", State, "connections", Computed(caches), None, MODULE),
+            row(
+                "caches of a gateway's zone",
+                State,
+                "caches",
+                Computed(Target::caches_per_zone),
+                None,
+                MODULE,
+            ),
+            row("gateways of a cache's zone", State, "gateways", Computed(zone_gateways), None, MODULE),
+            row(
+                "txns at a cache at the mean",
+                Messages,
+                "txns/s",
+                Computed(|t| t.traffic.requests_per_s / caches(t)),
+                None,
+                MODULE,
+            ),
+            row(
+                "connections that a gateway has out at these txns",
+                State,
+                "connections",
+                of!("data-path.hop-connections.by-txns", Worst, Target::txns_per_s),
+                None,
+                "gateway/src/caches.rs",
+            ),
+            row(
+                "what a cache then has at the mean",
+                State,
+                "connections",
+                of!(
+                    "data-path.hop-connections.by-txns",
+                    Worst,
+                    Target::txns_per_s,
+                    times | t | gateways(t) / caches(t)
+                ),
+                None,
+                "gateway/src/caches.rs",
+            ),
+        ],
+    },
+    Role {
+        id: "module",
+        title: "Module",
+        rows: &[
+            row(
+                "processor of decisions",
+                Processor,
+                "us/s",
+                of!("module.processor.by-caches", Mean, caches, times Target::txns_per_s),
+                TXN_CORES,
+                MODULE,
+            ),
+            row(
+                "decisions, all caches in one zone",
+                Processor,
+                "us/s",
+                of!("module.processor.by-caches-of-one-zone", Mean, caches, times Target::txns_per_s),
+                TXN_CORES,
+                MODULE,
+            ),
+            row(
+                "decisions, no parents in the list",
+                Processor,
+                "us/s",
+                of!("module.processor.by-caches-without-parents", Mean, caches, times Target::txns_per_s),
+                TXN_CORES,
+                MODULE,
+            ),
+            row(
+                "decisions by caches of the own zone",
+                Processor,
+                "us/s",
+                of!("module.processor.by-zone-caches", Mean, Target::caches_per_zone, times Target::txns_per_s),
+                TXN_CORES,
+                MODULE,
+            ),
+            row(
+                "decisions by purges kept",
+                Processor,
+                "us/s",
+                of!("module.processor.by-purges", Mean, purges, times Target::txns_per_s),
+                TXN_CORES,
+                MODULE,
+            ),
+            row(
+                "entries of all tables",
+                State,
+                "objects",
+                of!("module.kept.by-caches", Worst, caches),
+                None,
+                "src/state.rs",
+            ),
+            row(
+                "entries by purges kept",
+                State,
+                "objects",
+                of!("module.kept.by-purges", Worst, purges),
+                None,
+                "src/state.rs",
+            ),
+        ],
+    },
+    Role {
+        id: "membership",
+        title: "Membership",
+        rows: &[
+            row(
+                "before, all in one fleet: bytes out in calm",
+                Messages,
+                "B/s",
+                of!("members.bytes-out.by-gateways", Mean, gateways),
+                BYTES_OUT,
+                MEMBERS,
+            ),
+            row(
+                "before: memory",
+                Memory,
+                "B",
+                of!("members.memory.by-gateways", Mean, gateways),
+                MEMORY,
+                MEMBERS,
+            ),
+            row(
+                "after, a fleet a site: bytes out in calm",
+                Messages,
+                "B/s",
+                of!("members.bytes-out.by-gateways", Mean, site),
+                BYTES_OUT,
+                MEMBERS,
+            ),
+            row(
+                "after: bytes out of the one that sends most",
+                Messages,
+                "B/s",
+                of!("members.bytes-out.by-gateways", Worst, site),
+                BYTES_OUT,
+                MEMBERS,
+            ),
+            row(
+                "after: processor",
+                Processor,
+                "us/s",
+                of!("members.processor.by-gateways", Mean, site),
+                CORE,
+                MEMBERS,
+            ),
+            row("after: memory", Memory, "B", of!("members.memory.by-gateways", Mean, site), MEMORY, MEMBERS),
+        ],
+    },
+    Role {
+        id: "purges",
+        title: "List and purges",
+        rows: &[
+            row(
+                "before, the relayed list: bytes in",
+                Messages,
+                "B/s",
+                of!("fleet.bytes-in.by-gateways", Mean, gateways),
+                BYTES_IN,
+                RELAY,
+            ),
+            row(
+                "before: bytes out of the one that sends most",
+                Messages,
+                "B/s",
+                of!("fleet.bytes-out.by-gateways", Worst, gateways),
+                BYTES_OUT,
+                RELAY,
+            ),
+            row(
+                "before: processor",
+                Processor,
+                "us/s",
+                of!("fleet.processor.by-gateways", Mean, gateways),
+                CORE,
+                RELAY,
+            ),
+            row(
+                "before: memory",
+                Memory,
+                "B",
+                of!("fleet.memory.by-gateways", Mean, gateways),
+                MEMORY,
+                RELAY,
+            ),
+            row(
+                "before: delay to the last gateway",
+                Delay,
+                "ms",
+                of!("fleet.delay.by-gateways", Worst, gateways),
+                PURGE_MS,
+                RELAY,
+            ),
+            row(
+                "after, the feed: bytes in",
+                Messages,
+                "B/s",
+                of!("feed.bytes-in.by-gateways", Mean, gateways),
+                BYTES_IN,
+                FEED,
+            ),
+            row(
+                "after: bytes in of the one that takes most",
+                Messages,
+                "B/s",
+                of!("feed.bytes-in.by-gateways", Worst, gateways),
+                BYTES_IN,
+                FEED,
+            ),
+            row(
+                "after: bytes out",
+                Messages,
+                "B/s",
+                of!("feed.bytes-out.by-gateways", Mean, gateways),
+                BYTES_OUT,
+                FEED,
+            ),
+            row(
+                "after: bytes out of the one that sends most",
+                Messages,
+                "B/s",
+                of!("feed.bytes-out.by-gateways", Worst, gateways),
+                BYTES_OUT,
+                FEED,
+            ),
+            row(
+                "after: processor",
+                Processor,
+                "us/s",
+                of!("feed.processor.by-gateways", Mean, gateways),
+                CORE,
+                FEED,
+            ),
+            row("after: memory", Memory, "B", of!("feed.memory.by-gateways", Mean, gateways), MEMORY, FEED),
+            row(
+                "after: delay, p99",
+                Delay,
+                "ms",
+                of!("feed.delay.by-gateways", P99, gateways),
+                PURGE_MS,
+                FEED,
+            ),
+            row(
+                "after: delay to the last gateway",
+                Delay,
+                "ms",
+                of!("feed.delay.by-gateways", Worst, gateways),
+                PURGE_MS,
+                FEED,
+            ),
+            row("others hit by a purge, 40 bits", State, "objects", Computed(|t| hits(t, 40)), None, NAMES),
+            row("others hit by a purge, 32 bits", State, "objects", Computed(|t| hits(t, 32)), None, NAMES),
+            row("others hit by a purge, 21 bits", State, "objects", Computed(|t| hits(t, 21)), None, NAMES),
+        ],
+    },
+    Role {
+        id: "control",
+        title: "Control of a gateway, all together",
+        rows: &[
+            row(
+                "bytes in and out: feed and membership",
+                Messages,
+                "B/s",
+                Ladders(&[
+                    read("feed.bytes-in.by-gateways", Mean, gateways),
+                    read("feed.bytes-out.by-gateways", Mean, gateways),
+                    read("members.bytes-in.by-gateways", Mean, site),
+                    read("members.bytes-out.by-gateways", Mean, site),
+                ]),
+                BYTES_BOTH,
+                FEED,
+            ),
+            row(
+                "bytes in: feed and membership",
+                Messages,
+                "B/s",
+                Ladders(&[
+                    read("feed.bytes-in.by-gateways", Mean, gateways),
+                    read("members.bytes-in.by-gateways", Mean, site),
+                ]),
+                BYTES_IN,
+                FEED,
+            ),
+            row(
+                "bytes out: feed and membership",
+                Messages,
+                "B/s",
+                Ladders(&[
+                    read("feed.bytes-out.by-gateways", Mean, gateways),
+                    read("members.bytes-out.by-gateways", Mean, site),
+                ]),
+                BYTES_OUT,
+                FEED,
+            ),
+            row(
+                "processor: feed and membership",
+                Processor,
+                "us/s",
+                Ladders(&[
+                    read("feed.processor.by-gateways", Mean, gateways),
+                    read("members.processor.by-gateways", Mean, site),
+                ]),
+                CORE,
+                FEED,
+            ),
+            row(
+                "memory: feed and membership",
+                Memory,
+                "B",
+                Ladders(&[
+                    read("feed.memory.by-gateways", Mean, gateways),
+                    read("members.memory.by-gateways", Mean, site),
+                ]),
+                MEMORY,
+                FEED,
+            ),
+        ],
+    },
+    Role {
+        id: "configuration",
+        title: "Configuration",
+        rows: &[
+            row("changes", Messages, "changes/s", Computed(Target::changes_per_s), None, FEED),
+            row(
+                "delay to the last gateway",
+                Delay,
+                "ms",
+                of!("feed.delay.by-changes-per-s", Worst, Target::changes_per_s),
+                CHANGE_MS,
+                FEED,
+            ),
+            row(
+                "processor of the module, each change a whole list",
+                Processor,
+                "us/s",
+                of!("module.processor-of-a-whole-list.by-caches", Mean, caches, times Target::changes_per_s),
+                CORE,
+                MODULE,
+            ),
+        ],
+    },
+    Role {
+        id: "machines",
+        title: "List services and the machines set aside",
+        rows: &[
+            row(
+                "a machine's bytes out by sites",
+                Messages,
+                "B/s",
+                of!("hub.bytes-out.by-sites", Worst, sites),
+                None,
+                FEED,
+            ),
+            row(
+                "a machine's processor by sites",
+                Processor,
+                "us/s",
+                of!("hub.processor.by-sites", Worst, sites),
+                None,
+                FEED,
+            ),
+        ],
+    },
+    Role {
+        id: "faults",
+        title: "Faults",
+        rows: &[
+            row("failures and restarts", State, "1/h", Computed(Target::restarts_per_h), None, FEED),
+            row(
+                "restarts an hour while a release goes over all",
+                State,
+                "1/h",
+                Computed(|t| gateways(t) / t.assumed.release_s * 3_600.0),
+                None,
+                FEED,
+            ),
+            row("gateways lost with a zone", State, "gateways", Computed(zone_gateways), None, FEED),
+            row(
+                "sites that a region's loss takes",
+                State,
+                "sites",
+                Computed(|t| sites(t) / f64::from(t.regions)),
+                None,
+                FEED,
+            ),
+            row(
+                "purges missed by a region that is away",
+                State,
+                "purges",
+                Computed(Target::purges_missed),
+                None,
+                FEED,
+            ),
+            row("objects that these cover, 40 bits", State, "%", Computed(|t| covered(t, 40)), None, NAMES),
+            row("objects that these cover, 32 bits", State, "%", Computed(|t| covered(t, 32)), None, NAMES),
+            row("objects that these cover, 21 bits", State, "%", Computed(|t| covered(t, 21)), None, NAMES),
+            row(
+                "these told again within the bytes in, 40 bits",
+                Delay,
+                "s",
+                Computed(|t| told_again_s(t, 40.0)),
+                None,
+                NAMES,
+            ),
+            row(
+                "these told again within the bytes in, 32 bits",
+                Delay,
+                "s",
+                Computed(|t| told_again_s(t, 32.0)),
+                None,
+                NAMES,
+            ),
+        ],
+    },
+];
