Purges by short names in the module: sets, kept from when they are told, bounded

Cause: at 8,000 gateways purges reach a gateway as sets of short names (feed), and late ones by a way that was cut. The module took one object or group a call, let go of it by its issue, and its table had no bound.

Change: `purged` takes a `NameSet`; an exact purge is a set of one full name, so that an object's does not hit a group of the same number. A purge is kept until `purge_done` and 1 s after it was told. 512 sets and 262,144 names are kept at the most: beyond that the two neighbours in time whose names stand for the least together become one, with the later time of both. Not the two oldest: under a steady flow these would become one set that grows and is never let go of. Hosts make the sets; a waiting hop is overtaken by the same test.

--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -1,6 +1,7 @@
 //! The wire: decodes batches into calls of the decision module and encodes what it decides.
 
 use kelpcart::interface::*;
+use kelpcart::names::NameSet;
 use kelpcart::{Gateway, Span, Time};
 use kelpcart_settings::*;
 use serde_json::{Value, json};
@@ -67,8 +68,10 @@
             "ReportBack" => gateway.outcome(now, outcome(body)?),
             "Hangup" => gateway.hangup(int(body, "Req")?),
             "Outdated" => {
-                let file = optional(body, "File", int)?;
-                gateway.purged(now, file, optional(body, "Group", int)?.unwrap_or(0), span(body, "AgeUs")?);
+                let group = optional(body, "Group", int)?.unwrap_or(0);
+                let names =
+                    optional(body, "File", int)?.map_or_else(|| NameSet::group(group), NameSet::object);
+                gateway.purged(now, names, span(body, "AgeUs")?);
             }
             "Reminder" => {
                 if running.wake.is_some_and(|at| at <= now) {
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -2,6 +2,7 @@
 //! replaced. Owns the names in it; must never hold a value that the operators did not give.
 
 use kelpcart::interface::{Member, Settings};
+use kelpcart::names::NameSet;
 use kelpcart::{Span, Time};
 use kelpcart_settings::*;
 use serde_json::Value;
@@ -38,8 +39,15 @@
 /// An event of the bulletin.
 #[derive(Clone, Debug)]
 pub enum News {
-    Roster { whole: bool, list: Vec<Listed> },
-    Purge { object: Option<u64>, group: u64, issued_ms: u64 },
+    Roster {
+        whole: bool,
+        list: Vec<Listed>,
+    },
+    /// Of what `names` covers nothing is good any more that is older than `issued_ms`, in ms since 1970.
+    Purge {
+        names: NameSet,
+        issued_ms: u64,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -115,11 +123,8 @@
     let recall = object(item, "recall")?;
     let named = optional(recall, "item", |r, n| hex(text(r, n)?).ok_or("item is not hex digits".into()))?;
     let group = optional(recall, "lot", int)?;
-    if named.is_none() && group.is_none() {
-        return Err("recall names nothing".into());
-    }
-    let issued_ms = int(recall, "issued")?;
-    Ok((no, Some(News::Purge { object: named, group: group.unwrap_or(0), issued_ms })))
+    let names = named.map(NameSet::object).or(group.map(NameSet::group)).ok_or("recall names nothing")?;
+    Ok((no, Some(News::Purge { names, issued_ms: int(recall, "issued")? })))
 }
 
 fn listed(entry: &Value, names: &Names) -> Found<Listed> {
--- a/gateway/src/dispatcher.rs
+++ b/gateway/src/dispatcher.rs
@@ -14,6 +14,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use kelpcart::interface::*;
+use kelpcart::names::{of_group, of_object};
 use kelpcart::{Gateway, Span, Time};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -237,12 +238,12 @@
                 let by = |m: &MemberId| changed.contains(m);
                 self.overtake(|_, out| by(&out.member) || out.source.as_ref().is_some_and(by));
             }
-            News::Purge { object, group, issued_ms } => {
+            News::Purge { names, issued_ms } => {
                 // The end of its millisecond, lest a copy made in the same one passes for newer.
                 let at = Time::from_micros(issued_ms.saturating_add(1).saturating_mul(1_000));
-                self.gateway.purged(now, object, group, now - at);
+                self.gateway.purged(now, names.clone(), now - at);
                 self.overtake(|ask, _| {
-                    object.map_or(u64::from(ask.group) == group, |object| ask.object == object)
+                    names.covers(of_object(ask.object)) || names.covers(of_group(ask.group.into()))
                 });
             }
         }
--- a/routes/src/world.rs
+++ b/routes/src/world.rs
@@ -5,6 +5,7 @@
 use crate::fleet::Fleet;
 use kelpcart::explain::Reasons;
 use kelpcart::interface::*;
+use kelpcart::names::NameSet;
 use kelpcart::{Gateway, Span, Time};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -164,10 +165,10 @@
         self.now += APART;
         self.settle();
         let txn = self.txn(rule, object);
-        let (id, group, left) = (txn.id, txn.group, txn.left);
+        let (id, left) = (txn.id, txn.left);
         self.next += 1;
         if self.circumstance.purged {
-            self.gateway.purged(self.now, Some(object), group, Span::ZERO);
+            self.gateway.purged(self.now, NameSet::object(object), Span::ZERO);
         }
         self.gateway.txn(self.now, txn);
         let mut way = Way { object, steps: Vec::new(), last: None };
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,6 +4,7 @@
 
 use crate::histogram::Histogram;
 use crate::interface::*;
+use crate::names::{NameSet, of_group, of_object};
 use crate::state::*;
 use crate::time::{Span, Time};
 use rand::{Rng, SeedableRng};
@@ -72,6 +73,9 @@
 const COLD_MARGIN: f64 = 0.7;
 const COLD_MARGIN_UNSIZED: f64 = 0.5;
 const BORNE_KEPT: f64 = 0.995;
+// Sets of purged names that are kept, and their names.
+const PURGES: usize = 512;
+const PURGED_NAMES: usize = 512 * 512;
 // Parts by which running means follow.
 const SLOW: f64 = 0.02;
 const QUICK: f64 = 0.15;
@@ -265,8 +269,32 @@
         self.book.open.remove(&id);
     }
 
-    pub fn purged(&mut self, now: Time, object: Option<u64>, group: u64, ago: Span) {
-        self.book.purges.push(Purge { object, group, at: now.back(ago) });
+    /// Nothing older than `ago` is good any more of the objects and groups that `names` covers.
+    pub fn purged(&mut self, now: Time, names: NameSet, ago: Span) {
+        self.book.purges.push(Purge { names, at: now.back(ago), told: now });
+        let over = |b: &Book| b.purges.len() > PURGES || b.purged_names() > PURGED_NAMES;
+        while over(&self.book) && self.join_purges() {}
+    }
+
+    /// Guards memory and the time of each read against a flood of purges: the two neighbours in time whose names stand
+    /// for the least together are kept as one. What is purged by it is too much, never too little.
+    fn join_purges(&mut self) -> bool {
+        let covered = |pair: &[Purge]| {
+            let (a, b) = (&pair[0].names, &pair[1].names);
+            (a.names().len() + b.names().len()) as f64 / 2f64.powi(a.bits().min(b.bits()).into())
+        };
+        let pairs = self.book.purges.windows(2).map(covered).enumerate();
+        let Some((i, _)) = pairs.min_by(|a, b| a.1.total_cmp(&b.1)) else { return false };
+        let later = self.book.purges.remove(i + 1);
+        let kept = &mut self.book.purges[i];
+        kept.names = kept.names.join(&later.names);
+        // Fewer bits shorten a set only where they cover nearly all.
+        if kept.names.names().len() > PURGED_NAMES / PURGES {
+            kept.names = NameSet::all();
+        }
+        (kept.at, kept.told) = (kept.at.max(later.at), kept.told.max(later.told));
+        self.book.purges_joined += 1;
+        true
     }
 
     pub fn outcome(&mut self, now: Time, o: Outcome) {
@@ -517,7 +545,8 @@
             self.book.pace.forget(QUICK);
         }
         let purge_done = self.set.purge_done;
-        self.book.purges.retain(|p| now - p.at < purge_done + SECOND);
+        // By when it was told: one that a cut way brought late still binds.
+        self.book.purges.retain(|p| now - p.told < purge_done + SECOND);
         let up = |c: &&Cache| c.role == Role::Parent && c.m.state == MemberState::Up;
         let least = |a: [f64; 4], b: [f64; 4]| std::array::from_fn(|i| a[i].min(b[i]));
         let shown = self.book.caches.iter().filter(up).map(|c| c.par.signals()).reduce(least);
@@ -703,11 +732,10 @@
     /// The oldest copy that will do: younger than any purge of the object or its group, for as long as some
     /// member may hold an older one. Zero would mean no limit.
     fn oldest(&self, now: Time, txn: &Txn, rule: &RemapRule, stale: bool) -> Option<Span> {
-        let hits = |p: &&Purge| match p.object {
-            Some(object) => object == txn.object,
-            None => p.group == txn.group,
-        };
-        let purge = self.book.purges.iter().filter(hits).map(|p| now - p.at).chain(txn.oldest).min();
+        let purges = &self.book.purges;
+        let names = (!purges.is_empty()).then(|| [of_object(txn.object), of_group(txn.group)]);
+        let hits = |p: &&Purge| names.is_some_and(|names| names.iter().any(|&n| p.names.covers(n)));
+        let purge = purges.iter().filter(hits).map(|p| now - p.at).chain(txn.oldest).min();
         let fresh = rule.fresh > Span::ZERO;
         let most = if stale && fresh { rule.fresh + rule.grace } else { rule.fresh };
         let least = |s: Span| s.max(Span::from_micros(1));
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::histogram::Histogram;
 use crate::interface::{Member, MemberId, MemberState, Txn, TxnId};
+use crate::names::NameSet;
 use crate::time::{Span, Time};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -197,9 +198,10 @@
 
 #[derive(Clone)]
 pub struct Purge {
-    pub object: Option<u64>,
-    pub group: u64,
+    pub names: NameSet,
+    /// Nothing older is good any more.
     pub at: Time,
+    pub told: Time,
 }
 
 /// All that a gateway knows at a moment.
@@ -215,7 +217,9 @@
     pub rows: Vec<Row>,
     pub ready: VecDeque<TxnId>,
     pub cancels: VecDeque<(TxnId, u32)>,
+    /// In the order in which they were told.
     pub purges: Vec<Purge>,
+    pub purges_joined: usize,
     pub mean_load: f64,
     pub mean_sending: f64,
     /// What hops took by their txns' sending times, where sizes are told.
@@ -252,9 +256,13 @@
         i
     }
 
+    pub fn purged_names(&self) -> usize {
+        self.purges.iter().map(|p| p.names.names().len()).sum()
+    }
+
     /// How much is kept, by name, and what is held of the members: how many are passed over, and how long ago
     /// the near one that has been quiet longest answered, of those that are not.
-    pub fn sizes(&self, now: Time) -> [(&'static str, usize); 9] {
+    pub fn sizes(&self, now: Time) -> [(&'static str, usize); 11] {
         let listed = self.caches.iter().filter(|c| c.m.state != MemberState::Gone);
         let left_out = listed.filter(|c| c.trial_at.is_some()).count();
         let near = self.near.iter().map(|&i| &self.caches[i]).filter(|c| c.trial_at.is_none());
@@ -267,6 +275,8 @@
             ("hops decided on", self.hops.len()),
             ("txns ready", self.ready.len()),
             ("purges kept", self.purges.len()),
+            ("names of purges kept", self.purged_names()),
+            ("purges joined at the bound", self.purges_joined),
             ("sent to cold members", spent),
             ("members left out", left_out),
             ("ms of the longest silence", (quiet.as_micros() / 1_000) as usize),
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use kelpcart::interface::*;
+use kelpcart::names::{NameSet, of_group, of_object};
 use kelpcart::{Span, Time};
 use std::sync::Arc;
 
@@ -113,8 +114,8 @@
 #[test]
 fn purges_bound_the_age_of_copies() {
     let mut world = World::new(settings());
-    world.gateway.purged(at(100), Some(1), 1, ms(50));
-    world.gateway.purged(at(100), None, 2, Span::ZERO);
+    world.gateway.purged(at(100), NameSet::object(1), ms(50));
+    world.gateway.purged(at(100), NameSet::group(2), Span::ZERO);
     let mut age = |now, id, object| place(&world.ask(now, txn(id, 0, object))[0]).1.unwrap().oldest;
     assert_eq!(age(at(120), 1, 1), Some(ms(70)));
     assert_eq!(age(at(100), 2, 10), Some(Span::from_micros(1)), "zero would be no limit");
@@ -122,6 +123,89 @@
     assert_eq!(age(at(9_000), 4, 1), None, "all have dropped it by then");
 }
 
+/// The oldest copy that will do for a read of `object` now.
+fn oldest(world: &mut World, now: Time, object: u64) -> Option<Span> {
+    world.gateway.explain(now, &txn(0, 0, object)).oldest
+}
+
+fn size(world: &World, name: &str) -> usize {
+    world.gateway.sizes(at(0)).find(|s| s.0 == name).unwrap().1
+}
+
+#[test]
+fn a_short_name_binds_every_object_that_it_covers_and_no_other() {
+    let mut world = World::new(settings());
+    let names = NameSet::new(6, [of_object(1), of_object(2)]);
+    world.gateway.purged(at(100), names.clone(), ms(50));
+    let covered = |o: &u64| names.covers(of_object(*o)) || names.covers(of_group(*o % 8));
+    for object in 0..2_000 {
+        let bound = covered(&object).then_some(ms(70));
+        assert_eq!(oldest(&mut world, at(120), object), bound, "object {object}");
+    }
+    assert!((0..2_000).any(|o| o > 2 && covered(&o)) && (0..2_000).any(|o| !covered(&o)));
+    let mut world = World::new(settings());
+    world.gateway.purged(at(100), NameSet::object(3), ms(50));
+    assert_eq!(oldest(&mut world, at(120), 11), None, "an object of the group of the same number");
+    world.gateway.purged(at(100), NameSet::group(4), ms(50));
+    assert_eq!(oldest(&mut world, at(120), 4 + 8), Some(ms(70)));
+    assert_eq!(oldest(&mut world, at(120), 5), None);
+}
+
+#[test]
+fn a_purge_that_is_told_late_still_binds_for_its_full_time() {
+    let mut world = World::new(settings());
+    world.gateway.purged(at(100), NameSet::object(1), ms(30_000));
+    world.pull(at(1_200));
+    assert_eq!(oldest(&mut world, at(1_200), 1), Some(ms(31_100)));
+    world.pull(at(6_900));
+    assert_eq!(oldest(&mut world, at(6_900), 1), Some(ms(36_800)));
+    world.pull(at(9_000));
+    assert_eq!(oldest(&mut world, at(9_000), 1), None, "all have dropped it by then");
+}
+
+#[test]
+fn at_the_bound_of_purges_nothing_purged_is_served_and_little_else_binds() {
+    let mut world = World::new(settings());
+    for object in 0..3_000 {
+        // Not in the order of their ages.
+        world.gateway.purged(at(object), NameSet::object(object), ms(object * 7 % 100));
+    }
+    assert!(size(&world, "purges kept") <= 512 && size(&world, "purges joined at the bound") >= 2_488);
+    for object in 0..3_000 {
+        let age = at(3_000) - at(object) + ms(object * 7 % 100);
+        let bound = oldest(&mut world, at(3_000), object).expect("purged");
+        // Its neighbours in time are purged with it, not all that came later.
+        assert!(bound <= age && bound + ms(200) >= age, "object {object}: {bound:?} for {age:?}");
+    }
+    assert!((3_000..4_000).all(|object| oldest(&mut world, at(3_000), object).is_none()));
+    // So many names that not even the sets fit.
+    let sets = 400..800_u64;
+    let of = |set: u64| (0..2_000).map(move |i| set * 2_000 + i);
+    for set in sets.clone() {
+        let age = ms(800 - set);
+        world.gateway.purged(at(3_000), NameSet::new(64, of(set).map(of_object)), age);
+    }
+    assert!(size(&world, "names of purges kept") <= 512 * 512);
+    for set in sets {
+        let bound = of(set).step_by(397).map(|object| oldest(&mut world, at(3_000), object)).max().unwrap();
+        assert!(bound.is_some_and(|bound| bound <= ms(800 - set)), "set {set}: {bound:?}");
+    }
+}
+
+#[test]
+fn joined_purges_are_let_go_of_when_their_time_is_over() {
+    let mut world = World::new(settings());
+    for i in 0..150 * 30 {
+        let now = at(i * 1_000 / 150);
+        world.gateway.purged(now, NameSet::object(i), ms(20));
+        world.pull(now);
+    }
+    // 150 a second, each for 7 s and what its set spans, let go of once a second.
+    let kept = size(&world, "names of purges kept");
+    assert!((1_050..1_350).contains(&kept), "{kept} names of 4,500");
+    assert_eq!(oldest(&mut world, at(30_000), 10), None);
+}
+
 #[test]
 fn unrepeatable_txns_run_once() {
     let mut world = World::new(settings());
@@ -571,7 +655,7 @@
     };
     assert_eq!(oldest(&mut world, 0, 1, None), None);
     assert_eq!(oldest(&mut world, 0, 2, Some(700)), Some(ms(700)));
-    world.gateway.purged(at(100), Some(5), 0, ms(0));
+    world.gateway.purged(at(100), NameSet::object(5), ms(0));
     assert_eq!(oldest(&mut world, 300, 3, Some(700)), Some(ms(200)));
     assert_eq!(oldest(&mut world, 1_500, 4, Some(700)), Some(ms(700)));
 }
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use kelpcart::interface::*;
+use kelpcart::names::NameSet;
 use kelpcart::{Span, Time};
 use quickcheck::{Gen, QuickCheck};
 use std::collections::BTreeMap;
@@ -215,7 +216,7 @@
             }
             14 => {
                 model.purges.push((object, model.now.back(ms(u64::from(pick)))));
-                model.world.gateway.purged(model.now, Some(object), object % 8, ms(u64::from(pick)));
+                model.world.gateway.purged(model.now, NameSet::object(object), ms(u64::from(pick)));
                 Vec::new()
             }
             _ => {
