--- /dev/null
+++ b/feed/src/code.rs
@@ -0,0 +1,130 @@
+//! Sets of short names as bytes: sorted, their differences Golomb-Rice coded (Rice, "Some Practical Universal Noiseless
+//! Coding Techniques", 1979). Must never give another set back than went in, nor believe a length that the bytes don't
+//! bear out.
+
+use kelpcart::names::NameSet;
+use prost::encoding::{decode_varint, encode_varint, encoded_len_varint};
+
+/// Names are cut to so many bits; with the least ones every set takes 520 bytes at the most.
+pub const MOST_BITS: u8 = 40;
+pub const LEAST_BITS: u8 = 12;
+
+/// What lies between sorted names: the first one itself, and the others' differences less one.
+fn gaps(names: &[u64]) -> impl Iterator<Item = u64> {
+    let before = std::iter::once(None).chain(names.iter().copied().map(Some));
+    names.iter().zip(before).map(|(&name, before)| before.map_or(name, |b| name - b - 1))
+}
+
+/// The parameter that makes the fewest bits, and how many.
+fn parameter(names: &[u64]) -> (u8, u64) {
+    let n = names.len().max(1) as u64;
+    let mean = names.last().copied().unwrap_or(0) / n;
+    let near = 63 - (mean + 1).leading_zeros().min(63);
+    let cost = |k: u32| gaps(names).map(|d| (d >> k) + 1 + u64::from(k)).fold(0, u64::saturating_add);
+    let best = (near.saturating_sub(2)..=near + 1).map(|k| (cost(k), k)).min();
+    best.map_or((0, 0), |(bits, k)| (k as u8, bits))
+}
+
+fn length(names: &[u64], coded_bits: u64) -> usize {
+    2 + encoded_len_varint(names.len() as u64) + coded_bits.div_ceil(8) as usize
+}
+
+/// Bytes that a set takes.
+pub fn size(names: &NameSet) -> usize {
+    length(names.names(), parameter(names.names()).1)
+}
+
+/// Bits, parameter, count and then the differences.
+pub fn encode(names: &NameSet) -> Vec<u8> {
+    let all = names.names();
+    let (k, coded_bits) = parameter(all);
+    let mut out = Vec::with_capacity(length(all, coded_bits));
+    out.extend([names.bits(), k]);
+    encode_varint(all.len() as u64, &mut out);
+    let (mut held, mut free) = (0u8, 8u32);
+    let mut bit = |one: bool| {
+        free -= 1;
+        held |= u8::from(one) << free;
+        if free == 0 {
+            out.push(held);
+            (held, free) = (0, 8);
+        }
+    };
+    for gap in gaps(all) {
+        for _ in 0..gap >> k {
+            bit(true);
+        }
+        bit(false);
+        for i in (0..k).rev() {
+            bit(gap >> i & 1 == 1);
+        }
+    }
+    if free < 8 {
+        out.push(held);
+    }
+    out
+}
+
+/// `None`: no set was ever coded like that.
+pub fn decode(bytes: &[u8]) -> Option<NameSet> {
+    let (&[bits, k], mut rest) = bytes.split_first_chunk::<2>()?;
+    if bits > 64 || k > 63 {
+        return None;
+    }
+    let count = decode_varint(&mut rest).ok()?;
+    let there = rest.len() as u64 * 8;
+    // Guards against a count that claims more memory than its bytes can stand for.
+    if count.checked_mul(1 + u64::from(k))? > there {
+        return None;
+    }
+    let mut at = 0u64;
+    let mut bit = || {
+        let byte = rest.get((at / 8) as usize)?;
+        at += 1;
+        Some(byte >> (7 - (at - 1) % 8) & 1 == 1)
+    };
+    let most = u64::MAX.checked_shr(64 - u32::from(bits)).unwrap_or(0);
+    let mut names = Vec::with_capacity(count as usize);
+    let mut next = 0u64;
+    for _ in 0..count {
+        let mut high = 0u64;
+        while bit()? {
+            high += 1;
+        }
+        if high > u64::MAX >> k {
+            return None;
+        }
+        let mut low = 0;
+        for _ in 0..k {
+            low = low << 1 | u64::from(bit()?);
+        }
+        let name = next.checked_add(high << k | low)?;
+        if name > most {
+            return None;
+        }
+        names.push(name);
+        next = name.saturating_add(1);
+    }
+    while !at.is_multiple_of(8) {
+        if rest[(at / 8) as usize] >> (7 - at % 8) & 1 == 1 {
+            return None;
+        }
+        at += 1;
+    }
+    (at == there).then(|| NameSet::cut(bits, names))
+}
+
+/// Names at full length with the most bits at which they fit, as bytes.
+pub fn fit(names: &[u64], most_bytes: usize) -> (u8, Vec<u8>) {
+    let mut sorted = names.to_vec();
+    sorted.sort_unstable();
+    let mut bits = MOST_BITS;
+    loop {
+        let mut cut: Vec<u64> = sorted.iter().map(|n| n >> (64 - bits)).collect();
+        cut.dedup();
+        if bits == LEAST_BITS || length(&cut, parameter(&cut).1) <= most_bytes {
+            return (bits, encode(&NameSet::cut(bits, cut)));
+        }
+        bits -= 1;
+    }
+}
--- /dev/null
+++ b/feed/src/compose.rs
@@ -0,0 +1,528 @@
+//! Events of the list services as bundles: what has come since the last one, and ranges for those who were away. Must
+//! never leave a purge out of a range that it names; where names are short of room they cover more.
+
+use crate::Unusable;
+use crate::code;
+use crate::common::SIGNATURE;
+use crate::positions::MOST_NO;
+use crate::wire::{Bundle, MOST_BUNDLE, MOST_LINE, PIECE, Piece, Range};
+use kelpcart::names::{self, NameSet};
+use kelpcart::{Span, Time};
+use prost::Message;
+use serde_json::Value;
+use std::collections::{BTreeMap, VecDeque};
+
+/// A bundle ends sooner rather than that its names get shorter than this: 0.8% of all objects, at the fullest.
+const LIVE_BITS: u8 = 17;
+/// Names for those who were away.
+const OLD_BITS: u8 = 24;
+/// Numbers behind that are told live after a list service was away; who needs older ones asks for them.
+const BACKLOG: u64 = 20_000;
+/// Pieces that wait for the next bundles, and the bytes of all events that are kept and no purges.
+const MOST_QUEUE: usize = 8_192;
+const MOST_LINE_BYTES: usize = 16 * 1024 * 1024;
+/// Purges bind for so long.
+const LATE_MS: u64 = 30_000;
+/// Stamps of bundles of late.
+const RECENT: usize = 64;
+/// In place of a stamp: the event is no purge.
+const OTHER: u64 = u64::MAX;
+
+#[derive(Clone, Debug, PartialEq)]
+enum Event {
+    /// Names at full length, one of them or both.
+    Purge {
+        names: [Option<u64>; 2],
+        issued: u64,
+    },
+    Other,
+}
+
+fn event(line: &[u8]) -> Result<(u64, Event), Unusable> {
+    if line.len() > MOST_LINE {
+        return Err(Unusable::Large);
+    }
+    let value: Value = serde_json::from_slice(line).map_err(|_| Unusable::Json)?;
+    let no = value.get("no").and_then(Value::as_u64).ok_or(Unusable::Form("no number"))?;
+    if no == 0 || no > MOST_NO {
+        return Err(Unusable::Form("a number out of bounds"));
+    }
+    // What isn't known for a purge for sure goes on as it is.
+    let purge = || {
+        let recall = value.get("recall")?;
+        let issued = recall.get("issued")?.as_u64().filter(|i| *i < OTHER)?;
+        let item = match recall.get("item") {
+            Some(item) => Some(u64::from_str_radix(item.as_str()?, 16).ok()?),
+            None => None,
+        };
+        let lot = match recall.get("lot") {
+            Some(lot) => Some(lot.as_u64()?).filter(|l| *l != 0),
+            None => None,
+        };
+        let names = [item.map(names::of_object), lot.map(names::of_group)];
+        names.iter().any(Option::is_some).then_some(Event::Purge { names, issued })
+    };
+    Ok((no, purge().unwrap_or(Event::Other)))
+}
+
+/// What one list service has told.
+pub struct Source {
+    pub position: u64,
+    /// All up to it has been told in bundles; `None`: nothing yet.
+    pub told: Option<u64>,
+    /// The list service has no more than this.
+    pub caught: bool,
+    pub fresh: Option<Time>,
+    /// Of the front of `kept`.
+    first: u64,
+    /// Name and stamp by number.
+    kept: VecDeque<(u64, u64)>,
+    /// The second names of purges that have two.
+    second: BTreeMap<u64, u64>,
+    lines: BTreeMap<u64, Vec<u8>>,
+    /// The latest stamps: of all, and of those that are not kept any more.
+    latest: u64,
+    gone: u64,
+    /// Events since the last period began.
+    came: usize,
+}
+
+impl Source {
+    pub fn new(position: u64) -> Source {
+        Source {
+            position,
+            told: None,
+            caught: false,
+            fresh: None,
+            first: position + 1,
+            kept: VecDeque::new(),
+            second: BTreeMap::new(),
+            lines: BTreeMap::new(),
+            latest: 0,
+            gone: 0,
+            came: 0,
+        }
+    }
+
+    fn untold(&self) -> u64 {
+        self.told.map_or(0, |t| self.position.saturating_sub(t))
+    }
+
+    fn forget_front(&mut self) {
+        if let Some((_, issued)) = self.kept.pop_front() {
+            if issued != OTHER {
+                self.gone = self.gone.max(issued);
+            }
+            self.second.remove(&self.first);
+            self.first += 1;
+        }
+    }
+}
+
+/// What is said in a bundle beside events.
+pub struct Head {
+    pub now: Time,
+    /// The watermarks by stream: at sites in touch, and at all.
+    pub done: Vec<(u64, u64)>,
+    pub sites: u32,
+}
+
+pub struct Composer {
+    pub sources: Vec<Source>,
+    /// Pieces that wait: stream, number and offset.
+    queue: VecDeque<(usize, u64, u32)>,
+    hub: u32,
+    run: u32,
+    pub number: u64,
+    most_kept: usize,
+    line_bytes: usize,
+    piece: usize,
+    recent: VecDeque<u64>,
+    /// Events that were let go of although nobody can have them again.
+    pub dropped: u64,
+}
+
+/// Bytes that so many names want with so many bits, with some room to spare.
+fn wants(names: usize, bits: u8) -> usize {
+    if names == 0 {
+        return 0;
+    }
+    let n = names as f64;
+    let each = (f64::from(bits) - n.log2() + 1.7).max(1.0);
+    12 + (n * each / 8.0).ceil() as usize
+}
+
+impl Composer {
+    pub fn new(hub: u32, run: u32, positions: &[u64], most_kept: usize) -> Composer {
+        Composer {
+            sources: positions.iter().map(|p| Source::new(*p)).collect(),
+            queue: VecDeque::new(),
+            hub,
+            run,
+            number: 0,
+            most_kept,
+            line_bytes: 0,
+            // So that the heads of many streams and a piece fit together.
+            piece: PIECE.min(1_010 - 13 * positions.len()),
+            recent: VecDeque::new(),
+            dropped: 0,
+        }
+    }
+
+    // What a list service tells.
+
+    pub fn line(&mut self, now: Time, stream: usize, line: &[u8]) -> Result<(), Unusable> {
+        let line = line.trim_ascii();
+        let source = self.sources.get_mut(stream).ok_or(Unusable::Stream)?;
+        let (no, event) = event(line)?;
+        if no <= source.position {
+            return Ok(());
+        }
+        if no != source.position + 1 {
+            return Err(Unusable::Gap(no, source.position));
+        }
+        source.position = no;
+        source.came += 1;
+        if source.caught {
+            source.fresh = Some(now);
+        }
+        match event {
+            Event::Purge { names, issued } => {
+                let mut names = names.into_iter().flatten();
+                source.kept.push_back((names.next().unwrap_or(0), issued));
+                if let Some(second) = names.next() {
+                    source.second.insert(no, second);
+                }
+                source.latest = source.latest.max(issued);
+            }
+            Event::Other => {
+                source.kept.push_back((0, OTHER));
+                source.lines.insert(no, line.to_vec());
+                self.line_bytes += line.len();
+            }
+        }
+        if source.kept.len() > self.most_kept {
+            source.forget_front();
+        }
+        self.bound_lines();
+        Ok(())
+    }
+
+    /// Where all together are too much, the oldest go of the stream that has most.
+    fn bound_lines(&mut self) {
+        while self.line_bytes > MOST_LINE_BYTES {
+            let most = self.sources.iter_mut().max_by_key(|s| s.lines.len());
+            let Some((_, line)) = most.and_then(|s| s.lines.pop_first()) else { break };
+            self.line_bytes -= line.len();
+            self.dropped += 1;
+        }
+    }
+
+    /// Begins a stream anew behind a number, from which on all is told.
+    pub fn reset(&mut self, stream: usize, position: u64) {
+        let old = std::mem::replace(&mut self.sources[stream], Source::new(position));
+        self.line_bytes -= old.lines.values().map(Vec::len).sum::<usize>();
+        (self.sources[stream].told, self.sources[stream].caught) = (Some(position), true);
+        self.queue.retain(|(s, _, _)| *s != stream);
+    }
+
+    /// `false`: the list service has more than it told.
+    pub fn last(&mut self, now: Time, stream: usize, no: u64) -> bool {
+        let Some(source) = self.sources.get_mut(stream) else { return true };
+        if no > source.position {
+            return false;
+        }
+        source.fresh = Some(now);
+        source.caught = true;
+        true
+    }
+
+    /// A period begins. Who tells little by little has no more, though it has not said so.
+    pub fn begin_period(&mut self, now: Time) {
+        for source in &mut self.sources {
+            if !source.caught && (1..256).contains(&source.came) {
+                source.caught = true;
+                source.fresh = Some(now);
+            }
+            source.came = 0;
+            if source.caught && source.told.is_none() {
+                source.told = Some(source.position);
+            }
+            source.told = source.told.map(|t| t.max(source.position.saturating_sub(BACKLOG)));
+        }
+    }
+
+    /// Whether there is something to tell.
+    pub fn has_more(&self) -> bool {
+        !self.queue.is_empty() || self.sources.iter().any(|s| s.untold() > 0)
+    }
+
+    // Bundles.
+
+    fn piece_at(&self, stream: usize, no: u64, offset: u32) -> Option<Piece> {
+        let line = self.sources[stream].lines.get(&no)?;
+        let from = (offset as usize).min(line.len());
+        let to = (from + self.piece).min(line.len());
+        let bytes = line[from..to].to_vec();
+        Some(Piece { stream: stream as u32, no, offset, of: line.len() as u32, bytes })
+    }
+
+    fn names_at(&self, stream: usize, no: u64) -> impl Iterator<Item = u64> {
+        let source = &self.sources[stream];
+        let first = source.kept.get((no - source.first) as usize).map(|(name, _)| *name);
+        first.into_iter().chain(source.second.get(&no).copied())
+    }
+
+    /// The stamp of a purge; `None`: it is none, or not kept.
+    fn issued_at(&self, stream: usize, no: u64) -> Option<u64> {
+        let source = &self.sources[stream];
+        let (_, issued) = source.kept.get(no.checked_sub(source.first)? as usize)?;
+        (*issued != OTHER).then_some(*issued)
+    }
+
+    fn empty(&mut self) -> Bundle {
+        self.number += 1;
+        let n = self.sources.len();
+        let (firsts, counts) = (vec![0; n], vec![0; n]);
+        Bundle { hub: self.hub, run: self.run, number: self.number, firsts, counts, ..Bundle::default() }
+    }
+
+    fn seal_names(&mut self, bundle: &mut Bundle, all: &[u64]) {
+        if !all.is_empty() {
+            let room = (MOST_BUNDLE - SIGNATURE).saturating_sub(bundle.encoded_len() + 3);
+            let (_, code) = code::fit(all, room);
+            // Can't be with what `wants` has left; too much is purged rather than too little.
+            bundle.names = if code.len() > room { code::encode(&NameSet::all()) } else { code };
+        }
+    }
+
+    /// The next bundle of what has not been told.
+    pub fn live(&mut self, head: &Head) -> Bundle {
+        let mut bundle = self.empty();
+        let room = MOST_BUNDLE - SIGNATURE;
+        let n = self.sources.len();
+        for (s, source) in self.sources.iter().enumerate() {
+            if let Some(told) = source.told {
+                bundle.firsts[s] = told + 1;
+            }
+            // As long as they may get, for now.
+            bundle.counts[s] = 1_000;
+            let age = source.fresh.map_or(Span::from_millis(600_000), |at| head.now - at);
+            bundle.ages.push((age.as_micros().div_ceil(10_000)).min(60_000) as u32);
+        }
+        if !head.done.is_empty() {
+            bundle.behind = vec![1_000; n];
+            bundle.apart = vec![1_000; n];
+        }
+        (bundle.issued, bundle.sites, bundle.asks) = (u64::MAX >> 20, head.sites, true);
+        let mut length = bundle.encoded_len() + 8;
+        let (mut all, mut issued) = (Vec::new(), 0);
+        bundle.counts.fill(0);
+        let waiting = self.sources.iter().map(Source::untold).sum::<u64>().min(100) as usize;
+        while let Some((s, no, offset)) = self.queue.front().copied() {
+            let Some(piece) = self.piece_at(s, no, offset) else {
+                self.queue.pop_front();
+                continue;
+            };
+            let more = piece.encoded_len() + 3;
+            if length + more + wants(waiting, LIVE_BITS) > room {
+                break;
+            }
+            length += more;
+            bundle.pieces.push(piece);
+            self.queue.pop_front();
+        }
+        for i in 0..n {
+            // Another one is first each time, so that a large event finds room some time.
+            let s = (i + self.number as usize) % n;
+            let Some(told) = self.sources[s].told else { continue };
+            for no in told + 1..=self.sources[s].position {
+                match self.issued_at(s, no) {
+                    Some(stamp) => {
+                        let names: Vec<u64> = self.names_at(s, no).collect();
+                        if length + wants(all.len() + names.len(), LIVE_BITS) > room {
+                            break;
+                        }
+                        all.extend(names);
+                        issued = issued.max(stamp);
+                    }
+                    None => {
+                        if let Some(piece) = self.piece_at(s, no, 0) {
+                            let more = piece.encoded_len() + 3;
+                            let rest = (piece.of as usize).div_ceil(self.piece) - 1;
+                            let fits = length + more + wants(all.len(), LIVE_BITS) <= room;
+                            if !fits || self.queue.len() + rest > MOST_QUEUE {
+                                break;
+                            }
+                            length += more;
+                            bundle.pieces.push(piece);
+                            let step = self.piece;
+                            self.queue.extend((1..=rest).map(|i| (s, no, (i * step) as u32)));
+                        }
+                    }
+                }
+                bundle.counts[s] += 1;
+            }
+            self.sources[s].told = Some(told + bundle.counts[s]);
+        }
+        if all.is_empty() {
+            bundle.issued = self.recent.iter().copied().max().unwrap_or(0);
+        } else {
+            bundle.issued = issued;
+            self.recent.push_back(issued);
+            if self.recent.len() > RECENT {
+                self.recent.pop_front();
+            }
+        }
+        bundle.asks = false;
+        for (s, (in_touch, everywhere)) in head.done.iter().enumerate() {
+            let last = (bundle.firsts[s] + bundle.counts[s]).saturating_sub(1);
+            let in_touch = last.min(*in_touch);
+            bundle.behind[s] = last - in_touch;
+            bundle.apart[s] = in_touch.saturating_sub(*everywhere);
+        }
+        if bundle.apart.iter().all(|a| *a == 0) {
+            bundle.apart.clear();
+        }
+        self.seal_names(&mut bundle, &all);
+        bundle
+    }
+
+    /// What was asked for, as much as fits from its newest end; `None`: it is not here.
+    pub fn old(&mut self, ranges: &[Range], late: bool) -> Option<Bundle> {
+        let mut wanted: Vec<(usize, u64, u64, u32)> = Vec::new();
+        for r in ranges {
+            let s = r.stream as usize;
+            let Some(source) = self.sources.get(s) else { continue };
+            let last = r.last.min(source.position);
+            // One range a stream, the one that was named first.
+            if r.first <= last && wanted.iter().all(|w| w.0 != s) {
+                wanted.push((s, r.first, last, r.offset));
+            }
+        }
+        if let Some((s, no, _, offset)) = wanted.iter().copied().find(|w| w.3 > 0) {
+            return self.piece_again(s, no, offset);
+        }
+        if let Some(gone) = wanted.iter().copied().find(|w| w.2 < self.sources[w.0].first) {
+            wanted.retain(|w| w.2 >= self.sources[w.0].first);
+            if wanted.is_empty() {
+                return if late { None } else { self.gone(gone.0, gone.1, gone.2) };
+            }
+        }
+        let mut bundle = self.empty();
+        bundle.issued = u64::MAX >> 20;
+        bundle.firsts.fill(MOST_NO >> 8);
+        bundle.counts.fill(1_000);
+        let mut length = bundle.encoded_len() + 8;
+        bundle.firsts.fill(0);
+        bundle.counts.fill(0);
+        let room = MOST_BUNDLE - SIGNATURE;
+        let (mut all, mut issued) = (Vec::new(), 0);
+        wanted.sort_by_key(|(_, first, last, _)| last - first);
+        let most = (1..).step_by(8).take_while(|n| length + wants(*n, OLD_BITS) <= room).last().unwrap_or(1);
+        for (i, (s, first, last, _)) in wanted.iter().copied().enumerate() {
+            let quota = most.saturating_sub(all.len()) / (wanted.len() - i);
+            let oldest = first.max(self.sources[s].first);
+            let before = self.sources[s].latest.saturating_sub(LATE_MS);
+            let (mut low, mut taken) = (last + 1, 0);
+            while low > oldest && taken < quota {
+                let no = low - 1;
+                match self.issued_at(s, no) {
+                    Some(stamp) => {
+                        if late && stamp < before {
+                            break;
+                        }
+                        let names: Vec<u64> = self.names_at(s, no).collect();
+                        if length + wants(all.len() + names.len(), OLD_BITS) > room {
+                            break;
+                        }
+                        taken += names.len();
+                        all.extend(names);
+                        issued = issued.max(stamp);
+                    }
+                    None => {
+                        if let Some(piece) = self.piece_at(s, no, 0) {
+                            let more = piece.encoded_len() + 3;
+                            if length + more + wants(all.len().max(16), OLD_BITS) > room {
+                                break;
+                            }
+                            length += more;
+                            bundle.pieces.push(piece);
+                        }
+                        taken += 1;
+                    }
+                }
+                low = no;
+            }
+            if low <= last {
+                (bundle.firsts[s], bundle.counts[s]) = (low, last + 1 - low);
+            }
+        }
+        if bundle.counts.iter().all(|c| *c == 0) {
+            return None;
+        }
+        bundle.issued = issued;
+        self.seal_names(&mut bundle, &all);
+        Some(bundle)
+    }
+
+    fn piece_again(&mut self, s: usize, no: u64, offset: u32) -> Option<Bundle> {
+        let piece = self.piece_at(s, no, offset).filter(|p| !p.bytes.is_empty())?;
+        let mut bundle = self.empty();
+        bundle.pieces.push(piece);
+        Some(bundle)
+    }
+
+    /// A range that is not kept any more, as a purge of everything; what is known of its other events goes with it.
+    fn gone(&mut self, s: usize, first: u64, last: u64) -> Option<Bundle> {
+        let source = &self.sources[s];
+        let issued = if source.gone > 0 { source.gone } else { source.latest };
+        if issued == 0 {
+            return None;
+        }
+        let mut bundle = self.empty();
+        (bundle.firsts[s], bundle.counts[s], bundle.issued) = (first, last + 1 - first, issued);
+        bundle.names = code::encode(&NameSet::all());
+        let mut length = bundle.encoded_len() + 8;
+        let others: Vec<u64> = self.sources[s].lines.range(first..=last).map(|(no, _)| *no).rev().collect();
+        for no in others {
+            let Some(piece) = self.piece_at(s, no, 0) else { continue };
+            length += piece.encoded_len() + 3;
+            if length > MOST_BUNDLE - SIGNATURE {
+                // The range begins behind it; the rest is asked for again.
+                (bundle.firsts[s], bundle.counts[s]) = (no + 1, last - no);
+                break;
+            }
+            bundle.pieces.push(piece);
+        }
+        (bundle.counts[s] > 0).then_some(bundle)
+    }
+
+    pub fn kept(&self) -> usize {
+        self.sources.iter().map(|s| s.kept.len()).sum()
+    }
+
+    pub fn lines(&self) -> usize {
+        self.sources.iter().map(|s| s.lines.len()).sum()
+    }
+
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    pub fn check_rules(&self) -> Result<(), String> {
+        for (s, source) in self.sources.iter().enumerate() {
+            if source.kept.len() > self.most_kept || source.second.len() > source.kept.len() {
+                return Err(format!("stream {s} keeps {} events", source.kept.len()));
+            }
+            if source.first + source.kept.len() as u64 != source.position + 1 {
+                return Err(format!("stream {s} keeps other events than those up to {}", source.position));
+            }
+        }
+        let bytes: usize = self.sources.iter().flat_map(|s| s.lines.values()).map(Vec::len).sum();
+        if bytes != self.line_bytes || bytes > MOST_LINE_BYTES + MOST_LINE || self.queue.len() > MOST_QUEUE {
+            return Err(format!("{bytes} bytes of events, {} pieces wait", self.queue.len()));
+        }
+        Ok(())
+    }
+}
--- a/feed/src/lib.rs
+++ b/feed/src/lib.rs
@@ -2,14 +2,31 @@
 //! that they did. Everything here is without I/O and clock; the host hands in datagrams, lines and times, and pulls what
 //! is to be done. Must never decide on a txn, nor pass over a gap: what is not known is known to be missing.
 
+pub mod code;
+mod common;
+mod compose;
+mod hub;
+mod lines;
+mod log;
+pub mod positions;
 pub mod rank;
+mod report;
 pub mod seal;
 pub mod settings;
+mod site;
+mod streams;
+pub mod wire;
 
+use crate::common::Set;
+use crate::hub::Hub;
+use crate::site::Site;
+use crate::wire::Packet;
 use kelpcart::names::NameSet;
 use kelpcart::{Span, Time};
+use prost::Message;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// The first byte of each datagram; the fleet's have another one, so that one socket serves both.
 pub const VERSION: u8 = 2;
@@ -112,11 +129,17 @@
     pub bytes_out: u64,
 }
 
+enum Role {
+    Site(Box<Site>),
+    Hub(Box<Hub>),
+}
+
+/// A gateway's or a hub's part in the feed.
 pub struct Feed {
     keys: seal::Keys,
-    name: String,
-    positions: Vec<u64>,
-    hub: bool,
+    set: Arc<Set>,
+    role: Role,
+    now: Time,
     pub counts: Counts,
     pub traffic: Traffic,
     out: VecDeque<Out>,
@@ -135,21 +158,23 @@
     ) -> Result<Feed, Unstartable> {
         file.check().map_err(|(field, what)| Unstartable::File(field, what))?;
         let keys = seal::Keys::new(&file.name, keys).ok_or(Unstartable::Keys)?;
-        let _ = (gateway, run, seed, now);
-        Ok(Feed {
-            keys,
-            name: file.name.clone(),
-            positions: file.streams.iter().map(|s| s.known).collect(),
-            hub: file.hub().is_some(),
-            counts: Counts::default(),
-            traffic: Traffic::default(),
-            out: VecDeque::new(),
-        })
+        let public = Unstartable::File("hubs".to_owned(), "public keys in hex digits are wanted");
+        let set = Arc::new(Set::new(file).ok_or(public)?);
+        let role = match (&file.control, file.hub()) {
+            (Some(control), Some(me)) => {
+                let secret = Unstartable::File("control.secret".to_owned(), "the seed of a key is wanted");
+                let hub = Hub::new(Arc::clone(&set), me, control, run, seed, now).ok_or(secret)?;
+                Role::Hub(Box::new(hub))
+            }
+            _ => Role::Site(Box::new(Site::new(Arc::clone(&set), gateway, run, seed, now))),
+        };
+        let (counts, traffic) = (Counts::default(), Traffic::default());
+        Ok(Feed { keys, set, role, now, counts, traffic, out: VecDeque::new() })
     }
 
     /// Other keys from now on; `false`: they can't be used, and all stays.
     pub fn rekey(&mut self, keys: &[settings::Key]) -> bool {
-        let fresh = seal::Keys::new(&self.name, keys);
+        let fresh = seal::Keys::new(&self.set.of, keys);
         let usable = fresh.is_some();
         if let Some(fresh) = fresh {
             self.keys = fresh;
@@ -157,69 +182,196 @@
         usable
     }
 
+    // Inputs.
+
     /// The live others of its site with their addresses, whenever they change.
-    pub fn members<'a>(&mut self, _now: Time, _live: impl Iterator<Item = (&'a str, SocketAddr)>) {}
+    pub fn members<'a>(&mut self, now: Time, live: impl Iterator<Item = (&'a str, SocketAddr)>) {
+        if let Role::Site(site) = &mut self.role {
+            site.members(live);
+        }
+        self.collect(now);
+    }
 
-    pub fn datagram(&mut self, _now: Time, _from: SocketAddr, bytes: &[u8]) {
+    pub fn datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8]) {
         self.traffic.datagrams_in += 1;
         self.traffic.bytes_in += bytes.len() as u64;
+        let Ok(body) = self.keys.open(VERSION, bytes) else {
+            self.counts.refused_seals += 1;
+            return;
+        };
+        let said = Packet::decode(body).ok().and_then(|p| p.said).filter(|s| s.is_sound());
+        let Some(said) = said else {
+            self.counts.refused_forms += 1;
+            return;
+        };
+        match &mut self.role {
+            Role::Site(site) => site.said(now, from, &said, &mut self.counts),
+            Role::Hub(hub) => hub.said(now, from, &said, &mut self.counts),
+        }
+        self.collect(now);
     }
 
     /// An event of a list service as it wrote it.
-    pub fn line(&mut self, _now: Time, stream: usize, _line: &[u8]) -> Result<(), Unusable> {
-        self.positions.get(stream).map(|_| ()).ok_or(Unusable::Stream)
+    pub fn line(&mut self, now: Time, stream: usize, line: &[u8]) -> Result<(), Unusable> {
+        let taken = match &mut self.role {
+            Role::Site(site) => site.line(now, stream, line),
+            Role::Hub(hub) => hub.line(now, stream, line),
+        };
+        self.collect(now);
+        taken
     }
 
     /// A list service's last number; `false`: it has more than it told.
-    pub fn last(&mut self, _now: Time, stream: usize, no: u64) -> bool {
-        self.positions.get(stream).is_some_and(|p| *p >= no)
+    pub fn last(&mut self, now: Time, stream: usize, no: u64) -> bool {
+        match &mut self.role {
+            Role::Site(site) => site.last(now, stream, no),
+            Role::Hub(hub) => hub.last(now, stream, no),
+        }
     }
 
     /// The connection to a list service has ended or did not come up.
-    pub fn ended(&mut self, _now: Time, _stream: usize) {}
+    pub fn ended(&mut self, now: Time, stream: usize) {
+        if let Role::Site(site) = &mut self.role {
+            site.ended(now, stream);
+        }
+    }
 
     /// The host keeps a connection to that list service while this holds.
-    pub fn asks(&self, _stream: usize) -> bool {
-        self.hub
+    pub fn asks(&self, stream: usize) -> bool {
+        match &self.role {
+            Role::Site(site) => site.asks(stream),
+            Role::Hub(_) => stream < self.set.streams.len(),
+        }
     }
 
+    // What is known.
+
     /// All numbers of a stream up to it are known here.
     pub fn position(&self, stream: usize) -> u64 {
-        self.positions.get(stream).copied().unwrap_or(0)
+        match &self.role {
+            Role::Site(site) => site.streams.all.get(stream).map_or(0, |s| s.hard.position()),
+            Role::Hub(hub) => hub.position(stream),
+        }
     }
 
     /// What a list service is asked for: events behind this number.
     pub fn after(&self, stream: usize) -> u64 {
-        self.position(stream)
+        match &self.role {
+            Role::Site(site) => site.after(stream),
+            Role::Hub(hub) => hub.position(stream),
+        }
+    }
+
+    /// How long ago a list service had no more than what was told here; `None`: nothing was told. At a gateway.
+    pub fn age(&self, now: Time, stream: usize) -> Option<Span> {
+        match &self.role {
+            Role::Site(site) => site.streams.age(now, stream),
+            Role::Hub(_) => None,
+        }
+    }
+
+    /// Numbers of all streams that are known to be missing here.
+    pub fn gaps(&self) -> u64 {
+        match &self.role {
+            Role::Site(site) => site.streams.missing(),
+            Role::Hub(_) => 0,
+        }
     }
 
     /// The watermark: at a hub as gathered, at a gateway as told.
-    pub fn done(&self, _stream: usize) -> Done {
-        Done::default()
+    pub fn done(&self, stream: usize) -> Done {
+        match &self.role {
+            Role::Site(site) => {
+                let all = site.streams.all.get(stream);
+                all.map_or(Done::default(), |s| Done { in_touch: s.in_touch, everywhere: s.everywhere })
+            }
+            Role::Hub(hub) => {
+                let (in_touch, everywhere) = hub.sites.done(stream);
+                Done { in_touch, everywhere }
+            }
+        }
     }
 
     /// At a hub: who has not confirmed, bounded.
     pub fn missing(&self) -> Vec<Missing> {
-        Vec::new()
+        match &self.role {
+            Role::Site(_) => Vec::new(),
+            Role::Hub(hub) => hub.missing(self.now),
+        }
     }
 
+    /// At a hub: who confirmed what can't be, by site and gateway, and how often.
+    pub fn liars(&self) -> Vec<(String, String, u64)> {
+        match &self.role {
+            Role::Site(_) => Vec::new(),
+            Role::Hub(hub) => {
+                let one = |((site, name), n): (&(String, String), &u64)| (site.clone(), name.clone(), *n);
+                hub.sites.liars.iter().map(one).collect()
+            }
+        }
+    }
+
+    /// This gateway hears a hub for its site, or tries to.
+    pub fn is_contact(&self) -> bool {
+        matches!(&self.role, Role::Site(site) if site.is_contact())
+    }
+
+    // Time.
+
     pub fn next_wake(&self, now: Time) -> Time {
-        now + Span::from_millis(100)
+        match &self.role {
+            Role::Site(site) => site.next_wake(now),
+            Role::Hub(hub) => hub.next_wake(now),
+        }
     }
 
-    pub fn tick(&mut self, _now: Time) {}
+    pub fn tick(&mut self, now: Time) {
+        match &mut self.role {
+            Role::Site(site) => site.tick(now, &mut self.counts),
+            Role::Hub(hub) => hub.tick(now, &mut self.counts),
+        }
+        self.collect(now);
+    }
 
     pub fn poll(&mut self) -> Option<Out> {
         self.out.pop_front()
     }
 
+    fn collect(&mut self, now: Time) {
+        self.now = now;
+        let said = match &mut self.role {
+            Role::Site(site) => {
+                site.look(now);
+                self.out.extend(site.out());
+                let streams = &site.streams;
+                (self.counts.purges, self.counts.lines) = (streams.purges, streams.lines);
+                self.counts.purged_all = streams.purged_all;
+                self.counts.dropped = streams.dropped();
+                std::mem::take(&mut site.said)
+            }
+            Role::Hub(hub) => std::mem::take(&mut hub.said),
+        };
+        for (to, said) in said {
+            let bytes = self.keys.seal(VERSION, &Packet { said: Some(said) }.encode_to_vec());
+            self.traffic.datagrams_out += 1;
+            self.traffic.bytes_out += bytes.len() as u64;
+            self.out.push_back(Out::Datagram(to, bytes));
+        }
+    }
+
     /// How much is kept, by name.
     pub fn sizes(&self) -> Vec<(&'static str, usize)> {
-        vec![("feed out", self.out.len())]
+        match &self.role {
+            Role::Site(site) => site.sizes(),
+            Role::Hub(hub) => hub.sizes(),
+        }
     }
 
     /// Bounds and rules that have to hold after every step; for tests.
     pub fn check_rules(&self) -> Result<(), String> {
-        Ok(())
+        match &self.role {
+            Role::Site(site) => site.check_rules(),
+            Role::Hub(hub) => hub.check_rules(),
+        }
     }
 }
