--- /dev/null
+++ b/feed/tests/hard.rs
@@ -0,0 +1,549 @@
+//! Hard cases of the feed, each by the order of its events, in simulated time with the rules after every step; with the
+//! figures that the design note states.
+
+mod common;
+
+use common::*;
+use kelpcart::Span;
+use std::collections::BTreeSet;
+
+/// One purge in calm, from its list service to the last gateway, without loss; the note's figure.
+const CALM: u64 = 650;
+
+fn started(shape: Shape, seed: u64) -> World {
+    let mut w = World::new(shape, seed);
+    w.start_all();
+    w.run(ms(5_000));
+    w
+}
+
+fn whole(w: &World) -> Result<(), String> {
+    w.all_told().and_then(|()| w.all_done())
+}
+
+/// No more events; all that were told have to be everywhere, and known to be, in time.
+fn settles(w: &mut World, most: u64) -> Span {
+    (w.rate, w.others) = (0.0, 0.0);
+    w.until(ms(most), whole)
+}
+
+#[test]
+fn the_last_gateway_knows_a_purge_in_time_and_its_hub_knows_that() {
+    let shape = Shape { regions: 11, sites: 1, gateways: 24, hubs: 5 };
+    let mut w = started(shape, 1);
+    w.rate = 150.0;
+    w.run(ms(4_000));
+    w.late.clear();
+    w.sim.reset_spent();
+    w.run(ms(20_000));
+    let contacts: BTreeSet<usize> = w.contacts().into_values().flatten().collect();
+    assert_eq!(contacts.len(), 11, "one contact a site");
+    let (mean, most) = w.bytes_per_s(ms(21_100), |i| !contacts.contains(&i));
+    let worst = w.worst();
+    println!(
+        "calm: worst {worst} ms of {} acts; bytes a second: mean {mean:.0}, most {most:.0}",
+        w.late.len()
+    );
+    assert!(worst <= CALM, "{worst} ms");
+    assert!(most < 2_300.0, "{most:.0} bytes a second");
+    assert_eq!(w.sum(|c| c.purged_all), 0);
+    let (no, told) = (w.purge(3, 77), w.sim.now);
+    w.until(ms(1_800), |w| {
+        let behind: Vec<usize> = w.hubs().filter(|&h| w.feed(h).done(3).everywhere < no).collect();
+        if behind.is_empty() { Ok(()) } else { Err(format!("hubs {behind:?}")) }
+    });
+    println!("known to be everywhere after {} ms", (w.sim.now - told).as_micros() / 1_000);
+    settles(&mut w, 4_000);
+}
+
+#[test]
+fn a_relay_that_dies_with_half_a_bundle_out_costs_one_period() {
+    let mut w = started(Shape { gateways: 20, ..SMALL }, 2);
+    w.rate = 40.0;
+    w.run(ms(3_000));
+    for round in 0..4 {
+        w.wrong(true);
+        w.late.clear();
+        let site = w.of_site(round);
+        // Each that relays now gets half of its datagrams out.
+        let relays: Vec<usize> = site.iter().copied().skip(round).step_by(5).collect();
+        for &a in &relays {
+            let half = site.iter().copied().filter(|b| b % 2 == 0);
+            w.cuts.borrow_mut().pairs.extend(half.map(|b| (a, b)));
+        }
+        w.run(ms(600));
+        relays.iter().for_each(|&i| w.kill(i));
+        w.cuts.borrow_mut().pairs.clear();
+        w.run(ms(5_000));
+        println!("relays dead: worst {} ms, {:.5} over {CALM}", w.worst(), w.later_than(CALM));
+        assert!(w.worst() <= 3_500, "{} ms", w.worst());
+        relays.iter().for_each(|&i| w.start(i, true));
+        w.run(ms(3_000));
+    }
+    w.heal();
+    settles(&mut w, 10_000);
+}
+
+#[test]
+fn both_first_contacts_of_a_site_die_at_once() {
+    let seed = 3;
+    let second = {
+        let mut w = started(SMALL, seed);
+        let first = w.contacts()[&0].first().copied().unwrap();
+        w.kill(first);
+        w.run(ms(6_000));
+        let next = w.contacts()[&0].clone();
+        assert_eq!(next.len(), 1);
+        next.first().copied().unwrap()
+    };
+    let mut w = started(SMALL, seed);
+    w.rate = 30.0;
+    let first = w.contacts()[&0].first().copied().unwrap();
+    w.wrong(true);
+    w.late.clear();
+    assert_ne!(first, second);
+    w.kill(first);
+    w.kill(second);
+    w.run(ms(8_000));
+    println!("two contacts dead: worst {} ms", w.worst());
+    assert!(w.worst() <= 3_500, "{} ms", w.worst());
+    assert_eq!(w.contacts()[&0].len(), 1, "one contact in the end");
+    assert!(w.askers().is_empty(), "a hub is heard, no list service is asked");
+    w.heal();
+    w.run(ms(3_000));
+    settles(&mut w, 10_000);
+}
+
+#[test]
+fn a_hub_that_dies_is_left_for_the_next_and_comes_back_empty() {
+    let mut w = started(Shape { hubs: 3, ..SMALL }, 4);
+    w.rate = 30.0;
+    w.others = 0.5;
+    w.run(ms(5_000));
+    w.wrong(true);
+    for h in 0..3 {
+        w.late.clear();
+        w.kill(h);
+        w.run(ms(6_000));
+        println!("hub{h} dead: worst {} ms", w.worst());
+        assert!(w.worst() <= 3_500, "{} ms", w.worst());
+        // It knows nothing of what was, and must not say that anything is done.
+        w.start(h, false);
+        assert_eq!(w.feed(h).done(0).everywhere, 0);
+        w.run(ms(5_000));
+    }
+    w.heal();
+    settles(&mut w, 10_000);
+}
+
+#[test]
+fn purges_go_on_while_all_hubs_are_away_for_a_minute() {
+    let mut w = started(SMALL, 5);
+    w.rate = 20.0;
+    w.run(ms(3_000));
+    w.wrong(true);
+    w.hubs().for_each(|h| w.kill(h));
+    w.run(ms(12_000));
+    w.late.clear();
+    let before: u64 = w.gateways().map(|i| w.places[i].attempts).sum();
+    w.run(ms(48_000));
+    let attempts = w.gateways().map(|i| w.places[i].attempts).sum::<u64>() - before;
+    let streams = w.services.len() as f64;
+    println!("all hubs away: worst {} ms, {attempts} connections", w.worst());
+    assert!(w.worst() <= 2_000, "{} ms", w.worst());
+    assert!(attempts as f64 <= 48.0 * 10.0 * streams, "{attempts} connections");
+    assert!(w.askers().len() <= SMALL.regions * SMALL.sites, "{:?} ask", w.askers());
+    let now = w.sim.now;
+    for i in w.gateways() {
+        for (stream, todo) in w.places[i].track.todo.iter().enumerate() {
+            let told = |no: &u64| w.services[stream].events[*no as usize - 1].told;
+            assert!(todo.iter().all(|no| now - told(no) < ms(2_000)), "{}", w.places[i].name);
+        }
+    }
+    // What a contact gathered is provisional: no position moved by it.
+    let at: Vec<u64> = w.gateways().map(|i| w.feed(i).position(0)).collect();
+    assert!(at.iter().all(|p| w.last(0) - p > 200), "{at:?} of {}", w.last(0));
+    w.hubs().for_each(|h| w.start(h, false));
+    w.heal();
+    w.run(ms(6_000));
+    assert!(w.askers().is_empty(), "{:?} still ask", w.askers());
+    settles(&mut w, 15_000);
+}
+
+#[test]
+fn list_services_that_are_down_with_all_hubs_away_are_not_stormed() {
+    let mut w = started(SMALL, 6);
+    w.wrong(true);
+    w.hubs().for_each(|h| w.kill(h));
+    w.services.iter_mut().for_each(|s| s.up = false);
+    w.run(ms(5_000));
+    let before: u64 = w.gateways().map(|i| w.places[i].attempts).sum();
+    w.run(ms(30_000));
+    let attempts = w.gateways().map(|i| w.places[i].attempts).sum::<u64>() - before;
+    println!("all away: {attempts} tries in 30 s at {} services", w.services.len());
+    assert!(attempts <= 30 * 11 * w.services.len() as u64, "{attempts}");
+    assert!(attempts > 0);
+    w.services.iter_mut().for_each(|s| s.up = true);
+    w.purge(1, 5);
+    w.run(ms(15_000));
+    let lacks = w.gateways().filter(|&i| !w.places[i].track.todo[1].is_empty()).count();
+    assert_eq!(lacks, 0);
+    w.heal();
+    settles(&mut w, 15_000);
+}
+
+#[test]
+fn a_region_that_was_cut_for_long_comes_back_beside_the_live_purges() {
+    let mut w = started(SMALL, 7);
+    w.rate = 150.0;
+    w.run(ms(2_000));
+    w.wrong(true);
+    w.cuts.borrow_mut().regions.insert(2);
+    w.run(ms(5_000));
+    // The purges of an hour in less time: so many that neither a neighbour nor the latest log has them.
+    w.rate = 2_000.0;
+    w.run(ms(30_000));
+    w.rate = 150.0;
+    w.run(ms(35_000));
+    let behind = w.last(0) - w.feed(w.of_region(2)[0]).position(0);
+    assert!(behind > 20_000, "{behind}");
+    for h in w.hubs().filter(|&h| w.places[h].region != 2) {
+        let named: BTreeSet<String> = w.feed(h).missing().into_iter().map(|m| m.site).collect();
+        assert!(named.contains("site4") && named.contains("site5"), "{named:?}");
+        assert!(w.feed(h).done(0).everywhere < w.last(0) - 20_000);
+    }
+    w.cuts.borrow_mut().regions.clear();
+    let back = w.sim.now;
+    w.run(ms(3_000));
+    let events: Vec<u64> = (0..3).map(|s| w.last(s)).collect();
+    w.late.clear();
+    w.sim.reset_spent();
+    let mut worst: u64 = 0;
+    let mut most: f64 = 0.0;
+    loop {
+        w.run(ms(1_000));
+        // Of what was told since it came back, and not of what is caught up.
+        for i in w.gateways() {
+            for (stream, before) in events.iter().enumerate() {
+                let first = w.places[i].track.todo[stream].range(before + 1..).next();
+                let told = first.map(|no| w.services[stream].events[*no as usize - 1].told);
+                worst = worst.max(told.map_or(0, |t| (w.sim.now - t).as_micros() / 1_000));
+            }
+        }
+        most = most.max(w.bytes_per_s(ms(1_000), |i| w.places[i].region == 2).1);
+        w.sim.reset_spent();
+        if w.gateways().all(|i| (0..3).all(|s| w.feed(i).position(s) + 400 > w.last(s))) {
+            break;
+        }
+        assert!(w.sim.now - back < ms(90_000), "not caught up");
+    }
+    let took = (w.sim.now - back).as_micros() / 1_000;
+    println!(
+        "{behind} behind in one stream, caught up in {took} ms; live at most {worst} ms; {most:.0} bytes/s"
+    );
+    assert!(worst <= CALM + 500, "{worst} ms");
+    assert!(most < 20_000.0, "{most:.0} bytes a second");
+    w.heal();
+    w.run(ms(9_000));
+    settles(&mut w, 10_000);
+}
+
+#[test]
+fn a_region_cut_off_with_its_hub_goes_on_with_its_own_list_service() {
+    let mut w = started(Shape { hubs: 3, ..SMALL }, 8);
+    w.rate = 30.0;
+    w.run(ms(2_000));
+    w.wrong(true);
+    w.cuts.borrow_mut().regions.insert(1);
+    w.run(ms(20_000));
+    let now = w.sim.now;
+    for i in w.of_region(1) {
+        let told = |no: &u64| w.services[1].events[*no as usize - 1].told;
+        let open = &w.places[i].track.todo[1];
+        assert!(open.iter().all(|no| now - told(no) < ms(2_000)), "{}", w.places[i].name);
+    }
+    w.heal();
+    w.run(ms(9_000));
+    settles(&mut w, 10_000);
+}
+
+#[test]
+fn ten_times_the_purges_make_names_shorter_and_nothing_longer() {
+    let mut w = started(Shape { regions: 4, sites: 1, gateways: 16, hubs: 2 }, 9);
+    w.rate = 150.0;
+    w.run(ms(4_000));
+    let bits = |w: &World| w.gateways().map(|i| w.places[i].track.least_bits).min().unwrap();
+    let calm = bits(&w);
+    w.rate = 1_500.0;
+    w.run(ms(3_000));
+    w.sim.reset_spent();
+    w.late.clear();
+    w.run(ms(30_000));
+    let contacts: BTreeSet<usize> = w.contacts().into_values().flatten().collect();
+    let (mean, most) = w.bytes_per_s(ms(31_100), |i| !contacts.contains(&i));
+    println!(
+        "flood: worst {} ms; {calm} then {} bits; bytes a second {mean:.0}, {most:.0}",
+        w.worst(),
+        bits(&w)
+    );
+    assert!(w.worst() <= CALM + 100, "{} ms", w.worst());
+    assert!(calm >= 36 && (16..30).contains(&bits(&w)), "{calm} then {} bits", bits(&w));
+    assert!(most < 6_000.0, "{most:.0} bytes a second");
+    assert_eq!(w.sum(|c| c.purged_all), 0);
+    w.rate = 150.0;
+    w.run(ms(5_000));
+    settles(&mut w, 5_000);
+}
+
+#[test]
+fn a_twentieth_lost_doubled_and_out_of_order_is_made_good() {
+    let mut w = started(Shape { gateways: 12, ..SMALL }, 10);
+    (w.sim.loss, w.sim.repeat) = (0.05, 0.05);
+    let near = |a: usize, b: usize| (a + b).is_multiple_of(3);
+    // Some pairs are slow, so that what is sent later comes earlier.
+    w.sim.delay = Box::new(move |a, b| if near(a, b) { ms(120) } else { ms(10) });
+    (w.rate, w.others) = (100.0, 1.0);
+    w.wrong(true);
+    w.run(ms(5_000));
+    w.late.clear();
+    w.run(ms(60_000));
+    let over = w.later_than(1_800);
+    println!("5% lost: worst {} ms of {}, {over:.6} over 1,800 ms", w.worst(), w.late.len());
+    assert!(over < 0.001, "{over}");
+    assert!(w.worst() <= 4_000, "{} ms", w.worst());
+    assert!(w.sum(|c| c.repaired) > 0);
+    // Loss stays: a lost bundle may not keep anything back for good.
+    (w.rate, w.others) = (0.0, 0.0);
+    w.until(ms(10_000), whole);
+}
+
+#[test]
+fn a_tenth_of_the_gateways_starts_anew_at_once_in_the_flood() {
+    let mut w = started(Shape { gateways: 10, ..SMALL }, 11);
+    w.rate = 1_500.0;
+    w.run(ms(4_000));
+    let tenth: Vec<usize> = w.gateways().step_by(10).collect();
+    tenth.iter().for_each(|&i| w.kill(i));
+    w.run(ms(500));
+    tenth.iter().enumerate().for_each(|(n, &i)| w.start(i, n % 2 == 0));
+    w.wrong(true);
+    w.run(ms(4_000));
+    // What was told of late and binds is there also at those that knew nothing.
+    for &i in &tenth {
+        for stream in 0..3 {
+            let now = w.sim.now;
+            let told = |no: &u64| w.services[stream].events[*no as usize - 1].told;
+            let owed = w.places[i].track.owed[stream].iter().filter(|no| now - told(no) < BINDS).count();
+            assert_eq!(owed, 0, "{} owes purges of {stream}", w.places[i].name);
+        }
+    }
+    w.wrong(false);
+    w.run(ms(10_000));
+    settles(&mut w, 5_000);
+}
+
+#[test]
+fn one_that_was_stopped_and_goes_on_catches_up_and_steps_back() {
+    let mut w = started(SMALL, 12);
+    (w.rate, w.others) = (30.0, 0.5);
+    w.run(ms(2_000));
+    w.wrong(true);
+    for away in [1_000, 2_500, 8_000, 45_000] {
+        let contact = w.contacts()[&1].first().copied().unwrap();
+        let other = w.of_site(1).into_iter().find(|i| *i != contact).unwrap();
+        w.stop(contact);
+        w.stop(other);
+        w.run(ms(away));
+        w.go_on(contact);
+        w.go_on(other);
+        w.run(ms(5_000));
+        assert_eq!(w.contacts()[&1].len(), 1, "one contact again after {away} ms");
+        let now = w.sim.now;
+        for i in [contact, other] {
+            for stream in 0..3 {
+                let told = |no: &u64| w.services[stream].events[*no as usize - 1].told;
+                let todo = &w.places[i].track.todo[stream];
+                assert!(
+                    todo.iter().all(|no| now - told(no) < ms(2_000)),
+                    "{} after {away}",
+                    w.places[i].name
+                );
+            }
+        }
+    }
+    w.heal();
+    w.run(ms(3_000));
+    settles(&mut w, 10_000);
+}
+
+#[test]
+fn what_is_cut_off_is_named_and_not_done_everywhere() {
+    let mut w = started(SMALL, 13);
+    w.rate = 10.0;
+    w.run(ms(2_000));
+    w.wrong(true);
+    // A site that hears nothing, and a gateway whose word reaches nobody.
+    w.cuts.borrow_mut().sites.insert(5);
+    let mute = w.of_site(0)[2];
+    let others: Vec<usize> = (0..w.places.len()).filter(|i| *i != mute).collect();
+    w.cuts.borrow_mut().pairs.extend(others.into_iter().map(|to| (mute, to)));
+    let before = w.last(0);
+    w.run(ms(8_000));
+    let mut in_touch = 0;
+    for h in w.hubs() {
+        let (done, missing) = (w.feed(h).done(0), w.feed(h).missing());
+        let whole = missing.iter().any(|m| m.site == "site5" && m.member.is_none());
+        assert!(whole, "hub{h} does not name the site: {missing:?}");
+        assert!(done.everywhere <= before, "{done:?} {before}");
+        in_touch = in_touch.max(done.in_touch);
+    }
+    let name = &w.places[mute].name;
+    let names_it = |h: usize| w.feed(h).missing().iter().any(|m| m.member.as_ref() == Some(name));
+    assert!(w.hubs().any(names_it), "{name} is not named");
+    assert!(in_touch <= w.last(0));
+    w.heal();
+    w.run(ms(9_000));
+    settles(&mut w, 5_000);
+    assert!(w.hubs().all(|h| w.feed(h).missing().is_empty()));
+}
+
+#[test]
+fn what_is_changed_replayed_or_of_another_fleet_moves_nothing() {
+    let mut w = started(SMALL, 14);
+    w.tape.borrow_mut().runs = true;
+    w.rate = 10.0;
+    w.run(ms(10_000));
+    w.rate = 0.0;
+    settles(&mut w, 5_000);
+    w.tape.borrow_mut().runs = false;
+    let kept = std::mem::take(&mut w.tape.borrow_mut().kept);
+    let state = |w: &World| -> Vec<(u64, u64)> {
+        let of = |i: usize| (w.feed(i).position(1), w.feed(i).done(1).everywhere);
+        (0..w.places.len()).map(of).collect()
+    };
+    let before = state(&w);
+    let traffic = |w: &World| -> u64 { (0..w.places.len()).map(|i| w.feed(i).traffic.datagrams_out).sum() };
+    let (sent, at) = (traffic(&w), w.sim.now);
+    let mut extra = 0;
+    for (n, (from, to, bytes)) in kept.iter().enumerate() {
+        let (Some(from), Some(to)) = (w.place(*from), w.place(*to)) else { continue };
+        // As it was; damaged on its way; changed by one that has the common key; of another installation.
+        w.sim.send(from, to, bytes);
+        let mut damaged = bytes.clone();
+        damaged[n % bytes.len()] ^= 1 << (n % 8);
+        w.sim.send(from, to, &damaged);
+        let changed = w.changed(bytes, |body| {
+            let at = n * 7 % body.len();
+            body[at] ^= 1 << (n % 8);
+        });
+        w.sim.send(from, to, &changed.unwrap());
+        w.sim.send(from, to, &bytes[..bytes.len() - n % 30]);
+        extra += 4;
+        if n % 50 == 0 {
+            w.run(ms(10));
+        }
+    }
+    w.run(ms(2_000));
+    assert_eq!(state(&w), before);
+    let refused = w.sum(|c| c.refused_seals + c.refused_forms + c.refused_signatures);
+    println!("{extra} told again, damaged or changed: {refused} refused, {} copies", w.sum(|c| c.copies));
+    assert!(refused as usize > kept.len(), "{refused} of {extra}");
+    assert!(w.sum(|c| c.refused_signatures) > 0);
+    // A flood of old requests opens no flood of answers: at most about as much again as was put in.
+    let answers = traffic(&w) - sent;
+    println!("{answers} datagrams in {} ms", (w.sim.now - at).as_micros() / 1_000);
+    assert!(answers < extra, "{answers} after {extra}");
+    w.rate = 10.0;
+    w.wrong(false);
+    w.run(ms(10_000));
+    settles(&mut w, 5_000);
+}
+
+#[test]
+fn wrong_clocks_change_nothing() {
+    let mut w = World::new(SMALL, 15);
+    let (hub, gateway, contact) = (0, 4, 9);
+    w.sim.slots[hub].ahead = ms(3_600_000);
+    w.sim.slots[gateway].ahead = ms(24 * 365 * 3_600_000);
+    w.sim.slots[contact].ahead = ms(5_000);
+    w.start_all();
+    w.run(ms(5_000));
+    w.late.clear();
+    w.rate = 50.0;
+    w.run(ms(20_000));
+    println!("wrong clocks: worst {} ms", w.worst());
+    assert!(w.worst() <= CALM, "{} ms", w.worst());
+    assert_eq!(w.sum(|c| c.purged_all), 0);
+    settles(&mut w, 5_000);
+}
+
+#[test]
+fn two_regions_purge_the_same_object_at_once() {
+    let mut w = started(SMALL, 16);
+    for object in 0..50 {
+        w.purge(0, object);
+        w.purge(1, object);
+        w.run(ms(37));
+        w.purge(2, object);
+    }
+    settles(&mut w, 3_000);
+    let purges = w.gateways().map(|i| w.places[i].track.names).max().unwrap();
+    // In one bundle an object is named once.
+    println!("{purges} names for 150 purges");
+    assert!(purges <= 110, "{purges}");
+}
+
+#[test]
+fn keys_change_while_all_goes_on() {
+    let mut w = started(SMALL, 17);
+    w.rate = 30.0;
+    let (old, new) = (key(1, "17"), key(2, "33"));
+    for step in [vec![old.clone(), new.clone()], vec![new.clone(), old], vec![new]] {
+        for i in 0..w.places.len() {
+            w.places[i].keys = step.clone();
+            assert_eq!(w.sim.with(i, |host, _| host.feed.rekey(&step)), Some(true));
+            w.run(ms(50));
+        }
+    }
+    assert_eq!(w.sim.with(0, |host, _| host.feed.rekey(&[])), Some(false));
+    assert_eq!(w.sum(|c| c.refused_seals), 0);
+    assert!(w.worst() <= CALM, "{} ms", w.worst());
+    settles(&mut w, 5_000);
+}
+
+#[test]
+fn one_with_a_longer_file_goes_on_with_the_others() {
+    // Some have a hub that others don't know, some a stream more; the new hub is not there yet.
+    let mut w = World::with_files(SMALL, 18, |i, file| {
+        if i % 3 == 2 {
+            let more =
+                serde_json::json!({"name": "hub9", "address": "127.2.9.9:7700", "public": "77".repeat(32)});
+            file["hubs"].as_array_mut().unwrap().push(more);
+        }
+        if i % 4 == 3 {
+            let more = serde_json::json!({"name": "list9", "address": "127.3.9.9:80"});
+            file["streams"].as_array_mut().unwrap().push(more);
+        }
+    });
+    w.start_all();
+    w.run(ms(6_000));
+    w.rate = 30.0;
+    w.run(ms(10_000));
+    settles(&mut w, 5_000);
+}
+
+#[test]
+fn an_event_of_many_pieces_counts_when_all_of_them_are_there() {
+    let mut w = started(SMALL, 19);
+    (w.sim.loss, w.sim.repeat) = (0.1, 0.1);
+    w.wrong(true);
+    for n in 0..20 {
+        w.other(n % 3, 3_000);
+        w.purge(n % 3, n as u64);
+        w.other((n + 1) % 3, 30);
+        w.run(ms(300));
+    }
+    w.heal();
+    w.run(ms(3_000));
+    settles(&mut w, 10_000);
+}
--- /dev/null
+++ b/feed/tests/model.rs
@@ -0,0 +1,87 @@
+//! The feed's core in simulated time by random schedules, with the rules after every step. `FEED_STEPS` seconds of
+//! schedule and `FEED_SEEDS` make them longer.
+
+mod common;
+
+use common::*;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use rand::Rng;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+static STEPS: AtomicU64 = AtomicU64::new(0);
+
+#[derive(Clone, Debug)]
+struct Schedule {
+    seed: u64,
+    seconds: u64,
+}
+
+impl Arbitrary for Schedule {
+    fn arbitrary(g: &mut Gen) -> Schedule {
+        let seconds = std::env::var("FEED_STEPS").ok().and_then(|s| s.parse().ok()).unwrap_or(30);
+        Schedule { seed: u64::arbitrary(g), seconds }
+    }
+}
+
+/// Kills, starts, stops, cuts, loss, repeats, replays, hubs lost and list services down, then a calm time after which
+/// all have to have everything and to know it.
+fn random_schedule(s: Schedule) -> bool {
+    let mut w = World::new(SMALL, s.seed);
+    w.tape.borrow_mut().runs = true;
+    w.start_all();
+    (w.rate, w.others) = (20.0, 0.5);
+    w.run(ms(3_000));
+    w.wrong(true);
+    let (regions, sites) = (SMALL.regions, SMALL.regions * SMALL.sites);
+    for _ in 0..s.seconds * 4 {
+        let i = w.rng.random_range(0..w.places.len());
+        let j = w.rng.random_range(w.gateways());
+        let (region, to, site) =
+            (w.rng.random_range(0..regions), w.rng.random_range(0..regions), w.rng.random_range(0..sites));
+        match w.rng.random_range(0..22) {
+            0 => w.kill(i),
+            1..=3 if w.sim.get(i).is_none() => {
+                let known = w.rng.random_bool(0.5);
+                w.start(i, known);
+            }
+            4 => w.stop(i),
+            5 | 6 => (0..w.places.len()).for_each(|i| w.go_on(i)),
+            7 => _ = w.cuts.borrow_mut().regions.insert(region),
+            8 => _ = w.cuts.borrow_mut().sites.insert(site),
+            9 if region != to => _ = w.cuts.borrow_mut().one_way.insert((region, to)),
+            10 => _ = w.cuts.borrow_mut().pairs.insert((i, j)),
+            11 => _ = w.cuts.borrow_mut().alone.insert(j),
+            12..=14 => *w.cuts.borrow_mut() = Cuts::default(),
+            15 => w.sim.loss = w.rng.random_range(0.0..0.3),
+            16 => w.sim.repeat = w.rng.random_range(0.0..0.3),
+            17 => (w.sim.loss, w.sim.repeat) = (0.0, 0.0),
+            18 => w.services[region].up = !w.services[region].up,
+            19 => w.rate = w.rng.random_range(1.0..60.0),
+            20 | 21 => {
+                let kept = w.tape.borrow().kept.len();
+                if kept > 0 {
+                    let at = w.rng.random_range(0..kept);
+                    let (from, to, bytes) = w.tape.borrow_mut().kept.swap_remove(at);
+                    let place = |a| w.sim.slots.iter().position(|s| s.address == a).unwrap();
+                    let (from, to) = (place(from), place(to));
+                    w.sim.send(from, to, &bytes);
+                }
+            }
+            _ => {}
+        }
+        w.run(ms(250));
+    }
+    w.heal();
+    w.run(ms(10_000));
+    (w.rate, w.others) = (0.0, 0.0);
+    w.until(ms(40_000), |w| w.all_told().and_then(|()| w.all_done()));
+    STEPS.fetch_add(w.steps, Ordering::Relaxed);
+    true
+}
+
+#[test]
+fn random_schedules_keep_the_rules_and_end_with_everything_everywhere() {
+    let seeds = std::env::var("FEED_SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(12);
+    QuickCheck::new().tests(seeds).quickcheck(random_schedule as fn(Schedule) -> bool);
+    println!("{} steps in {seeds} schedules", STEPS.load(Ordering::Relaxed));
+}
