--- a/feed/src/compose.rs
+++ b/feed/src/compose.rs
@@ -68,6 +68,8 @@
 /// What one list service has told.
 pub struct Source {
     pub position: u64,
+    /// It may begin further on than where it was asked from.
+    open: bool,
     /// All up to it has been told in bundles; `None`: nothing yet.
     pub told: Option<u64>,
     /// The list service has no more than this.
@@ -83,14 +85,13 @@
     /// The latest stamps: of all, and of those that are not kept any more.
     latest: u64,
     gone: u64,
-    /// Events since the last period began.
-    came: usize,
 }
 
 impl Source {
-    pub fn new(position: u64) -> Source {
+    pub fn new(position: u64, open: bool) -> Source {
         Source {
             position,
+            open,
             told: None,
             caught: false,
             fresh: None,
@@ -100,10 +101,18 @@
             lines: BTreeMap::new(),
             latest: 0,
             gone: 0,
-            came: 0,
         }
     }
 
+    /// The list service has nothing older than this number, which is the first one that it tells here.
+    fn begins(&mut self, no: u64) -> bool {
+        let is = self.open && self.kept.is_empty() && no > self.position;
+        if is {
+            (self.position, self.first) = (no - 1, no);
+        }
+        is
+    }
+
     fn untold(&self) -> u64 {
         self.told.map_or(0, |t| self.position.saturating_sub(t))
     }
@@ -154,8 +163,10 @@
 
 impl Composer {
     pub fn new(hub: u32, run: u32, positions: &[u64], most_kept: usize) -> Composer {
+        // A hub has what was before the configuration, too, for those who were away.
+        let before = |p: &u64| if hub == 0 { *p } else { p.saturating_sub(most_kept as u64) };
         Composer {
-            sources: positions.iter().map(|p| Source::new(*p)).collect(),
+            sources: positions.iter().map(|p| Source::new(before(p), hub != 0)).collect(),
             queue: VecDeque::new(),
             hub,
             run,
@@ -178,11 +189,10 @@
         if no <= source.position {
             return Ok(());
         }
-        if no != source.position + 1 {
+        if no != source.position + 1 && !source.begins(no) {
             return Err(Unusable::Gap(no, source.position));
         }
         source.position = no;
-        source.came += 1;
         if source.caught {
             source.fresh = Some(now);
         }
@@ -220,7 +230,7 @@
 
     /// Begins a stream anew behind a number, from which on all is told.
     pub fn reset(&mut self, stream: usize, position: u64) {
-        let old = std::mem::replace(&mut self.sources[stream], Source::new(position));
+        let old = std::mem::replace(&mut self.sources[stream], Source::new(position, false));
         self.line_bytes -= old.lines.values().map(Vec::len).sum::<usize>();
         (self.sources[stream].told, self.sources[stream].caught) = (Some(position), true);
         self.queue.retain(|(s, _, _)| *s != stream);
@@ -229,7 +239,7 @@
     /// `false`: the list service has more than it told.
     pub fn last(&mut self, now: Time, stream: usize, no: u64) -> bool {
         let Some(source) = self.sources.get_mut(stream) else { return true };
-        if no > source.position {
+        if no > source.position && !source.begins(no + 1) {
             return false;
         }
         source.fresh = Some(now);
@@ -237,14 +247,8 @@
         true
     }
 
-    /// A period begins. Who tells little by little has no more, though it has not said so.
-    pub fn begin_period(&mut self, now: Time) {
+    pub fn begin_period(&mut self) {
         for source in &mut self.sources {
-            if !source.caught && (1..256).contains(&source.came) {
-                source.caught = true;
-                source.fresh = Some(now);
-            }
-            source.came = 0;
             if source.caught && source.told.is_none() {
                 source.told = Some(source.position);
             }
--- a/feed/src/hub.rs
+++ b/feed/src/hub.rs
@@ -358,7 +358,7 @@
                 self.period += self.set.period.max(Span::from_millis(1));
             }
             self.asks = !self.asks;
-            self.composer.begin_period(now);
+            self.composer.begin_period();
             self.tell(now, counts);
         } else if self.spaced.is_some_and(|at| now >= at) {
             self.tell(now, counts);
--- a/feed/src/report.rs
+++ b/feed/src/report.rs
@@ -351,6 +351,13 @@
                 }
                 continue;
             }
+            // One that is back has not what was done while it was away.
+            let least = site.positions.iter().flatten().zip(&self.in_touch).enumerate();
+            if let Some((s, (p, _))) =
+                least.filter(|(_, (p, done))| p < done).max_by_key(|(_, (p, done))| *done - *p)
+            {
+                all.push(named(None, (s, *p)));
+            }
             if site.direct.is_some_and(|at| now - at < self.touch) {
                 all.extend(site.silent.iter().map(|(m, had)| named(Some(m), lowest(had))));
                 all.extend(site.behind.iter().map(|(m, at)| named(Some(m), *at)));
--- a/feed/src/site.rs
+++ b/feed/src/site.rs
@@ -46,11 +46,14 @@
 const CONFIRM_AFTER: Span = Span::from_millis(150);
 const REPORT_AFTER: Span = Span::from_millis(300);
 const MOST_DUE: usize = 16;
+const MOST_UNHANDED: usize = 64;
 /// Bundles in answer to one request, and in a second to one member.
 const MOST_FOUND: usize = 4;
 const FOUND_PER_S: f64 = 40.0;
 /// A bundle that is older than what was known so long ago is no sign of life.
 const OLD: Span = Span::from_millis(2_000);
+/// Without hubs the next place in the order asks list services so much later than all had their turn.
+const NEXT_PLACE: Span = Span::from_millis(2_000);
 /// Pieces and backlogs go out in bundles so far apart.
 const SPACED: Span = Span::from_millis(20);
 /// Sites that there are, as long as no hub has told.
@@ -78,12 +81,12 @@
     hub_at: Time,
 }
 
-/// What is wanted of before the start: by stream, up to which number it isn't there yet.
+/// What is wanted of before the start: by stream, up to which number it isn't there yet, and what is there below that.
 struct Late {
     until: Time,
     next: Time,
     tries: u32,
-    floors: BTreeMap<usize, u64>,
+    floors: BTreeMap<usize, (u64, VecDeque<(u64, u64)>)>,
 }
 
 /// A connection to a list service.
@@ -114,6 +117,8 @@
     start: Time,
     pub streams: Streams,
     log: Log,
+    /// Got by repair and not by the tree.
+    unhanded: VecDeque<Named>,
     /// The latest number of each hub and its run.
     latest: BTreeMap<u32, (u32, u64)>,
     /// Positions of late, and of somewhat earlier.
@@ -122,6 +127,8 @@
     /// A hub's live bundle was heard: by any way, and from the hub itself.
     heard: Option<Time>,
     direct: Option<Time>,
+    /// What one before it in the order gathered without hubs.
+    gathered: Option<Time>,
     /// The place of the contact that was heard last.
     via: u32,
     contact: Option<Contact>,
@@ -156,11 +163,13 @@
             start: now,
             streams: Streams::new(known.iter().copied()),
             log: Log::default(),
+            unhanded: VecDeque::new(),
             latest: BTreeMap::new(),
             was: [known.clone(), known.clone()],
             was_at: now,
             heard: None,
             direct: None,
+            gathered: None,
             via: 0,
             contact: None,
             tokens: vec![0; set.hubs.len()],
@@ -194,15 +203,17 @@
 
     // The way through the site.
 
-    /// All of the site in the order of one bundle's tree.
+    /// All of the site in the order of one bundle's tree: an order for each hub, turned on by its number, so that each
+    /// one carries as much as the others over any row of bundles.
     fn tree(&self, named: &Named) -> Vec<&str> {
-        let mut purpose = Vec::with_capacity(16);
-        purpose.extend(named.hub.to_le_bytes());
-        purpose.extend(named.number.to_le_bytes());
-        let purpose = xxhash_rust::xxh3::xxh3_64(&purpose);
         let mut all: Vec<&str> = self.members.keys().map(String::as_str).collect();
         all.push(&self.name);
-        all.sort_by_cached_key(|n| std::cmp::Reverse((rank::score(n, purpose), *n)));
+        all.sort_by_cached_key(|n| std::cmp::Reverse((rank::score(n, named.hub.into()), *n)));
+        let n = all.len() as u64;
+        // Near the golden section, so that turns spread evenly, and without a part in common with the members.
+        let whole = |step: &u64| (2..=*step).all(|d| !n.is_multiple_of(d) || !step.is_multiple_of(d));
+        let step = (1..=(n * 5).div_ceil(8)).rev().find(whole).unwrap_or(1);
+        all.rotate_left((named.number % n * step % n) as usize);
         all
     }
 
@@ -219,6 +230,16 @@
         }
     }
 
+    /// One that a neighbour gave before it came by its tree: those behind in the tree wait for it all the same.
+    fn hand_on_after(&mut self, named: &Named, hub: Option<usize>, via: u32) {
+        let Some(at) = self.unhanded.iter().position(|n| n == named) else { return };
+        self.unhanded.remove(at);
+        let via = if hub.is_some() { self.place as u32 } else { via };
+        if let Some(bytes) = self.log.one(*named).map(<[u8]>::to_vec) {
+            self.hand_on(named, &bytes, via, hub.is_some());
+        }
+    }
+
     /// It is not older than what was known here some seconds ago, nor than the hub's latest.
     fn is_late(&self, body: &Bundle) -> bool {
         let newer = match self.latest.get(&body.hub) {
@@ -247,8 +268,11 @@
         }
         if self.streams.seen.has(&named) {
             counts.copies += 1;
-            if hub.is_some() && via.is_some() {
-                self.heard_itself(now, hub, &body);
+            if let Some(via) = via {
+                if hub.is_some() {
+                    self.heard_itself(now, hub, &body);
+                }
+                self.hand_on_after(&named, hub, via);
             }
             return;
         }
@@ -288,6 +312,10 @@
             }
             None => {
                 counts.repaired += 1;
+                self.unhanded.push_back(named);
+                if self.unhanded.len() > MOST_UNHANDED {
+                    self.unhanded.pop_front();
+                }
             }
         }
         let latest =
@@ -331,8 +359,19 @@
 
     // The contact.
 
+    /// Since when nobody brings anything to this one.
+    fn quiet_since(&self) -> Time {
+        self.heard.max(self.gathered).unwrap_or(self.start)
+    }
+
+    /// Since when it may ask list services itself: each place in the order gets its turn before the next one.
+    fn asks_from(&self) -> Time {
+        let one = self.turns(false) + NEXT_PLACE;
+        self.quiet_since() + self.set.silent * 2.0 + one * self.place as f64
+    }
+
     fn contact_or_not(&mut self, now: Time, counts: &mut Counts) {
-        let quiet = now - self.heard.unwrap_or(self.start);
+        let quiet = now - self.quiet_since();
         let known = !self.ranked.is_empty() || now - self.start >= ALONE;
         let first = self.place == 0 && known;
         let steps_in = quiet >= self.set.silent + STEP * self.place as f64;
@@ -413,7 +452,8 @@
     // Repair.
 
     fn starts(&mut self, now: Time, started: Vec<(usize, u64)>) {
-        let floors: BTreeMap<usize, u64> = started.into_iter().filter(|(_, floor)| *floor > 0).collect();
+        let before = started.into_iter().filter(|(_, floor)| *floor > 0);
+        let floors: BTreeMap<_, _> = before.map(|(s, floor)| (s, (floor, VecDeque::new()))).collect();
         if !floors.is_empty() {
             let next = now + Span::from_millis(self.rng.random_range(10..100));
             let late = self.late.get_or_insert(Late {
@@ -429,13 +469,20 @@
     /// What has come of before the start.
     fn lower(&mut self, body: &Bundle) {
         let Some(late) = &mut self.late else { return };
-        for (s, first, last) in body.ranges() {
-            if let Some(floor) = late.floors.get_mut(&s).filter(|f| first <= **f && **f <= last) {
-                *floor = first - 1;
+        for (s, first, last) in body.ranges().filter(|(_, first, last)| first <= last) {
+            let Some((floor, below)) = late.floors.get_mut(&s) else { continue };
+            below.push_back((first, last));
+            // Answers come in any order.
+            while let Some(at) = below.iter().position(|(a, b)| a <= floor && *floor <= *b) {
+                *floor = below[at].0 - 1;
+                below.remove(at);
                 late.tries = 0;
             }
+            if below.len() > MOST_UNHANDED {
+                below.pop_front();
+            }
         }
-        late.floors.retain(|_, floor| *floor > 0);
+        late.floors.retain(|_, (floor, _)| *floor > 0);
     }
 
     /// Sets repair going where there are gaps; `before`: numbers that were missing before this bundle.
@@ -545,8 +592,12 @@
         }
         let tries = late.tries;
         late.tries += 1;
-        let range =
-            |(s, floor): (&usize, &u64)| Range { stream: *s as u32, first: 1, last: *floor, offset: 0 };
+        let range = |(s, below): (&usize, &(u64, VecDeque<_>))| Range {
+            stream: *s as u32,
+            first: 1,
+            last: below.0,
+            offset: 0,
+        };
         let ranges = late.floors.iter().map(range).take(MOST_RANGES).collect();
         counts.fetches += 1;
         let hub = match &self.contact {
@@ -693,7 +744,7 @@
     }
 
     pub fn ended(&mut self, now: Time, stream: usize) {
-        let all = self.turns();
+        let all = self.turns(self.place > 0);
         let Some(asking) = self.asking.get_mut(stream).filter(|a| a.open) else { return };
         asking.open = false;
         let wait = all * self.rng.random_range(0.5..1.5) * f64::from(1 << asking.tries.min(3));
@@ -701,9 +752,10 @@
         asking.next = Some(now + wait + Span::from_millis(100));
     }
 
-    /// All sites have asked a list service once in this time, at the common pace.
-    fn turns(&self) -> Span {
-        Span::from_secs_f64(f64::from(self.sites) / self.set.connections_per_s)
+    /// All sites have asked a list service once in this time, at the common pace; with `all` every gateway has.
+    fn turns(&self, all: bool) -> Span {
+        let here = if all { self.members.len() + 1 } else { 1 };
+        Span::from_secs_f64(f64::from(self.sites) * here as f64 / self.set.connections_per_s)
     }
 
     fn close(&mut self) {
@@ -715,10 +767,10 @@
         if self.contact.is_none() {
             return;
         }
-        if now - self.heard.unwrap_or(self.start) < self.set.silent * 2.0 {
+        if now < self.asks_from() {
             return self.close();
         }
-        let all = self.turns();
+        let all = self.turns(self.place > 0);
         for s in 0..self.asking.len() {
             let asking = &mut self.asking[s];
             if asking.open {
@@ -735,7 +787,7 @@
         if now < self.period || !self.asking.iter().any(|a| a.open) {
             return;
         }
-        self.composer.begin_period(now);
+        self.composer.begin_period();
         let body = self.composer.live(&Head { now, done: Vec::new(), sites: 0 });
         self.period = now + if self.composer.has_more() { SPACED } else { self.set.period };
         let bytes = body.encode_to_vec();
@@ -782,6 +834,11 @@
         }
         self.streams.seen.insert(body.named());
         counts.provisional += 1;
+        let place = self.by_address.get(&from).and_then(|n| self.ranked.iter().position(|r| r == n));
+        if place.is_some_and(|p| p < self.place) {
+            self.gathered = Some(now);
+            self.step_down();
+        }
         self.streams.take_provisional(now, &body, names);
     }
 
@@ -809,13 +866,13 @@
     pub fn next_wake(&self, now: Time) -> Time {
         let mut at = now + Span::from_millis(1_000);
         let mut by = |t: Time| at = at.min(t);
-        let quiet = self.heard.unwrap_or(self.start);
+        let quiet = self.quiet_since();
         match &self.contact {
             Some(contact) => {
                 by(contact.next);
                 let since = self.direct.map_or(contact.since, |d| d.max(contact.since));
                 by(since + if contact.tries == 0 { self.set.silent } else { NEXT_HUB });
-                by((quiet + self.set.silent * 2.0).max(now + Span::from_millis(100)));
+                by(self.asks_from().max(now + Span::from_millis(100)));
                 self.asking.iter().filter_map(|a| a.next).for_each(&mut by);
                 if self.asking.iter().any(|a| a.open) {
                     by(self.period);
@@ -882,6 +939,7 @@
             ("reports gathered", self.gathers.len(), MOST_DUE),
             ("hubs heard", self.latest.len(), self.set.hubs.len()),
             ("budgets", self.budgets.len(), self.members.len()),
+            ("bundles not handed on", self.unhanded.len(), MOST_UNHANDED),
             ("bundles seen", self.streams.seen.held(), crate::log::MOST_SEEN),
         ];
         for (what, is, most) in bounds {
