--- a/feed/src/compose.rs
+++ b/feed/src/compose.rs
@@ -378,7 +378,6 @@
                 self.recent.pop_front();
             }
         }
-        bundle.asks = false;
         for (s, (in_touch, everywhere)) in head.done.iter().enumerate() {
             let last = (bundle.firsts[s] + bundle.counts[s]).saturating_sub(1);
             let in_touch = last.min(*in_touch);
@@ -388,7 +387,9 @@
         if bundle.apart.iter().all(|a| *a == 0) {
             bundle.apart.clear();
         }
+        // With room for its asking, which is decided when it is known whether more follows.
         self.seal_names(&mut bundle, &all);
+        bundle.asks = false;
         bundle
     }
 
--- a/feed/src/site.rs
+++ b/feed/src/site.rs
@@ -78,7 +78,9 @@
     seen: u64,
     from: Option<SocketAddr>,
     asked: Option<SocketAddr>,
+    /// No request to a hub before, from one that is no contact; and to a neighbour, from a contact.
     hub_at: Time,
+    near_at: Time,
 }
 
 /// What is wanted of before the start: by stream, up to which number it isn't there yet, and what is there below that.
@@ -206,6 +208,15 @@
     /// All of the site in the order of one bundle's tree: an order for each hub, turned on by its number, so that each
     /// one carries as much as the others over any row of bundles.
     fn tree(&self, named: &Named) -> Vec<&str> {
+        self.order(named, named.number)
+    }
+
+    /// Who gathers what is confirmed: every second bundle asks, and each one's turn comes.
+    fn gatherer(&self, named: &Named) -> &str {
+        self.order(named, named.number / 2)[0]
+    }
+
+    fn order(&self, named: &Named, turn: u64) -> Vec<&str> {
         let mut all: Vec<&str> = self.members.keys().map(String::as_str).collect();
         all.push(&self.name);
         all.sort_by_cached_key(|n| std::cmp::Reverse((rank::score(n, named.hub.into()), *n)));
@@ -213,7 +224,7 @@
         // Near the golden section, so that turns spread evenly, and without a part in common with the members.
         let whole = |step: &u64| (2..=*step).all(|d| !n.is_multiple_of(d) || !step.is_multiple_of(d));
         let step = (1..=(n * 5).div_ceil(8)).rev().find(whole).unwrap_or(1);
-        all.rotate_left((named.number % n * step % n) as usize);
+        all.rotate_left((turn % n * step % n) as usize);
         all
     }
 
@@ -501,6 +512,11 @@
             self.repair.from = self.by_address.contains_key(&from).then_some(from);
         }
         self.repair.seen = seen;
+        if self.streams.missing() < before && self.repair.asked == Some(from) {
+            // It has more of it, likely.
+            self.repair.tries = self.repair.tries.min(3);
+            self.repair.next = self.repair.next.map(|at| at.min(now + AGAIN));
+        }
     }
 
     fn ranges(&self, now: Time) -> Vec<Range> {
@@ -542,13 +558,17 @@
         counts.fetches += 1;
         let hubs = self.set.order.len();
         if let Some(contact) = &self.contact {
-            let own = contact.hub;
-            self.repair.next = Some(now + AGAIN_FAR);
-            // The hub that is followed; then others in turn, with a neighbour now and then.
-            match tries % 4 {
-                0 | 1 => self.ask_hub(now, self.set.order[own]),
-                2 if !self.members.is_empty() => self.ask_neighbour(ranges),
-                _ => self.ask_hub(now, self.set.order[(own + 1 + tries as usize / 4) % hubs]),
+            // The hub that is followed, and another one now and then; between them neighbours, who may have been here
+            // while this one was not.
+            let near = !self.members.is_empty() && now >= self.repair.near_at;
+            if near && !tries.is_multiple_of(3) {
+                self.repair.next = Some(now + AGAIN);
+                self.ask_neighbour(ranges);
+            } else {
+                let other = if tries % 12 < 9 { 0 } else { 1 + tries as usize / 12 };
+                let hub = self.set.order[(contact.hub + other) % hubs];
+                self.repair.next = Some(now + if near { AGAIN } else { AGAIN_FAR });
+                self.ask_hub(now, hub);
             }
             return;
         }
@@ -583,7 +603,7 @@
 
     fn tick_late(&mut self, now: Time, counts: &mut Counts) {
         let Some(late) = &mut self.late else { return };
-        if late.floors.is_empty() || now >= late.until || late.tries > 8 {
+        if late.floors.is_empty() || now >= late.until || late.tries > 12 {
             self.late = None;
             return;
         }
@@ -602,7 +622,9 @@
         counts.fetches += 1;
         let hub = match &self.contact {
             Some(contact) if tries >= 2 || self.members.is_empty() => Some(self.set.order[contact.hub]),
-            None if self.members.is_empty() => Some(self.set.order[0]),
+            None if tries >= 6 || self.members.is_empty() => {
+                Some(self.set.order[tries as usize % self.set.order.len()])
+            }
             _ => None,
         };
         late.next = now + if hub.is_some() { AGAIN_FAR } else { AGAIN };
@@ -648,6 +670,9 @@
     }
 
     fn lacks(&mut self, now: Time, from: SocketAddr) {
+        if self.contact.is_some() && self.by_address.contains_key(&from) {
+            self.repair.near_at = now + AGAIN_MOST;
+        }
         // The next one at once, but only a few times: others wait for the same.
         if self.repair.asked == Some(from) && self.contact.is_none() && self.repair.tries <= 3 {
             self.repair.next = self.repair.next.map(|_| now);
@@ -659,7 +684,7 @@
     fn confirm_later(&mut self, now: Time, named: Named, body: &Bundle) {
         let n = self.streams.all.len();
         let ends: Ends = body.ranges().filter(|r| r.0 < n).map(|(s, _, last)| (s, last)).collect();
-        let root = self.tree(&named)[0].to_owned();
+        let root = self.gatherer(&named).to_owned();
         match self.members.get(&root) {
             Some(root) => {
                 self.dues.push_back(Due { at: now + CONFIRM_AFTER, named, root: *root, ends });
--- a/feed/src/streams.rs
+++ b/feed/src/streams.rs
@@ -14,7 +14,7 @@
 /// Events given out by a provisional bundle before a hub told them.
 const MOST_EARLY: usize = 4_096;
 /// An event of which pieces come is not asked for.
-const PIECES_COME: Span = Span::from_millis(1_000);
+const PIECES_COME: Span = Span::from_millis(300);
 
 pub struct Stream {
     /// A position is known: by the file or by a first bundle.
