--- a/feed/src/code.rs
+++ b/feed/src/code.rs
@@ -17,11 +17,14 @@
 
 /// The parameter that makes the fewest bits, and how many.
 fn parameter(names: &[u64]) -> (u8, u64) {
-    let n = names.len().max(1) as u64;
+    if names.is_empty() {
+        return (0, 0);
+    }
+    let n = names.len() as u64;
     let mean = names.last().copied().unwrap_or(0) / n;
-    let near = 63 - (mean + 1).leading_zeros().min(63);
+    let near = 63 - mean.saturating_add(1).leading_zeros().min(63);
     let cost = |k: u32| gaps(names).map(|d| (d >> k) + 1 + u64::from(k)).fold(0, u64::saturating_add);
-    let best = (near.saturating_sub(2)..=near + 1).map(|k| (cost(k), k)).min();
+    let best = (near.saturating_sub(2)..=(near + 1).min(63)).map(|k| (cost(k), k)).min();
     best.map_or((0, 0), |(bits, k)| (k as u8, bits))
 }
 
@@ -74,7 +77,7 @@
     let count = decode_varint(&mut rest).ok()?;
     let there = rest.len() as u64 * 8;
     // Guards against a count that claims more memory than its bytes can stand for.
-    if count.checked_mul(1 + u64::from(k))? > there {
+    if count.checked_mul(1 + u64::from(k))? > there || count == 0 && k != 0 {
         return None;
     }
     let mut at = 0u64;
--- a/feed/src/hub.rs
+++ b/feed/src/hub.rs
@@ -30,7 +30,9 @@
 const SPACED: Span = Span::from_millis(20);
 /// A list service that told nothing for so long: another hub may know more.
 const STALE: Span = Span::from_millis(2_000);
-const GATHER_EVERY: Span = Span::from_millis(500);
+/// Sites have reported by then on a bundle that asks: what they confirmed is told to the other hubs.
+const GATHER_AFTER: Span = Span::from_millis(550);
+const GATHER_EVERY: Span = Span::from_millis(1_000);
 
 struct Follower {
     site: String,
@@ -358,6 +360,9 @@
                 self.period += self.set.period.max(Span::from_millis(1));
             }
             self.asks = !self.asks;
+            if self.asks {
+                self.gather = self.gather.min(now + GATHER_AFTER);
+            }
             self.composer.begin_period();
             self.tell(now, counts);
         } else if self.spaced.is_some_and(|at| now >= at) {
--- a/feed/src/site.rs
+++ b/feed/src/site.rs
@@ -6,9 +6,10 @@
 use crate::common::{self, Bucket, Set, Signs, short};
 use crate::compose::{Composer, Head};
 use crate::log::Log;
+use crate::positions::MOST_NO;
 use crate::rank;
 use crate::report::{self, Ends, Gather};
-use crate::streams::Streams;
+use crate::streams::{Stream, Streams};
 use crate::wire::{Bundle, Confirm, Fetch, Follow, MOST_RANGES, Named, Passed, Range, Said};
 use crate::{Counts, Out, Unusable};
 use kelpcart::names::NameSet;
@@ -52,6 +53,8 @@
 const FOUND_PER_S: f64 = 40.0;
 /// A bundle that is older than what was known so long ago is no sign of life.
 const OLD: Span = Span::from_millis(2_000);
+/// A bundle comes a period after the last one and so much later at the most, when nothing is lost.
+const OVERDUE: Span = Span::from_millis(150);
 /// Without hubs the next place in the order asks list services so much later than all had their turn.
 const NEXT_PLACE: Span = Span::from_millis(2_000);
 /// Pieces and backlogs go out in bundles so far apart.
@@ -129,6 +132,8 @@
     /// A hub's live bundle was heard: by any way, and from the hub itself.
     heard: Option<Time>,
     direct: Option<Time>,
+    /// When the next one has to be here.
+    overdue: Option<Time>,
     /// What one before it in the order gathered without hubs.
     gathered: Option<Time>,
     /// The place of the contact that was heard last.
@@ -171,6 +176,7 @@
             was_at: now,
             heard: None,
             direct: None,
+            overdue: None,
             gathered: None,
             via: 0,
             contact: None,
@@ -301,6 +307,7 @@
         let live = via.is_some() && self.is_late(&body);
         if live {
             self.heard = Some(now);
+            self.overdue = Some(now + self.set.period + OVERDUE);
             if hub.is_some() {
                 self.direct = Some(now);
                 self.speaks(now, hub);
@@ -557,19 +564,19 @@
         }
         counts.fetches += 1;
         let hubs = self.set.order.len();
+        let near = !self.members.is_empty() && now >= self.repair.near_at;
         if let Some(contact) = &self.contact {
             // The hub that is followed, and another one now and then; between them neighbours, who may have been here
             // while this one was not.
-            let near = !self.members.is_empty() && now >= self.repair.near_at;
-            if near && !tries.is_multiple_of(3) {
-                self.repair.next = Some(now + AGAIN);
-                self.ask_neighbour(ranges);
-            } else {
-                let other = if tries % 12 < 9 { 0 } else { 1 + tries as usize / 12 };
-                let hub = self.set.order[(contact.hub + other) % hubs];
-                self.repair.next = Some(now + if near { AGAIN } else { AGAIN_FAR });
+            if now >= self.repair.hub_at {
+                let turn = tries as usize / 4;
+                let hub = self.set.order[(contact.hub + if turn % 4 == 3 { turn } else { 0 }) % hubs];
+                self.repair.hub_at = now + AGAIN_FAR;
                 self.ask_hub(now, hub);
+            } else if near {
+                self.ask_neighbour(ranges);
             }
+            self.repair.next = Some(if near { now + AGAIN } else { self.repair.hub_at });
             return;
         }
         let wait = if tries < 6 {
@@ -592,15 +599,41 @@
     fn ask_neighbour(&mut self, ranges: Vec<Range>) {
         let from = self.repair.from.take();
         // The contact has whatever came to the site.
-        let contact = (self.repair.tries == 2).then(|| {
-            let at = self.via as usize - usize::from(self.via as usize > self.place);
-            self.ranked.get(at).and_then(|n| self.members.get(n)).copied()
-        });
+        let contact = (self.repair.tries == 2).then(|| self.contact_heard());
         let Some(to) = from.or(contact.flatten()).or_else(|| self.neighbour()) else { return };
         self.repair.asked = Some(to);
         self.said.push_back((to, Said::Fetch(Fetch { ranges, ..Fetch::default() })));
     }
 
+    /// A bundle is over its time: it is asked for before the next one shows that it was lost.
+    fn tick_overdue(&mut self, now: Time, counts: &mut Counts) {
+        if self.overdue.is_none_or(|at| at > now) {
+            return;
+        }
+        self.overdue = None;
+        let started = self.streams.all.iter().enumerate().filter(|(_, t)| t.started);
+        let beyond = |(s, t): (usize, &Stream)| {
+            let first = t.hard.seen() + 1;
+            Range { stream: s as u32, first, last: MOST_NO, offset: 0 }
+        };
+        let ranges = started.map(beyond).take(MOST_RANGES).collect();
+        counts.fetches += 1;
+        if let Some(contact) = &self.contact {
+            let hub = self.set.order[contact.hub];
+            let (site, token) = (self.set.site.clone(), self.tokens[hub]);
+            let fetch = Fetch { ranges, site, token, ..Fetch::default() };
+            self.said.push_back((self.set.hubs[hub].address, Said::Fetch(fetch)));
+        } else if let Some(to) = self.contact_heard() {
+            self.said.push_back((to, Said::Fetch(Fetch { ranges, ..Fetch::default() })));
+        }
+    }
+
+    /// Where the contact is that was heard last, if that is another one.
+    fn contact_heard(&self) -> Option<SocketAddr> {
+        let at = self.via as usize - usize::from(self.via as usize > self.place);
+        self.ranked.get(at).and_then(|n| self.members.get(n)).copied()
+    }
+
     fn tick_late(&mut self, now: Time, counts: &mut Counts) {
         let Some(late) = &mut self.late else { return };
         if late.floors.is_empty() || now >= late.until || late.tries > 12 {
@@ -906,7 +939,7 @@
             None if self.place == 0 => by(if self.ranked.is_empty() { self.start + ALONE } else { now }),
             None => by(quiet + self.set.silent + STEP * self.place as f64),
         }
-        self.repair.next.into_iter().for_each(&mut by);
+        self.repair.next.into_iter().chain(self.overdue).for_each(&mut by);
         self.late.iter().for_each(|l| by(l.next));
         self.dues.front().into_iter().for_each(|d| by(d.at));
         self.gathers.values().for_each(|g| by(g.due));
@@ -925,6 +958,7 @@
         self.tick_reports(now);
         self.tick_repair(now, counts);
         self.tick_late(now, counts);
+        self.tick_overdue(now, counts);
         self.look(now);
     }
 
