--- a/feed/src/hub.rs
+++ b/feed/src/hub.rs
@@ -319,13 +319,17 @@
             return;
         }
         self.sites.told(now, &told);
+        self.sites.weigh(now);
     }
 
     fn report(&mut self, now: Time, report: &Report, counts: &mut Counts) {
-        if report.of.is_some_and(|of| (of.hub, of.run) == (self.id, self.run))
-            && self.sites.report(now, report) == Taken::Refused
-        {
-            counts.refused_reports += 1;
+        if report.of.is_none_or(|of| (of.hub, of.run) != (self.id, self.run)) {
+            return;
+        }
+        match self.sites.report(now, report) {
+            Taken::Good => self.sites.weigh(now),
+            Taken::Passed => {}
+            Taken::Refused => counts.refused_reports += 1,
         }
     }
 
--- a/feed/src/site.rs
+++ b/feed/src/site.rs
@@ -239,8 +239,10 @@
         let Some(own) = tree.iter().position(|n| *n == self.name) else { return };
         let children = (ARITY * own + 1..=ARITY * own + ARITY).filter(|i| *i < tree.len());
         let root = (root_too && own != 0).then_some(0);
-        let to: Vec<SocketAddr> =
-            root.into_iter().chain(children).filter_map(|i| self.members.get(tree[i]).copied()).collect();
+        // The contact had it first.
+        let contact = if root_too { None } else { self.at_place(via) };
+        let to = root.into_iter().chain(children).map(|i| tree[i]).filter(|n| contact != Some(*n));
+        let to: Vec<SocketAddr> = to.filter_map(|n| self.members.get(n).copied()).collect();
         for address in to {
             let passed = Passed { bundle: bytes.to_vec(), via };
             self.said.push_back((address, Said::Live(passed)));
@@ -368,10 +370,11 @@
         }
         self.direct = Some(now);
         self.speaks(now, hub);
-        let behind = (self.via as usize) > self.place && self.contact.is_some();
-        let other = self.via as usize - usize::from(behind);
-        if let Some(address) = self.ranked.get(other).filter(|_| behind).and_then(|n| self.members.get(n)) {
-            self.said.push_back((*address, Said::Hears(self.place as u32)));
+        if (self.via as usize) > self.place
+            && self.contact.is_some()
+            && let Some(address) = self.contact_heard()
+        {
+            self.said.push_back((address, Said::Hears(self.place as u32)));
         }
     }
 
@@ -630,8 +633,14 @@
 
     /// Where the contact is that was heard last, if that is another one.
     fn contact_heard(&self) -> Option<SocketAddr> {
-        let at = self.via as usize - usize::from(self.via as usize > self.place);
-        self.ranked.get(at).and_then(|n| self.members.get(n)).copied()
+        self.at_place(self.via).and_then(|n| self.members.get(n)).copied()
+    }
+
+    /// Who stands there in the common order, where it is another one.
+    fn at_place(&self, place: u32) -> Option<&str> {
+        let place = place as usize;
+        let at = if place > self.place { place - 1 } else { place };
+        self.ranked.get(at).filter(|_| place != self.place).map(String::as_str)
     }
 
     fn tick_late(&mut self, now: Time, counts: &mut Counts) {
