Feed: an event that has begun is asked for by itself also where its gap has others

A gap of two numbers, one of them a large event with its first piece here, was asked for whole again and again: the answer held that first piece.

--- a/feed/src/lines.rs
+++ b/feed/src/lines.rs
@@ -84,6 +84,12 @@
         self.open.get(&(stream, no)).map(|o| (o.got.position() as u32, o.at))
     }
 
+    /// Of those that have begun, the newest first: number, the first byte that is missing, and when the last piece came.
+    pub fn begun(&self, stream: usize, first: u64, last: u64) -> impl Iterator<Item = (u64, u32, Time)> {
+        let all = self.open.range((stream, first)..=(stream, last.max(first))).rev();
+        all.map(|((_, no), o)| (*no, o.got.position() as u32, o.at))
+    }
+
     /// Those up to a number, in order; they are not kept any more, nor is what has begun of others.
     pub fn take(&mut self, stream: usize, to: u64) -> Vec<(u64, Vec<u8>)> {
         let keys: Vec<u64> = self.open.range((stream, 0)..=(stream, to)).map(|((_, no), _)| *no).collect();
--- a/feed/src/streams.rs
+++ b/feed/src/streams.rs
@@ -276,17 +276,35 @@
         next
     }
 
+    /// A gap as it is asked for, the newest first: an event that has begun by itself, from the byte on that it lacks.
+    fn wanted(&self, now: Time, s: usize, first: u64, mut last: u64) -> Vec<Range> {
+        let stream = s as u32;
+        let mut all = Vec::new();
+        for (no, offset, at) in self.hard.begun(s, first, last) {
+            if no < last {
+                all.push(Range { stream, first: no + 1, last, offset: 0 });
+            }
+            if now - at >= PIECES_COME {
+                all.push(Range { stream, first: no, last: no, offset });
+            }
+            last = no - 1;
+        }
+        if first <= last {
+            all.push(Range { stream, first, last, offset: 0 });
+        }
+        all
+    }
+
     /// What is missing of hubs' bundles, the newest of each stream first.
     pub fn gaps(&self, now: Time, most: usize) -> Vec<Range> {
         let mut all: Vec<Vec<Range>> = Vec::new();
         for (s, stream) in self.all.iter().enumerate().filter(|(_, t)| t.started) {
-            let range = |(first, last): (u64, u64)| {
-                let open = (first == last).then(|| self.hard.lacks(s, first)).flatten();
-                let offset = open.map_or(0, |(offset, _)| offset);
-                let comes = open.is_some_and(|(_, at)| now - at < PIECES_COME);
-                (!comes).then_some(Range { stream: s as u32, first, last, offset })
-            };
-            let mine: Vec<Range> = stream.hard.gaps().filter_map(range).take(most).collect();
+            let mine: Vec<Range> = stream
+                .hard
+                .gaps()
+                .flat_map(|(first, last)| self.wanted(now, s, first, last))
+                .take(most)
+                .collect();
             if !mine.is_empty() {
                 all.push(mine);
             }
