Capacity: rows of cold caches, budgets' keepers, ledger groups and failover

Need: each role that grows has its rows, whether measured already or not. Measured: cargo test -p kelpcart-scale passes; all of these rows say not measured on the empty slopes.

--- a/scale/src/capacity/rows.rs
+++ b/scale/src/capacity/rows.rs
@@ -23,7 +23,7 @@
 }
 
 fn zone_gateways(t: &Target) -> f64 {
-    gateways(t) / f64::from(t.zones)
+    gateways(t) / zones(t)
 }
 
 /// Of a txn at the mean.
@@ -31,6 +31,14 @@
     t.megabytes_per_s() / t.txns_per_s() * 1e3
 }
 
+fn zones(t: &Target) -> f64 {
+    f64::from(t.zones)
+}
+
+fn region_gateways(t: &Target) -> f64 {
+    gateways(t) / f64::from(t.regions)
+}
+
 fn purges(t: &Target) -> f64 {
     t.purges.per_s
 }
@@ -42,6 +50,7 @@
 const BYTES_BOTH: Option<Of> = Some(|t| t.control.bytes_in_per_s + t.control.bytes_out_per_s);
 const CORE: Option<Of> = Some(|t| t.control.core_part * 1e6);
 const MEMORY: Option<Of> = Some(|t| t.control.memory as f64);
+const MACHINE: Option<Of> = Some(|t| t.assumed.machine_cores * 1e6);
 const TXN_CORES: Option<Of> = Some(|t| t.assumed.data_path_cores * 1e6);
 
 /// Objects that a name of so many bits hits beside the one that was meant.
@@ -72,6 +81,9 @@
 const MEMBERS: &str = "fleet/src/members.rs";
 const MODULE: &str = "src/logic.rs";
 const GATEWAY: &str = "gateway/src/dispatcher.rs";
+const LEASES: &str = "fleet/src/lease.rs";
+const GROUP: &str = "copies/src/group.rs";
+const DECIDE: &str = "failover/src/decide.rs";
 const NAMES: &str = "src/names.rs";
 
 /// One ladder's figure at a size.
@@ -165,6 +177,27 @@
                 None,
                 MODULE,
             ),
+            row(
+                "caches that a gateway keeps connections to at these txns",
+                State,
+                "caches",
+                of!("connections.caches.by-txns", Worst, Target::txns_per_s),
+                None,
+                "gateway/src/caches.rs",
+            ),
+            row(
+                "gateways that a cache then has connections from",
+                State,
+                "gateways",
+                of!(
+                    "connections.caches.by-txns",
+                    Worst,
+                    Target::txns_per_s,
+                    times | t | gateways(t) / caches(t)
+                ),
+                None,
+                "gateway/src/caches.rs",
+            ),
             row(
                 "connections that a gateway has out at these txns",
                 State,
@@ -250,6 +283,37 @@
             ),
         ],
     },
+    Role {
+        id: "cold",
+        title: "Probes and cold budgets",
+        rows: &[
+            row("gateways that share a cache", State, "gateways", Computed(zone_gateways), None, MODULE),
+            row(
+                "txns that one gateway sends a cold cache in its first 3 s",
+                Messages,
+                "txns",
+                of!("cold.txns-of-one-gateway.by-zone-gateways", Mean, zone_gateways),
+                None,
+                MODULE,
+            ),
+            row(
+                "txns that a cold cache gets from all of them",
+                Messages,
+                "txns/s",
+                of!("cold.txns-at-a-cache.by-zone-gateways", Mean, zone_gateways),
+                None,
+                MODULE,
+            ),
+            row(
+                "txns that a cold cache gets where all gateways share it",
+                Messages,
+                "txns/s",
+                of!("cold.txns-at-a-cache.by-zone-gateways", Mean, gateways),
+                None,
+                MODULE,
+            ),
+        ],
+    },
     Role {
         id: "membership",
         title: "Membership",
@@ -489,6 +553,112 @@
             ),
         ],
     },
+    Role {
+        id: "budgets",
+        title: "Budgets' keepers",
+        rows: &[
+            row(
+                "a keeper's bytes in beyond calm, a fleet a site",
+                Messages,
+                "B/s",
+                of!("budgets.keeper-bytes-in.by-gateways", Worst, site),
+                BYTES_IN,
+                LEASES,
+            ),
+            row(
+                "a keeper's bytes out beyond calm",
+                Messages,
+                "B/s",
+                of!("budgets.keeper-bytes-out.by-gateways", Worst, site),
+                BYTES_OUT,
+                LEASES,
+            ),
+            row(
+                "a keeper's processor beyond calm",
+                Processor,
+                "us/s",
+                of!("budgets.keeper-processor.by-gateways", Worst, site),
+                CORE,
+                LEASES,
+            ),
+            row(
+                "part of the wanted units that are lent",
+                State,
+                "",
+                of!("budgets.lent-part.by-gateways", Mean, site),
+                None,
+                LEASES,
+            ),
+        ],
+    },
+    Role {
+        id: "ledgers",
+        title: "Ledger groups",
+        rows: &[
+            row(
+                "books of four groups on one thread",
+                Messages,
+                "txns/s",
+                of!("ledgers.books.by-groups", Mean, |_| 4.0),
+                None,
+                GROUP,
+            ),
+            row(
+                "bytes between holders a book, four groups",
+                Messages,
+                "B",
+                of!("ledgers.bytes-a-book.by-groups", Mean, |_| 4.0),
+                None,
+                GROUP,
+            ),
+        ],
+    },
+    Role {
+        id: "failover",
+        title: "Failover",
+        rows: &[
+            row(
+                "the decider's processor by zones, a step each 500 ms",
+                Processor,
+                "us/s",
+                of!("failover.processor-a-step.by-zones", Mean, zones, times | _ | 2.0),
+                MACHINE,
+                DECIDE,
+            ),
+            row(
+                "the decider's processor, a region's gateways report",
+                Processor,
+                "us/s",
+                of!("failover.processor-a-step.by-gateways", Mean, region_gateways, times | _ | 2.0),
+                MACHINE,
+                DECIDE,
+            ),
+            row(
+                "the decider's processor, all gateways report",
+                Processor,
+                "us/s",
+                of!("failover.processor-a-step.by-gateways", Mean, gateways, times | _ | 2.0),
+                MACHINE,
+                DECIDE,
+            ),
+            row(
+                "reports that count, a region's gateways",
+                State,
+                "gateways",
+                of!("failover.gateways-heard.by-gateways", Mean, region_gateways),
+                None,
+                DECIDE,
+            ),
+            row(
+                "reports that count, all gateways",
+                State,
+                "gateways",
+                of!("failover.gateways-heard.by-gateways", Mean, gateways),
+                None,
+                DECIDE,
+            ),
+        ],
+    },
     Role {
         id: "machines",
         title: "List services and the machines set aside",
@@ -506,7 +676,7 @@
                 Processor,
                 "us/s",
                 of!("hub.processor.by-sites", Worst, sites),
-                None,
+                MACHINE,
                 FEED,
             ),
         ],
--- a/scale/src/target.rs
+++ b/scale/src/target.rs
@@ -93,6 +93,8 @@
     pub release_s: f64,
     /// Cores of a gateway that txns may take.
     pub data_path_cores: f64,
+    /// Cores of a machine set aside for control.
+    pub machine_cores: f64,
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -169,7 +171,8 @@
             "1 to gateways",
         )?;
         need(some(a.release_s), "assumed.release_s", "above 0")?;
-        need(some(a.data_path_cores), "assumed.data_path_cores", "above 0")
+        need(some(a.data_path_cores), "assumed.data_path_cores", "above 0")?;
+        need(some(a.machine_cores), "assumed.machine_cores", "above 0")
     }
 
     /// At the mean.
--- a/scale/tests/target.rs
+++ b/scale/tests/target.rs
@@ -51,6 +51,7 @@
         ("assumed/gateways_per_rack", "0", "assumed.gateways_per_rack"),
         ("assumed/release_s", "0", "assumed.release_s"),
         ("assumed/data_path_cores", "0", "assumed.data_path_cores"),
+        ("assumed/machine_cores", "0", "assumed.machine_cores"),
     ];
     for (path, value, field) in cases {
         let mut file: serde_json::Value = serde_json::from_str(&read("target.json")).unwrap();
