--- a/scale/src/ladders/mod.rs
+++ b/scale/src/ladders/mod.rs
@@ -4,12 +4,14 @@
 
 pub mod data_path;
 pub mod module;
+pub mod roles;
 
 /// Plays ladders with a seed; `quick`: short ones, as CI plays them.
 pub type Measure = fn(seed: u64, quick: bool) -> Vec<Ladder>;
 
 /// By the names that `--only` knows.
-pub const MODULES: &[(&str, Measure)] = &[("module", module::measure), ("data-path", data_path::measure)];
+pub const MODULES: &[(&str, Measure)] =
+    &[("module", module::measure), ("roles", roles::measure), ("data-path", data_path::measure)];
 
 /// The most memory that this process held so far, in bytes; 0 where the machine does not tell.
 pub fn peak() -> u64 {
--- a/scale/src/ladders/module.rs
+++ b/scale/src/ladders/module.rs
@@ -15,7 +15,7 @@
 const ORIGIN: usize = 2;
 /// Zones beside the own one.
 const OTHERS: usize = 29;
-/// Gateways in all and before one zone's caches.
+/// Gateways in all, and before one zone's caches.
 const GATEWAYS: u32 = 8_000;
 const ZONE_GATEWAYS: u32 = 267;
 const KB: f64 = 120.0;
@@ -38,18 +38,22 @@
     pub purges_per_s: u32,
     pub open: usize,
     pub txns_per_s: f64,
-    pub sibs: Reach,
+    /// Gateways before one zone's caches.
+    pub zone_gateways: u32,
+    /// The caches of the own zone have just started, and this is their size in transfers.
+    pub cold: Option<f64>,
 }
 
 impl Default for Case {
     fn default() -> Case {
         let (caches, zone_caches, parents, purges_per_s) = (1_100, 37, 11, 0);
-        Case { caches, zone_caches, parents, purges_per_s, open: 60, txns_per_s: 1_200.0, sibs: Reach::All }
+        let (open, txns_per_s, zone_gateways, cold) = (60, 1_200.0, ZONE_GATEWAYS, None);
+        Case { caches, zone_caches, parents, purges_per_s, open, txns_per_s, zone_gateways, cold }
     }
 }
 
 impl Case {
-    fn fixed(&self, over: &str) -> BTreeMap<String, f64> {
+    pub fn fixed(&self, over: &str) -> BTreeMap<String, f64> {
         let all = [
             ("caches", self.caches as f64),
             ("zone_caches", self.zone_caches as f64),
@@ -57,6 +61,7 @@
             ("purges_per_s", f64::from(self.purges_per_s)),
             ("open_txns", self.open as f64),
             ("txns_per_s", self.txns_per_s),
+            ("zone_gateways", f64::from(self.zone_gateways)),
         ];
         let rest = all.into_iter().filter(|(name, _)| *name != over);
         rest.map(|(name, n)| (name.to_owned(), n)).collect()
@@ -86,7 +91,7 @@
         };
         Settings {
             gateways: GATEWAYS,
-            zone_gateways: ZONE_GATEWAYS,
+            zone_gateways: self.zone_gateways,
             zone: 0,
             rules: vec![rule],
             parent_kind: Some(PARENT),
@@ -95,7 +100,7 @@
             sized: true,
             direct: true,
             joins: false,
-            sibs: self.sibs,
+            sibs: Reach::All,
             cancel: true,
             come_back: true,
             longest_come_back: Span::from_millis(2_000),
@@ -110,12 +115,17 @@
         }
     }
 
-    fn list(&self) -> Vec<Member> {
+    fn list(&self, now: Time) -> Vec<Member> {
         let size =
             |sharers: u32, of: usize| BEARS * self.open as f64 / of.max(1) as f64 * f64::from(sharers) / 4.0;
-        let (cache, parent) = (size(ZONE_GATEWAYS, self.zone_caches), size(GATEWAYS, self.parents));
+        let cache = self.cold.unwrap_or_else(|| size(self.zone_gateways, self.zone_caches));
+        let parent = size(GATEWAYS, self.parents);
         let far = |i: usize| if i < self.zone_caches { 0 } else { 1 + i % OTHERS };
-        let caches = (0..self.caches).map(|i| member(format!("cache-{i}"), EDGE, far(i), cache));
+        let started = |i: usize| self.cold.filter(|_| i < self.zone_caches).map(|_| now);
+        let caches = (0..self.caches).map(|i| {
+            let m = member(format!("cache-{i}"), EDGE, far(i), cache);
+            Member { started: started(i), ..m }
+        });
         let parents =
             (0..self.parents).map(|i| member(format!("parent-{i}"), PARENT, 1 + i % OTHERS, parent));
         let origin = (self.parents > 0).then(|| member("origin".to_owned(), ORIGIN, 1, parent));
@@ -151,7 +161,7 @@
     pub fn new(case: Case, seed: u64) -> World {
         let now = Time::from_micros(1_000_000_000);
         let mut gateway = Gateway::new(case.settings(), seed, now);
-        gateway.members(now, true, case.list());
+        gateway.members(now, true, case.list(now));
         let (counts, rng) = (Counts::default(), Pcg64Mcg::seed_from_u64(seed));
         let mut world = World { gateway, now, counts, case, rng, out: VecDeque::new(), next_purge: now };
         world.purges_before();
@@ -214,7 +224,7 @@
     }
 
     /// Entries of all tables; what is measured in ms or counts a part of another table is none.
-    fn kept(&self) -> usize {
+    pub fn kept(&self) -> usize {
         let no_table = ["members left out", "ms of the longest silence"];
         self.gateway.sizes(self.now).filter(|(name, _)| !no_table.contains(name)).map(|(_, n)| n).sum()
     }
@@ -341,7 +351,7 @@
 }
 
 fn whole_list(world: &mut World, _: usize) {
-    world.gateway.members(world.now, true, world.case.list());
+    world.gateway.members(world.now, true, world.case.list(world.now));
 }
 
 pub fn measure(seed: u64, quick: bool) -> Vec<Ladder> {
--- a/scale/tests/ladders.rs
+++ b/scale/tests/ladders.rs
@@ -1,6 +1,6 @@
 //! The ladders of single roles: at least five sizes each, ids of their own, and counts that are as the sizes say.
 
-use kelpcart_scale::ladders::{data_path, module};
+use kelpcart_scale::ladders::{data_path, module, roles};
 use kelpcart_scale::slopes::Ladder;
 use std::collections::BTreeSet;
 
@@ -36,6 +36,25 @@
     }
 }
 
+fn means(all: &[Ladder], id: &str) -> Vec<f64> {
+    all.iter().find(|l| l.id == id).expect("a ladder").points.iter().map(|p| p.mean).collect()
+}
+
+#[test]
+fn the_other_roles_keep_their_bounds_at_all_sizes() {
+    let all = roles::measure(3, true);
+    sound(&all);
+    assert_eq!(counts(&all), counts(&roles::measure(3, true)), "one seed, other counts");
+    let near = means(&all, "connections.caches.by-zone-caches");
+    assert_eq!(near, [5.0, 10.0, 20.0, 37.0, 75.0], "only caches of the own zone");
+    // What a size of 400 bears cold at the end of the span: twice 0.2 + 0.8 * 3 / 15 of it, 24 ms each.
+    let bears = 2.0 * 0.36 * 400.0 / 0.024;
+    let at = all.iter().find(|l| l.id == "cold.txns-at-a-cache.by-zone-gateways").expect("a ladder");
+    assert!(at.points.iter().all(|p| p.worst <= bears), "{at:?}");
+    assert_eq!(means(&all, "budgets.lent-part.by-gateways"), [1.0; 5], "all have room in the budget");
+    assert_eq!(means(&all, "failover.gateways-heard.by-gateways")[..3], [25.0, 100.0, 267.0]);
+}
+
 #[test]
 fn the_program_is_measured_where_it_is_there() {
     match data_path::run(3, true) {
