--- a/scale/src/ladders/module.rs
+++ b/scale/src/ladders/module.rs
@@ -4,6 +4,7 @@
 use crate::slopes::{Host, Ladder, Point};
 use cpu_time::ThreadTime;
 use kelpcart::interface::*;
+use kelpcart::names::{NameSet, of_object};
 use kelpcart::{Gateway, Span, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -21,6 +22,11 @@
 const KB: f64 = 120.0;
 const CLIENT_KB_PER_S: f64 = 5_000.0;
 const OBJECTS: u64 = 1 << 20;
+/// The feed's period, and bits of a name while there is room.
+const PERIOD: Span = Span::from_millis(500);
+const BITS: u8 = 40;
+/// Purges are kept for so long.
+const PURGE_KEPT: Span = Span::from_millis(7_000);
 /// Of the txns, those that a cache holds.
 const HELD: f64 = 0.9;
 /// How many times what is in flight at a member it bears: nothing is to be turned away here.
@@ -36,6 +42,8 @@
     pub zone_caches: usize,
     pub parents: usize,
     pub purges_per_s: u32,
+    /// They come as the feed brings them, a set each period; else one by one, at full length.
+    pub sets: bool,
     pub open: usize,
     pub txns_per_s: f64,
     /// Gateways before one zone's caches.
@@ -47,8 +55,8 @@
 impl Default for Case {
     fn default() -> Case {
         let (caches, zone_caches, parents, purges_per_s) = (1_100, 37, 11, 0);
-        let (open, txns_per_s, zone_gateways, cold) = (60, 1_200.0, ZONE_GATEWAYS, None);
-        Case { caches, zone_caches, parents, purges_per_s, open, txns_per_s, zone_gateways, cold }
+        let (sets, open, txns_per_s, zone_gateways, cold) = (false, 60, 1_200.0, ZONE_GATEWAYS, None);
+        Case { caches, zone_caches, parents, purges_per_s, sets, open, txns_per_s, zone_gateways, cold }
     }
 }
 
@@ -67,6 +75,10 @@
         rest.map(|(name, n)| (name.to_owned(), n)).collect()
     }
 
+    fn purges_every(&self) -> Span {
+        if self.sets { PERIOD } else { Span::from_secs_f64(1.0 / f64::from(self.purges_per_s)) }
+    }
+
     fn takes(&self) -> Span {
         Span::from_secs_f64(self.open as f64 / self.txns_per_s)
     }
@@ -170,16 +182,21 @@
 
     /// Those that are kept after a long time at this rate.
     fn purges_before(&mut self) {
-        let kept = Span::from_millis(7_000);
-        for i in 0..self.case.purges_per_s * 7 {
-            let ago = kept * (1.0 - f64::from(i) / f64::from(self.case.purges_per_s * 7));
+        let mut ago = PURGE_KEPT;
+        while self.case.purges_per_s > 0 && ago > Span::ZERO {
             self.purge(ago);
+            let every = self.case.purges_every();
+            ago = Span::from_micros(ago.as_micros().saturating_sub(every.as_micros()));
         }
     }
 
     fn purge(&mut self, ago: Span) {
-        let object = self.rng.random_range(0..OBJECTS);
-        self.gateway.purged(self.now, Some(object), object % 256, ago);
+        let names = if self.case.sets { self.case.purges_per_s as usize / 2 } else { 1 };
+        let bits = if self.case.sets { BITS } else { u64::BITS as u8 };
+        let objects = (0..names).map(|_| self.rng.random_range(0..OBJECTS)).map(of_object);
+        let names = NameSet::new(bits, objects.collect::<Vec<_>>());
+        let then = self.now.back(ago);
+        self.gateway.purged(then, names, Span::ZERO);
     }
 
     /// One txn's turn; `sent` sees the hops.
@@ -187,7 +204,7 @@
         self.now += Span::from_secs_f64(1.0 / self.case.txns_per_s);
         while self.case.purges_per_s > 0 && self.next_purge <= self.now {
             self.purge(Span::ZERO);
-            self.next_purge += Span::from_secs_f64(1.0 / f64::from(self.case.purges_per_s));
+            self.next_purge += self.case.purges_every();
         }
         while self.out.front().is_some_and(|(at, ..)| *at <= self.now) {
             let Some((at, outcome, member)) = self.out.pop_front() else { break };
@@ -225,7 +242,7 @@
 
     /// Entries of all tables; what is measured in ms or counts a part of another table is none.
     pub fn kept(&self) -> usize {
-        let no_table = ["members left out", "ms of the longest silence"];
+        let no_table = ["members left out", "purges joined at the bound", "ms of the longest silence"];
         self.gateway.sizes(self.now).filter(|(name, _)| !no_table.contains(name)).map(|(_, n)| n).sum()
     }
 }
@@ -368,6 +385,8 @@
     all.extend(txns("parents", "parents", &[5, 11, 33, 66, 110, 220], parents, how));
     let purges = |n: usize| Case { purges_per_s: n as u32, ..Case::default() };
     all.extend(txns("purges", "purges_per_s", &[0, 15, 50, 150, 300, 1_500], purges, how));
+    let sets = |n: usize| Case { purges_per_s: n as u32, sets: true, ..Case::default() };
+    all.extend(txns("purges-in-sets", "purges_per_s", &[0, 15, 50, 150, 300, 1_500], sets, how));
     let open = |open| Case { open, ..Case::default() };
     all.extend(txns("open-txns", "open_txns", &[60, 250, 1_000, 4_000, 16_000], open, how));
     all.push(changes("module.processor-of-a-change.by-caches", &caches, how, one_drains));
