Capacity: rows of all control, hubs and faults; what was before has no weight

Need: the feed's ladders come as feed, control (with membership) and hub; a row of the relayed list, which the feed replaces, made the verdict red for good. Change: rows by these ids, purges known to be done, faults judged where the limit is to hold; rows of what was before are shown and not counted.

--- a/scale/src/capacity.rs
+++ b/scale/src/capacity.rs
@@ -43,6 +43,8 @@
     pub budget: Option<Of>,
     /// The file that carries it.
     pub mechanism: &'static str,
+    /// What it was with a mechanism that another one has replaced at this size: told beside it, of no weight.
+    pub before: bool,
 }
 
 pub struct Role {
@@ -65,11 +67,6 @@
 }
 
 impl State {
-    /// Not shown to be within the budget.
-    pub fn fails(self) -> bool {
-        matches!(self, State::Red | State::Open | State::NotMeasured)
-    }
-
     pub fn name(self) -> &'static str {
         match self {
             State::Green => "green",
@@ -105,6 +102,14 @@
     pub share: Option<f64>,
     pub state: State,
     pub mechanism: &'static str,
+    pub before: bool,
+}
+
+impl Verdict {
+    /// Not shown to be within its budget.
+    pub fn fails(&self) -> bool {
+        !self.before && matches!(self.state, State::Red | State::Open | State::NotMeasured)
+    }
 }
 
 /// Where a row passes its budget as its size grows, all else as at the target.
@@ -175,6 +180,7 @@
         share: None,
         state: State::NotMeasured,
         mechanism: row.mechanism,
+        before: row.before,
     };
     if let Source::Ladders(reads) = &row.source {
         verdict.at = reads.first().map(|r| (r.at)(target));
@@ -228,18 +234,12 @@
 pub fn breaks(slopes: &Slopes, target: &Target) -> Vec<Break> {
     let mut all: Vec<Break> = Vec::new();
     for role in ROLES {
-        for row in role.rows {
+        for row in role.rows.iter().filter(|r| !r.before) {
             let (Some(budget), Some(readings)) = (row.budget, readings(row, slopes)) else { continue };
             let Some(first) = readings.first() else { continue };
             let budget = budget(target);
-            // What is read at another size, such as that of a site, stands still.
-            let size = (first.read.at)(target);
             let at = |times: f64| -> f64 {
-                let one = |r: &Reading| {
-                    let own = (r.read.at)(target);
-                    let own = if own == size && r.over == first.over { own * times } else { own };
-                    r.fit.curve.at(own) * (r.read.times)(target)
-                };
+                let one = |r: &Reading| r.fit.curve.at((r.read.at)(target) * times) * (r.read.times)(target);
                 readings.iter().map(one).sum()
             };
             if at(FURTHEST) <= budget {
@@ -254,7 +254,7 @@
                 role: role.id,
                 what: row.what,
                 over: first.over.to_owned(),
-                size: size * high,
+                size: (first.read.at)(target) * high,
                 times: high,
                 mechanism: row.mechanism,
             });
@@ -462,7 +462,11 @@
     budget: Option<Of>,
     mechanism: &'static str,
 ) -> Row {
-    Row { what, quantity, unit, source, budget, mechanism }
+    Row { what, quantity, unit, source, budget, mechanism, before: false }
+}
+
+const fn before(row: Row) -> Row {
+    Row { before: true, ..row }
 }
 
 mod rows;
--- a/scale/src/capacity/rows.rs
+++ b/scale/src/capacity/rows.rs
@@ -2,7 +2,7 @@
 
 use super::Quantity::{Delay, Memory, Messages, Processor, State};
 use super::Source::{Computed, Ladders};
-use super::{Of, Read, Role, read, row};
+use super::{Of, Read, Role, before, read, row};
 use crate::fit::Figure::{Mean, P99, Worst};
 use crate::target::Target;
 
@@ -39,6 +39,11 @@
     gateways(t) / f64::from(t.regions)
 }
 
+/// Restarts an hour while a release goes over all.
+fn release_per_h(t: &Target) -> f64 {
+    gateways(t) / t.assumed.release_s * 3_600.0
+}
+
 fn purges(t: &Target) -> f64 {
     t.purges.per_s
 }
@@ -318,22 +323,22 @@
         id: "membership",
         title: "Membership",
         rows: &[
-            row(
+            before(row(
                 "before, all in one fleet: bytes out in calm",
                 Messages,
                 "B/s",
                 of!("members.bytes-out.by-gateways", Mean, gateways),
                 BYTES_OUT,
                 MEMBERS,
-            ),
-            row(
+            )),
+            before(row(
                 "before: memory",
                 Memory,
                 "B",
                 of!("members.memory.by-gateways", Mean, gateways),
                 MEMORY,
                 MEMBERS,
-            ),
+            )),
             row(
                 "after, a fleet a site: bytes out in calm",
                 Messages,
@@ -365,46 +370,46 @@
         id: "purges",
         title: "List and purges",
         rows: &[
-            row(
+            before(row(
                 "before, the relayed list: bytes in",
                 Messages,
                 "B/s",
                 of!("fleet.bytes-in.by-gateways", Mean, gateways),
                 BYTES_IN,
                 RELAY,
-            ),
-            row(
+            )),
+            before(row(
                 "before: bytes out of the one that sends most",
                 Messages,
                 "B/s",
                 of!("fleet.bytes-out.by-gateways", Worst, gateways),
                 BYTES_OUT,
                 RELAY,
-            ),
-            row(
+            )),
+            before(row(
                 "before: processor",
                 Processor,
                 "us/s",
                 of!("fleet.processor.by-gateways", Mean, gateways),
                 CORE,
                 RELAY,
-            ),
-            row(
+            )),
+            before(row(
                 "before: memory",
                 Memory,
                 "B",
                 of!("fleet.memory.by-gateways", Mean, gateways),
                 MEMORY,
                 RELAY,
-            ),
-            row(
+            )),
+            before(row(
                 "before: delay to the last gateway",
                 Delay,
                 "ms",
                 of!("fleet.delay.by-gateways", Worst, gateways),
                 PURGE_MS,
                 RELAY,
-            ),
+            )),
             row(
                 "after, the feed: bytes in",
                 Messages,
@@ -462,6 +467,14 @@
                 PURGE_MS,
                 FEED,
             ),
+            row(
+                "after: until a purge is known to be done everywhere",
+                Delay,
+                "ms",
+                of!("hub.delay.by-gateways", Worst, gateways),
+                PURGE_MS,
+                FEED,
+            ),
             row("others hit by a purge, 40 bits", State, "objects", Computed(|t| hits(t, 40)), None, NAMES),
             row("others hit by a purge, 32 bits", State, "objects", Computed(|t| hits(t, 32)), None, NAMES),
             row("others hit by a purge, 21 bits", State, "objects", Computed(|t| hits(t, 21)), None, NAMES),
@@ -472,60 +485,71 @@
         title: "Control of a gateway, all together",
         rows: &[
             row(
-                "bytes in and out: feed and membership",
+                "bytes in",
                 Messages,
                 "B/s",
-                Ladders(&[
-                    read("feed.bytes-in.by-gateways", Mean, gateways),
-                    read("feed.bytes-out.by-gateways", Mean, gateways),
-                    read("members.bytes-in.by-gateways", Mean, site),
-                    read("members.bytes-out.by-gateways", Mean, site),
-                ]),
-                BYTES_BOTH,
+                of!("control.bytes-in.by-gateways", Mean, gateways),
+                BYTES_IN,
                 FEED,
             ),
             row(
-                "bytes in: feed and membership",
+                "bytes in of the one that takes most",
                 Messages,
                 "B/s",
-                Ladders(&[
-                    read("feed.bytes-in.by-gateways", Mean, gateways),
-                    read("members.bytes-in.by-gateways", Mean, site),
-                ]),
+                of!("control.bytes-in.by-gateways", Worst, gateways),
                 BYTES_IN,
                 FEED,
             ),
             row(
-                "bytes out: feed and membership",
+                "bytes out",
+                Messages,
+                "B/s",
+                of!("control.bytes-out.by-gateways", Mean, gateways),
+                BYTES_OUT,
+                FEED,
+            ),
+            row(
+                "bytes out of the one that sends most",
+                Messages,
+                "B/s",
+                of!("control.bytes-out.by-gateways", Worst, gateways),
+                BYTES_OUT,
+                FEED,
+            ),
+            row(
+                "bytes in and out",
                 Messages,
                 "B/s",
                 Ladders(&[
-                    read("feed.bytes-out.by-gateways", Mean, gateways),
-                    read("members.bytes-out.by-gateways", Mean, site),
+                    read("control.bytes-in.by-gateways", Mean, gateways),
+                    read("control.bytes-out.by-gateways", Mean, gateways),
                 ]),
-                BYTES_OUT,
+                BYTES_BOTH,
                 FEED,
             ),
             row(
-                "processor: feed and membership",
+                "processor",
                 Processor,
                 "us/s",
-                Ladders(&[
-                    read("feed.processor.by-gateways", Mean, gateways),
-                    read("members.processor.by-gateways", Mean, site),
-                ]),
+                of!("control.processor.by-gateways", Mean, gateways),
                 CORE,
                 FEED,
             ),
             row(
-                "memory: feed and membership",
-                Memory,
-                "B",
-                Ladders(&[
-                    read("feed.memory.by-gateways", Mean, gateways),
-                    read("members.memory.by-gateways", Mean, site),
-                ]),
-                MEMORY,
+                "processor of the one that spends most",
+                Processor,
+                "us/s",
+                of!("control.processor.by-gateways", Worst, gateways),
+                CORE,
+                FEED,
+            ),
+            row("memory", Memory, "B", of!("control.memory.by-gateways", Mean, gateways), MEMORY, FEED),
+            row(
+                "bytes out by purges a second",
+                Messages,
+                "B/s",
+                of!("control.bytes-out.by-purges-per-s", Mean, purges),
+                BYTES_OUT,
                 FEED,
             ),
         ],
@@ -664,21 +688,61 @@
         title: "List services and the machines set aside",
         rows: &[
             row(
-                "a machine's bytes out by sites",
+                "connections that a list service has",
+                State,
+                "connections",
+                Computed(|t| f64::from(t.control.machines)),
+                None,
+                FEED,
+            ),
+            row(
+                "a machine's bytes in",
                 Messages,
                 "B/s",
-                of!("hub.bytes-out.by-sites", Worst, sites),
+                of!("hub.bytes-in.by-gateways", Worst, gateways),
                 None,
                 FEED,
             ),
             row(
-                "a machine's processor by sites",
+                "a machine's bytes out",
+                Messages,
+                "B/s",
+                of!("hub.bytes-out.by-gateways", Worst, gateways),
+                None,
+                FEED,
+            ),
+            row(
+                "a machine's datagrams in",
+                Messages,
+                "datagrams/s",
+                of!("hub.datagrams-in.by-gateways", Worst, gateways),
+                None,
+                FEED,
+            ),
+            row(
+                "a machine's datagrams out",
+                Messages,
+                "datagrams/s",
+                of!("hub.datagrams-out.by-gateways", Worst, gateways),
+                None,
+                FEED,
+            ),
+            row(
+                "a machine's processor",
                 Processor,
                 "us/s",
-                of!("hub.processor.by-sites", Worst, sites),
+                of!("hub.processor.by-gateways", Worst, gateways),
                 MACHINE,
                 FEED,
             ),
+            row(
+                "a machine's memory",
+                Memory,
+                "B",
+                of!("hub.memory.by-gateways", Worst, gateways),
+                None,
+                FEED,
+            ),
         ],
     },
     Role {
@@ -690,10 +754,124 @@
                 "restarts an hour while a release goes over all",
                 State,
                 "1/h",
-                Computed(|t| gateways(t) / t.assumed.release_s * 3_600.0),
+                Computed(release_per_h),
                 None,
                 FEED,
             ),
+            row(
+                "delay at an ordinary day's restarts",
+                Delay,
+                "ms",
+                of!("feed.delay.by-restarts-per-h", Worst, Target::restarts_per_h),
+                PURGE_MS,
+                FEED,
+            ),
+            row(
+                "delay while a release goes over all",
+                Delay,
+                "ms",
+                of!("feed.delay.by-restarts-per-h", Worst, release_per_h),
+                PURGE_MS,
+                FEED,
+            ),
+            row(
+                "bytes in while a release goes over all",
+                Messages,
+                "B/s",
+                of!("control.bytes-in.by-restarts-per-h", Mean, release_per_h),
+                BYTES_IN,
+                FEED,
+            ),
+            row(
+                "bytes out while a release goes over all",
+                Messages,
+                "B/s",
+                of!("control.bytes-out.by-restarts-per-h", Mean, release_per_h),
+                BYTES_OUT,
+                FEED,
+            ),
+            row(
+                "delay, a rack's gateways restarted at once",
+                Delay,
+                "ms",
+                of!("feed.restarted-at-once.delay.by-restarted-part", Worst, |t| f64::from(
+                    t.assumed.gateways_per_rack
+                ) / gateways(t)),
+                PURGE_MS,
+                FEED,
+            ),
+            row(
+                "delay, a zone's gateways restarted at once",
+                Delay,
+                "ms",
+                of!("feed.restarted-at-once.delay.by-restarted-part", Worst, |t| 1.0 / zones(t)),
+                PURGE_MS,
+                FEED,
+            ),
+            row(
+                "delay, one machine set aside lost",
+                Delay,
+                "ms",
+                of!("feed.hubs-killed.delay.by-hubs-killed", Worst, |_| 1.0),
+                PURGE_MS,
+                FEED,
+            ),
+            row(
+                "delay, all but one lost",
+                Delay,
+                "ms",
+                of!("feed.hubs-killed.delay.by-hubs-killed", Worst, |t| f64::from(t.control.machines) - 1.0),
+                PURGE_MS,
+                FEED,
+            ),
+            row(
+                "delay, all lost for 30 s",
+                Delay,
+                "ms",
+                of!("feed.hubs-away.delay.by-away-s", Worst, |_| 30.0),
+                PURGE_MS,
+                FEED,
+            ),
+            row(
+                "delay, 5% of datagrams lost and repeated",
+                Delay,
+                "ms",
+                of!("feed.lossy.delay.by-lost-part", Worst, |_| 0.05),
+                PURGE_MS,
+                FEED,
+            ),
+            row(
+                "delay, ten times the purges",
+                Delay,
+                "ms",
+                of!("feed.flood.delay.by-purges-per-s", Worst, |t| 10.0 * purges(t)),
+                PURGE_MS,
+                FEED,
+            ),
+            row(
+                "bytes in, ten times the purges",
+                Messages,
+                "B/s",
+                of!("control.flood.bytes-in.by-purges-per-s", Mean, |t| 10.0 * purges(t)),
+                BYTES_IN,
+                FEED,
+            ),
+            row(
+                "delay, a region away for 30 s",
+                Delay,
+                "ms",
+                of!("feed.region-away.delay.by-away-s", Worst, |_| 30.0),
+                None,
+                FEED,
+            ),
+            row(
+                "bytes in of a gateway, a region away for its hour",
+                Messages,
+                "B/s",
+                of!("control.region-away.bytes-in.by-away-s", Worst, |t| t.faults.region_away_s),
+                BYTES_IN,
+                FEED,
+            ),
             row("gateways lost with a zone", State, "gateways", Computed(zone_gateways), None, FEED),
             row(
                 "sites that a region's loss takes",
--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -2,7 +2,7 @@
 //! exceeded or a row is not measured, with 2 where a file can't be used.
 
 use clap::{Parser, Subcommand};
-use kelpcart_scale::capacity::{self, State};
+use kelpcart_scale::capacity::{self, State, Verdict};
 use kelpcart_scale::fit::{self, Figure, digits};
 use kelpcart_scale::ladders;
 use kelpcart_scale::plot;
@@ -172,14 +172,15 @@
     if slopes.quick {
         println!("these are slopes of short ladders");
     }
-    let count = |state: State| verdicts.iter().filter(|v| v.state == state).count();
+    let count = |state: State| verdicts.iter().filter(|v| !v.before && v.state == state).count();
     println!(
-        "{} green, {} red, {} open, {} not measured, {} told",
+        "{} green, {} red, {} open, {} not measured, {} told; {} of what was before",
         count(State::Green),
         count(State::Red),
         count(State::Open),
         count(State::NotMeasured),
-        count(State::Told)
+        count(State::Told),
+        verdicts.iter().filter(|v| v.before).count()
     );
-    Ok(!verdicts.iter().any(|v| v.state.fails()))
+    Ok(!verdicts.iter().any(Verdict::fails))
 }
