Fleet's network moves to scale, on the common simulation; ladders of the relayed list

Need: 8,000 gateways have to be weighed in one process, and the fleet's test network looked at all nodes each 10 ms.

--- /dev/null
+++ b/scale/src/fleet_net.rs
@@ -0,0 +1,380 @@
+//! A network of the fleet's nodes in simulated time: a bulletin that can fail, members that are stopped, killed and
+//! started again, and what their hosts heard. One place for the fleet's tests and for its ladders; must never look at
+//! all nodes for one event, nor let a rule that broke go unseen (all steps are checked in small networks).
+
+use crate::sim::{Actor, Sim};
+use hdrhistogram::Histogram;
+use kelpcart::{Span, Time};
+use kelpcart_fleet::lease::{Key, Verdict};
+use kelpcart_fleet::node::{Node, Out};
+use kelpcart_fleet::settings::Fleet;
+use rand::Rng;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+pub fn ms(n: u64) -> Span {
+    Span::from_millis(n)
+}
+
+pub fn address(i: usize) -> SocketAddr {
+    SocketAddr::from(([127, 1, (i / 250) as u8, (i % 250) as u8 + 1], 7_600))
+}
+
+/// The file of one member, with what `change` makes of it.
+pub fn file(i: usize, change: impl Fn(&mut Value)) -> Fleet {
+    let mut all = json!({
+        "fleet": "east", "gateway": format!("g{i}"), "listen": address(i).to_string(),
+        "seeds": [address(0).to_string(), address(1).to_string(), address(2).to_string()],
+        "keys": [{"id": 1, "secret": "17".repeat(32)}],
+    });
+    change(&mut all);
+    Fleet::read(&all.to_string()).expect("a file that can be used")
+}
+
+/// A member: its node, and what it wants done beside datagrams.
+pub struct Member {
+    pub node: Node,
+    datagrams: VecDeque<(SocketAddr, Vec<u8>)>,
+    lines: Vec<Vec<u8>>,
+    verdicts: Vec<(u64, Verdict)>,
+}
+
+impl Member {
+    pub fn new(node: Node) -> Member {
+        Member { node, datagrams: VecDeque::new(), lines: Vec::new(), verdicts: Vec::new() }
+    }
+}
+
+impl Actor for Member {
+    fn datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8]) {
+        self.node.datagram(now, from, bytes);
+    }
+
+    fn tick(&mut self, now: Time) {
+        self.node.tick(now);
+    }
+
+    fn next_wake(&self, now: Time) -> Time {
+        self.node.next_wake(now)
+    }
+
+    fn sent(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+        while let Some(out) = self.node.poll() {
+            match out {
+                Out::Datagram(to, bytes) => {
+                    assert!(bytes.len() <= kelpcart_fleet::seal::MOST_DATAGRAM, "{} bytes", bytes.len());
+                    self.datagrams.push_back((to, bytes));
+                }
+                Out::Line(line) => self.lines.push(line),
+                Out::Verdict(ticket, verdict) => self.verdicts.push((ticket, verdict)),
+                Out::Wanted(_) => {}
+            }
+        }
+        self.datagrams.pop_front()
+    }
+}
+
+/// What outlives a member's node.
+#[derive(Default)]
+struct Place {
+    file: Option<Fleet>,
+    /// A connection to the bulletin: when it stands, how far it was told, and when it is told the last number.
+    line: Option<(Time, u64, Time)>,
+    heard: Vec<(u64, bool, Time)>,
+    verdicts: BTreeMap<u64, (Time, Verdict)>,
+    /// The last number that was counted into the delays.
+    reached: u64,
+}
+
+pub struct Net {
+    pub sim: Sim<Member>,
+    places: Vec<Place>,
+    /// Those that ask the bulletin or are connected to it.
+    active: BTreeSet<usize>,
+    pub cut_from_bulletin: BTreeSet<usize>,
+    /// The bulletin's events, as it writes them, and when each one came.
+    pub events: Vec<(String, Time)>,
+    pub bulletin_up: bool,
+    /// There is a bulletin; without it nobody is connected nor told that it failed.
+    pub told: bool,
+    pub connections: u64,
+    pub attempts: u64,
+    pub at_once: usize,
+    /// Rules are checked after every so many steps; each step in tests.
+    pub check_every: u64,
+    /// Keeps what each host heard, and its verdicts; else only how long each event took to each member.
+    pub keeps: bool,
+    /// How long an event took to each member that was there when it came, in us.
+    pub delays: Histogram<u64>,
+    next_lines: Time,
+}
+
+/// An empty table of delays in us, up to an hour, to three digits.
+pub fn delays() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 3_600_000_000, 3).expect("bounds that can be used")
+}
+
+fn roster(no: u64, whole: bool, names: &[(String, &str)]) -> String {
+    let all: Vec<Value> = names
+        .iter()
+        .map(|(n, status)| json!({"name": n, "address": "127.0.0.1:1", "zone": "hub", "type": "box", "status": status}))
+        .collect();
+    json!({"no": no, "roster": {"index": 0, "snapshot": whole, "endpoints": all}}).to_string()
+}
+
+impl Net {
+    pub fn new(n: usize, seed: u64, change: impl Fn(usize, &mut Value)) -> Net {
+        let caches: Vec<(String, &str)> = (0..40).map(|i| (format!("c{i}"), "up")).collect();
+        let mut sim = Sim::new(seed);
+        let places = (0..n)
+            .map(|i| {
+                sim.add(address(i), None);
+                Place { file: Some(file(i, |v| change(i, v))), ..Place::default() }
+            })
+            .collect();
+        Net {
+            events: vec![(roster(1, true, &caches), sim.now)],
+            next_lines: sim.now,
+            sim,
+            places,
+            active: BTreeSet::new(),
+            cut_from_bulletin: BTreeSet::new(),
+            bulletin_up: true,
+            told: true,
+            connections: 0,
+            attempts: 0,
+            at_once: 0,
+            check_every: 1,
+            keeps: true,
+            delays: delays(),
+        }
+    }
+
+    pub fn start(&mut self, i: usize) {
+        let (run, seed) = (self.sim.rng.random(), self.sim.rng.random());
+        let now = self.sim.at(i);
+        let last = self.events.len() as u64;
+        let place = &mut self.places[i];
+        place.heard.clear();
+        (place.line, place.reached) = (None, last);
+        let file = place.file.as_ref().expect("a file");
+        let node = Node::new(file, run, seed, now, 0, &[]).expect("a node");
+        self.sim.put(i, Some(Member::new(node)));
+        self.done(i);
+    }
+
+    pub fn start_all(&mut self) {
+        (0..self.places.len()).for_each(|i| self.start(i));
+    }
+
+    pub fn kill(&mut self, i: usize) {
+        self.sim.put(i, None);
+        self.places[i].line = None;
+    }
+
+    pub fn runs(&self, i: usize) -> bool {
+        self.sim.get(i).is_some()
+    }
+
+    pub fn is_stopped(&self, i: usize) -> bool {
+        self.sim.slots[i].stopped
+    }
+
+    pub fn node(&self, i: usize) -> &Node {
+        &self.sim.get(i).expect("one that runs").node
+    }
+
+    /// What its host has heard since its start: the number of each line, whether it is a whole list, and when.
+    pub fn heard(&self, i: usize) -> &[(u64, bool, Time)] {
+        &self.places[i].heard
+    }
+
+    pub fn verdicts(&self, i: usize) -> &BTreeMap<u64, (Time, Verdict)> {
+        &self.places[i].verdicts
+    }
+
+    pub fn with<T>(&mut self, i: usize, act: impl FnOnce(&mut Node, Time) -> T) -> T {
+        let given = self.sim.with(i, |member, now| act(&mut member.node, now)).expect("one that runs");
+        self.done(i);
+        given
+    }
+
+    pub fn want(&mut self, i: usize, key: Key, ticket: u64, until: Time) {
+        self.with(i, |n, now| n.want(now, key, ticket, until));
+    }
+
+    fn event(&mut self, line: String) -> u64 {
+        self.events.push((line, self.sim.now));
+        self.tell_lines();
+        self.events.len() as u64
+    }
+
+    pub fn purge(&mut self, object: u64) -> u64 {
+        let no = self.events.len() as u64 + 1;
+        self.event(
+            json!({"no": no, "recall": {"item": format!("{object:016x}"), "issued": 1_000}}).to_string(),
+        )
+    }
+
+    pub fn listed(&mut self, name: &str, status: &'static str) -> u64 {
+        let no = self.events.len() as u64 + 1;
+        self.event(roster(no, false, &[(name.to_owned(), status)]))
+    }
+
+    /// One has done something: what its host heard is noted, and the rules hold.
+    fn done(&mut self, i: usize) {
+        let now = self.sim.now;
+        let own = self.sim.at(i);
+        let checks = self.sim.steps.is_multiple_of(self.check_every);
+        let Some(member) = self.sim.slots[i].actor.as_mut() else { return };
+        let (lines, verdicts) = (std::mem::take(&mut member.lines), std::mem::take(&mut member.verdicts));
+        let node = &member.node;
+        if checks {
+            node.check_rules(own).unwrap_or_else(|why| panic!("g{i}: {why}"));
+        }
+        let place = &mut self.places[i];
+        if self.told && (node.asks() || place.line.is_some()) {
+            self.active.insert(i);
+        }
+        // What a member made up is no event.
+        let no = node.relay.list.no().min(self.events.len() as u64);
+        while place.reached < no {
+            let took = now - self.events[place.reached as usize].1;
+            self.delays.saturating_record(took.as_micros());
+            place.reached += 1;
+        }
+        if !self.keeps {
+            return;
+        }
+        for line in lines {
+            let value: Value = serde_json::from_slice(&line).expect("a line of JSON");
+            let whole = value.pointer("/roster/snapshot") == Some(&Value::Bool(true));
+            let no = value["no"].as_u64().expect("a number");
+            place.heard.push((no, whole, now));
+        }
+        for (ticket, verdict) in verdicts {
+            let before = place.verdicts.insert(ticket, (now, verdict));
+            assert!(before.is_none(), "two verdicts for ticket {ticket}");
+        }
+    }
+
+    /// What stands at the bulletin is told to those who are connected.
+    fn tell_lines(&mut self) {
+        for i in self.active.clone() {
+            let now = self.sim.now;
+            let Some((since, told, pulse)) = self.places[i].line else { continue };
+            if since > now || self.is_stopped(i) || !self.runs(i) {
+                continue;
+            }
+            let last = self.events.len() as u64;
+            let events = &self.events[told as usize..];
+            self.sim.with(i, |member, own| {
+                for (line, _) in events {
+                    member.node.line(own, line.as_bytes()).expect("a line that fits");
+                }
+                if now >= pulse {
+                    assert!(member.node.last(own, last));
+                }
+            });
+            let pulse = if now >= pulse { now + ms(1_000) } else { pulse };
+            self.places[i].line = Some((since, last, pulse));
+            self.done(i);
+        }
+    }
+
+    fn lines(&mut self) {
+        let mut open = 0;
+        for i in self.active.clone() {
+            let reach = self.bulletin_up && !self.cut_from_bulletin.contains(&i);
+            let (now, own) = (self.sim.now, self.sim.at(i));
+            let place = &mut self.places[i];
+            // A stopped one's connection ends all the same.
+            let Some(node) = self.sim.slots[i].actor.as_mut().map(|m| &mut m.node) else {
+                self.active.remove(&i);
+                continue;
+            };
+            let asks = node.asks();
+            match place.line {
+                None if asks => {
+                    self.attempts += 1;
+                    if reach {
+                        self.connections += 1;
+                        let at = now + ms(2);
+                        place.line = Some((at, node.relay.list.no(), at));
+                    } else {
+                        node.ended(own);
+                    }
+                }
+                Some(_) if !asks || !reach => {
+                    place.line = None;
+                    if asks {
+                        node.ended(own);
+                    }
+                }
+                _ => {}
+            }
+            open += usize::from(place.line.is_some());
+            if !asks && place.line.is_none() {
+                self.active.remove(&i);
+            }
+        }
+        self.at_once = self.at_once.max(open);
+        self.tell_lines();
+    }
+
+    /// Goes on for so long.
+    pub fn run(&mut self, span: Span) {
+        let end = self.sim.now + span;
+        loop {
+            let until = end.min(self.next_lines);
+            while let Some(i) = self.sim.step(until) {
+                self.done(i);
+            }
+            if self.next_lines > end {
+                return;
+            }
+            if self.told {
+                self.lines();
+            }
+            self.next_lines = self.sim.now + ms(10);
+        }
+    }
+
+    pub fn live(&self) -> Vec<usize> {
+        self.sim.live().map(|(i, _)| i).collect()
+    }
+
+    /// Every live one knows the bulletin's list, whole and in order.
+    pub fn all_told(&self) -> Result<(), String> {
+        let last = self.events.len() as u64;
+        for (i, member) in self.sim.live() {
+            let no = member.node.relay.list.no();
+            if no != last {
+                return Err(format!("g{i} is at {no} of {last}"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Each line once, none after a gap; a whole list may stand for those before it.
+    pub fn in_order(&self) -> Result<(), String> {
+        for (i, place) in self.places.iter().enumerate() {
+            let mut at = 0;
+            for &(no, whole, _) in &place.heard {
+                let fits = if whole { no >= at } else { no == at + 1 || no <= at };
+                if !fits {
+                    return Err(format!("g{i} heard {no} after {at}"));
+                }
+                at = at.max(no);
+            }
+        }
+        Ok(())
+    }
+
+    /// How many others each live one holds to be live, least and most.
+    pub fn seen(&self) -> (usize, usize) {
+        let all = self.sim.live().map(|(_, m)| m.node.members.live());
+        all.fold((usize::MAX, 0), |(a, b), n| (a.min(n), b.max(n)))
+    }
+}
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -2,5 +2,8 @@
 //! laws that fit them, and what a target size then asks of each role. Must never run on the platform, nor hold a figure
 //! that a run did not give.
 
+pub mod fleet_net;
+pub mod ladders;
+pub mod memory;
 pub mod sim;
 pub mod slopes;
--- a/scale/src/sim.rs
+++ b/scale/src/sim.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cmp::Ordering;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BTreeSet, BinaryHeap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -88,6 +88,11 @@
     pub delay: Between<Span>,
     /// Nothing goes from the first to the second.
     pub cut: Between<bool>,
+    /// Nothing goes from the first to the second, either.
+    pub cuts: BTreeSet<(usize, usize)>,
+    /// Datagrams that are kept to be sent again, at the most.
+    pub records: usize,
+    pub recorded: Vec<(usize, usize, Vec<u8>)>,
     /// Notes the processor time of the cores.
     pub measures: bool,
     pub steps: u64,
@@ -108,6 +113,9 @@
             repeat: 0.0,
             delay: Box::new(|_, _| Span::from_millis(1)),
             cut: Box::new(|_, _| false),
+            cuts: BTreeSet::new(),
+            records: 0,
+            recorded: Vec::new(),
             measures: false,
             steps: 0,
             queue: BinaryHeap::new(),
@@ -176,7 +184,7 @@
 
     /// A datagram from one to another, as if the first had sent it.
     pub fn send(&mut self, from: usize, to: usize, bytes: &[u8]) {
-        if (self.cut)(from, to) || self.rng.random_bool(self.loss) {
+        if (self.cut)(from, to) || self.cuts.contains(&(from, to)) || self.rng.random_bool(self.loss) {
             return;
         }
         let copies = 1 + u32::from(self.rng.random_bool(self.repeat));
@@ -192,6 +200,9 @@
             self.slots[i].spent.datagrams_out += 1;
             self.slots[i].spent.bytes_out += bytes.len() as u64;
             if let Some(to) = self.places.get(&to).copied() {
+                if self.recorded.len() < self.records {
+                    self.recorded.push((i, to, bytes.clone()));
+                }
                 self.send(i, to, &bytes);
             }
         }
@@ -211,7 +222,7 @@
             let Some(next) = self.queue.pop() else { break };
             let at = next.at.max(self.now);
             self.still = if self.still.0 == at { (at, self.still.1 + 1) } else { (at, 0) };
-            let most = 1_000 * self.slots.len().max(100) as u32;
+            let most = 100 * self.slots.len().max(200) as u32;
             assert!(self.still.1 < most, "time stands still");
             self.now = at;
             let measures = self.measures;
