--- /dev/null
+++ b/scale/src/hollow.rs
@@ -0,0 +1,128 @@
+//! A hollow gateway: the real cores of its site's membership and of the feed without sockets, clock or txns, so that
+//! thousands fit in one process. Must never do in a core's place what the gateway's host would not do.
+
+use crate::sim::{Actor, Spent};
+use cpu_time::ThreadTime;
+use kelpcart::Time;
+use kelpcart::names::NameSet;
+use kelpcart_feed::{Feed, VERSION};
+use kelpcart_fleet::node::{Node, Out};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What the gateway's module is told.
+#[derive(Clone, Debug)]
+pub enum Told {
+    Purge { names: NameSet, issued_ms: u64 },
+    Line { stream: usize, no: u64 },
+}
+
+pub struct Hollow {
+    /// Its part in its site; none at a hub.
+    pub node: Option<Node>,
+    pub feed: Feed,
+    /// Of the feed alone; the network notes the sum of both.
+    pub spent: Spent,
+    /// Notes the feed's processor time.
+    pub measures: bool,
+    pub told: Vec<Told>,
+    version: u64,
+    node_wake: Time,
+    feed_wake: Time,
+    datagrams: VecDeque<(SocketAddr, Vec<u8>)>,
+}
+
+impl Hollow {
+    pub fn new(now: Time, node: Option<Node>, feed: Feed) -> Hollow {
+        Hollow {
+            node_wake: now,
+            feed_wake: now,
+            node,
+            feed,
+            spent: Spent::default(),
+            measures: false,
+            told: Vec::new(),
+            version: u64::MAX,
+            datagrams: VecDeque::new(),
+        }
+    }
+
+    /// Has the feed do something; its time is noted apart.
+    pub fn feeds<T>(&mut self, now: Time, act: impl FnOnce(&mut Feed) -> T) -> T {
+        let begun = self.measures.then(ThreadTime::now);
+        let given = act(&mut self.feed);
+        self.feed_wake = self.feed.next_wake(now);
+        self.spent.processor += begun.map_or(Duration::ZERO, |b| b.elapsed());
+        given
+    }
+
+    /// The feed is told who is live whenever that changes.
+    fn members(&mut self, now: Time) {
+        let Some(node) = &self.node else { return };
+        self.node_wake = node.next_wake(now);
+        if node.members.version == self.version {
+            return;
+        }
+        self.version = node.members.version;
+        let begun = self.measures.then(ThreadTime::now);
+        let live = node.members.others().map(|(name, known)| (&**name, known.address));
+        self.feed.members(now, live);
+        self.feed_wake = self.feed.next_wake(now);
+        self.spent.processor += begun.map_or(Duration::ZERO, |b| b.elapsed());
+    }
+
+    fn drain(&mut self) {
+        while let Some(out) = self.feed.poll() {
+            match out {
+                kelpcart_feed::Out::Datagram(to, bytes) => {
+                    self.spent.datagrams_out += 1;
+                    self.spent.bytes_out += bytes.len() as u64;
+                    self.datagrams.push_back((to, bytes));
+                }
+                kelpcart_feed::Out::Purge { names, issued_ms, .. } => {
+                    self.told.push(Told::Purge { names, issued_ms });
+                }
+                kelpcart_feed::Out::Line { stream, no, .. } => self.told.push(Told::Line { stream, no }),
+            }
+        }
+        // Nobody relays a list nor lends budgets here.
+        while let Some(out) = self.node.as_mut().and_then(Node::poll) {
+            if let Out::Datagram(to, bytes) = out {
+                self.datagrams.push_back((to, bytes));
+            }
+        }
+    }
+}
+
+impl Actor for Hollow {
+    fn datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8]) {
+        if bytes.first() == Some(&VERSION) {
+            self.spent.datagrams_in += 1;
+            self.spent.bytes_in += bytes.len() as u64;
+            self.feeds(now, |feed| feed.datagram(now, from, bytes));
+        } else if let Some(node) = &mut self.node {
+            node.datagram(now, from, bytes);
+            self.members(now);
+        }
+    }
+
+    fn tick(&mut self, now: Time) {
+        if let Some(node) = self.node.as_mut().filter(|_| self.node_wake <= now) {
+            node.tick(now);
+            self.members(now);
+        }
+        if self.feed_wake <= now {
+            self.feeds(now, |feed| feed.tick(now));
+        }
+    }
+
+    fn next_wake(&self, _now: Time) -> Time {
+        if self.node.is_some() { self.node_wake.min(self.feed_wake) } else { self.feed_wake }
+    }
+
+    fn sent(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+        self.drain();
+        self.datagrams.pop_front()
+    }
+}
--- a/scale/src/ladders/mod.rs
+++ b/scale/src/ladders/mod.rs
@@ -1,4 +1,22 @@
-//! The ladders of sizes, one file for each group of mechanisms.
+//! The ladders, each by what it measures, and their order. Must never run two at once: they measure processor time.
 
+use crate::slopes::Ladder;
+
+pub mod data_path;
+pub mod feed;
 pub mod fleet;
 mod group;
+pub mod module;
+pub mod roles;
+
+/// Plays ladders with a seed; `quick`: short ones, as CI plays them.
+pub type Measure = fn(seed: u64, quick: bool) -> Vec<Ladder>;
+
+/// By the names that `--only` knows.
+pub const MODULES: &[(&str, Measure)] = &[
+    ("module", module::measure),
+    ("roles", roles::measure),
+    ("fleet", fleet::measure),
+    ("feed", feed::measure),
+    ("data-path", data_path::measure),
+];
