--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -3,8 +3,12 @@
 //! that a run did not give.
 
 pub mod capacity;
+pub mod feed_net;
 pub mod fit;
+pub mod fleet_net;
+pub mod hollow;
 pub mod ladders;
+pub mod memory;
 pub mod plot;
 pub mod sim;
 pub mod slopes;
