--- a/scale/src/ladders/module.rs
+++ b/scale/src/ladders/module.rs
@@ -285,6 +285,11 @@
     Point { at, mean, worst: all.iter().copied().fold(0.0, f64::max), p50: None, p99: None }
 }
 
+/// The sizes of a ladder, or its five smallest.
+pub fn some(sizes: &[usize], quick: bool) -> &[usize] {
+    &sizes[..if quick { sizes.len().min(5) } else { sizes.len() }]
+}
+
 /// What a quantity is, beside its points.
 pub struct Head<'a> {
     pub id: &'a str,
@@ -373,24 +378,24 @@
 
 pub fn measure(seed: u64, quick: bool) -> Vec<Ladder> {
     let how = (seed, quick);
-    let caches = [100, 300, 600, 1_100, 2_200];
-    let mut all = txns("caches", "caches", &caches, |caches| Case { caches, ..Case::default() }, how);
+    let caches = some(&[100, 200, 300, 600, 1_100, 2_200], quick);
+    let mut all = txns("caches", "caches", caches, |caches| Case { caches, ..Case::default() }, how);
     let one_zone = |n| Case { caches: n, zone_caches: n, ..Case::default() };
-    all.extend(txns("caches-of-one-zone", "caches", &caches, one_zone, how));
+    all.extend(txns("caches-of-one-zone", "caches", caches, one_zone, how));
     let zone = |n| Case { zone_caches: n, ..Case::default() };
-    all.extend(txns("zone-caches", "zone_caches", &[10, 20, 37, 75, 150, 300], zone, how));
+    all.extend(txns("zone-caches", "zone_caches", some(&[10, 20, 37, 75, 150, 300], quick), zone, how));
     let no_source = |n| Case { caches: n, parents: 0, ..Case::default() };
-    all.extend(txns("caches-without-parents", "caches", &caches, no_source, how));
+    all.extend(txns("caches-without-parents", "caches", caches, no_source, how));
     let parents = |n| Case { parents: n, ..Case::default() };
-    all.extend(txns("parents", "parents", &[5, 11, 33, 66, 110, 220], parents, how));
+    all.extend(txns("parents", "parents", some(&[5, 11, 33, 66, 110, 220], quick), parents, how));
     let purges = |n: usize| Case { purges_per_s: n as u32, ..Case::default() };
-    all.extend(txns("purges", "purges_per_s", &[0, 15, 50, 150, 300, 1_500], purges, how));
+    all.extend(txns("purges", "purges_per_s", some(&[0, 15, 50, 150, 300, 1_500], quick), purges, how));
     let sets = |n: usize| Case { purges_per_s: n as u32, sets: true, ..Case::default() };
-    all.extend(txns("purges-in-sets", "purges_per_s", &[0, 15, 50, 150, 300, 1_500], sets, how));
+    all.extend(txns("purges-in-sets", "purges_per_s", some(&[0, 15, 50, 150, 300, 1_500], quick), sets, how));
     let open = |open| Case { open, ..Case::default() };
-    all.extend(txns("open-txns", "open_txns", &[60, 250, 1_000, 4_000, 16_000], open, how));
-    all.push(changes("module.processor-of-a-change.by-caches", &caches, how, one_drains));
-    all.push(changes("module.processor-of-a-replacement.by-caches", &caches, how, one_is_replaced));
-    all.push(changes("module.processor-of-a-whole-list.by-caches", &caches, how, whole_list));
+    all.extend(txns("open-txns", "open_txns", some(&[60, 125, 250, 1_000, 4_000, 16_000], quick), open, how));
+    all.push(changes("module.processor-of-a-change.by-caches", caches, how, one_drains));
+    all.push(changes("module.processor-of-a-replacement.by-caches", caches, how, one_is_replaced));
+    all.push(changes("module.processor-of-a-whole-list.by-caches", caches, how, whole_list));
     all
 }
--- a/scale/src/ladders/roles.rs
+++ b/scale/src/ladders/roles.rs
@@ -2,7 +2,7 @@
 //! keepers, groups of ledgers, the decision on zones. Owns the worlds that these cores stand in. Must never count what a
 //! world of its own costs as its core's.
 
-use crate::ladders::module::{Case, Head, World, point};
+use crate::ladders::module::{Case, Head, World, point, some};
 use crate::sim::{Actor, Sim};
 use crate::slopes::{Host, Ladder, Point};
 use cpu_time::ThreadTime;
@@ -35,11 +35,6 @@
     all.iter().map(|(name, n)| ((*name).to_owned(), *n)).collect()
 }
 
-/// The sizes of a ladder, or its five smallest.
-fn some(sizes: &[usize], quick: bool) -> &[usize] {
-    &sizes[..if quick { sizes.len().min(5) } else { sizes.len() }]
-}
-
 // Connections.
 
 /// A connection that rests is closed after this time: the host's, from `ConnIdleUs` of 15 s.
@@ -68,7 +63,7 @@
     };
     // All of a txn lasts 50 ms, whatever the rate.
     let at_rate = |n: usize| Case { txns_per_s: n as f64, open: (n / 20).max(1), ..Case::default() };
-    let in_zone = |n: usize| Case { zone_caches: n, ..Case::default() };
+    let in_zone = |n: usize| Case { zone_caches: n, txns_per_s: 600.0, ..Case::default() };
     vec![
         one("connections.caches.by-txns", "txns_per_s", &[1, 3, 10, 30, 100, 300, 1_200], at_rate),
         one(
