--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -5,6 +5,7 @@
 use kelpcart_scale::capacity::{self, State};
 use kelpcart_scale::fit::{self, Figure, digits};
 use kelpcart_scale::ladders;
+use kelpcart_scale::memory;
 use kelpcart_scale::plot;
 use kelpcart_scale::slopes::{Ladder, Slopes};
 use kelpcart_scale::target::Target;
@@ -122,7 +123,7 @@
         all.extend(given);
     }
     let mut new =
-        Slopes { seed: options.seed, quick: options.quick, peak_memory: ladders::peak(), ladders: all };
+        Slopes { seed: options.seed, quick: options.quick, peak_memory: memory::peak(), ladders: all };
     if let Some(old) = old {
         new = new.over(old)?;
     }
