Scale: bytes of the module by caches, purges and open txns

Entries say little of memory. The module's bytes are what its drop gives back to the counting allocator.

Tests of the ladders run one at a time now, since bytes are counted over the process.

--- a/scale/src/ladders/module.rs
+++ b/scale/src/ladders/module.rs
@@ -1,6 +1,7 @@
 //! What deciding costs one gateway: the module itself, driven by its public interface, between members that answer as
 //! told. Owns simulated time and the members' answers. Must never decide in the module's place.
 
+use crate::memory;
 use crate::slopes::{Host, Ladder, Point};
 use cpu_time::ThreadTime;
 use kelpcart::interface::*;
@@ -257,6 +258,8 @@
     /// Processor time a txn, of each batch.
     us: Vec<f64>,
     kept: usize,
+    /// Bytes of the module.
+    memory: f64,
     refused: f64,
 }
 
@@ -277,7 +280,9 @@
         began.elapsed().as_secs_f64() * 1e6 / batch as f64
     });
     let us = us.collect();
-    Played { us, kept, refused: world.counts.refused as f64 / world.counts.asked as f64 }
+    let (refused, held) = (world.counts.refused as f64 / world.counts.asked as f64, memory::held());
+    drop(world.gateway);
+    Played { us, kept, memory: held.saturating_sub(memory::held()) as f64, refused }
 }
 
 pub fn point(at: f64, all: &[f64]) -> Point {
@@ -323,7 +328,7 @@
     Head { id, over, unit, mechanism: LOGIC, command: COMMAND, host: Host::Core, timed }
 }
 
-/// Processor time a txn, entries kept and the part refused, by one thing that grows.
+/// Processor time a txn, entries and bytes kept and the part refused, by one thing that grows.
 fn txns(name: &str, over: &str, sizes: &[usize], grown: Grown, (seed, quick): (u64, bool)) -> Vec<Ladder> {
     let played: Vec<(f64, Played)> = sizes.iter().map(|&n| (n as f64, play(grown(n), seed, quick))).collect();
     let fixed = grown(sizes[0]).fixed(over);
@@ -335,6 +340,7 @@
     vec![
         one("processor", "us", true, |p| p.us.clone()),
         one("kept", "objects", false, |p| vec![p.kept as f64]),
+        one("memory", "B", false, |p| vec![p.memory]),
         one("refused-part", "part", false, |p| vec![p.refused]),
     ]
 }
--- a/scale/tests/ladders.rs
+++ b/scale/tests/ladders.rs
@@ -3,6 +3,14 @@
 use kelpcart_scale::ladders::{data_path, module, roles};
 use kelpcart_scale::slopes::Ladder;
 use std::collections::BTreeSet;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Bytes are counted over the process: one test at a time.
+static ALONE: Mutex<()> = Mutex::new(());
+
+fn alone() -> MutexGuard<'static, ()> {
+    ALONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
 
 fn sound(all: &[Ladder]) {
     let ids: BTreeSet<&str> = all.iter().map(|l| l.id.as_str()).collect();
@@ -23,6 +31,7 @@
 
 #[test]
 fn the_module_decides_on_all_txns_and_keeps_what_it_was_told() {
+    let _alone = alone();
     let all = module::measure(3, true);
     sound(&all);
     assert_eq!(counts(&all), counts(&module::measure(3, true)), "one seed, other counts");
@@ -42,6 +51,7 @@
 
 #[test]
 fn the_other_roles_keep_their_bounds_at_all_sizes() {
+    let _alone = alone();
     let all = roles::measure(3, true);
     sound(&all);
     assert_eq!(counts(&all), counts(&roles::measure(3, true)), "one seed, other counts");
@@ -57,6 +67,7 @@
 
 #[test]
 fn the_program_is_measured_where_it_is_there() {
+    let _alone = alone();
     match data_path::run(3, true) {
         Ok(all) => {
             let spent = all.iter().filter(|l| l.id.starts_with("data-path.processor"));
