--- a/scale/src/ladders/module.rs
+++ b/scale/src/ladders/module.rs
@@ -1,6 +1,7 @@
 //! What deciding costs one gateway: the module itself, driven by its public interface, between members that answer as
 //! told. Owns simulated time and the members' answers. Must never decide in the module's place.
 
+use crate::memory;
 use crate::slopes::{Host, Ladder, Point};
 use cpu_time::ThreadTime;
 use kelpcart::interface::*;
@@ -257,6 +258,8 @@
     /// Processor time a txn, of each batch.
     us: Vec<f64>,
     kept: usize,
+    /// Bytes of the module.
+    memory: f64,
     refused: f64,
 }
 
@@ -277,7 +280,9 @@
         began.elapsed().as_secs_f64() * 1e6 / batch as f64
     });
     let us = us.collect();
-    Played { us, kept, refused: world.counts.refused as f64 / world.counts.asked as f64 }
+    let (refused, held) = (world.counts.refused as f64 / world.counts.asked as f64, memory::held());
+    drop(world.gateway);
+    Played { us, kept, memory: held.saturating_sub(memory::held()) as f64, refused }
 }
 
 pub fn point(at: f64, all: &[f64]) -> Point {
@@ -285,6 +290,11 @@
     Point { at, mean, worst: all.iter().copied().fold(0.0, f64::max), p50: None, p99: None }
 }
 
+/// The sizes of a ladder, or its five smallest.
+pub fn some(sizes: &[usize], quick: bool) -> &[usize] {
+    &sizes[..if quick { sizes.len().min(5) } else { sizes.len() }]
+}
+
 /// What a quantity is, beside its points.
 pub struct Head<'a> {
     pub id: &'a str,
@@ -318,7 +328,7 @@
     Head { id, over, unit, mechanism: LOGIC, command: COMMAND, host: Host::Core, timed }
 }
 
-/// Processor time a txn, entries kept and the part refused, by one thing that grows.
+/// Processor time a txn, entries and bytes kept and the part refused, by one thing that grows.
 fn txns(name: &str, over: &str, sizes: &[usize], grown: Grown, (seed, quick): (u64, bool)) -> Vec<Ladder> {
     let played: Vec<(f64, Played)> = sizes.iter().map(|&n| (n as f64, play(grown(n), seed, quick))).collect();
     let fixed = grown(sizes[0]).fixed(over);
@@ -330,6 +340,7 @@
     vec![
         one("processor", "us", true, |p| p.us.clone()),
         one("kept", "objects", false, |p| vec![p.kept as f64]),
+        one("memory", "B", false, |p| vec![p.memory]),
         one("refused-part", "part", false, |p| vec![p.refused]),
     ]
 }
@@ -373,24 +384,24 @@
 
 pub fn measure(seed: u64, quick: bool) -> Vec<Ladder> {
     let how = (seed, quick);
-    let caches = [100, 300, 600, 1_100, 2_200];
-    let mut all = txns("caches", "caches", &caches, |caches| Case { caches, ..Case::default() }, how);
+    let caches = some(&[100, 200, 300, 600, 1_100, 2_200], quick);
+    let mut all = txns("caches", "caches", caches, |caches| Case { caches, ..Case::default() }, how);
     let one_zone = |n| Case { caches: n, zone_caches: n, ..Case::default() };
-    all.extend(txns("caches-of-one-zone", "caches", &caches, one_zone, how));
+    all.extend(txns("caches-of-one-zone", "caches", caches, one_zone, how));
     let zone = |n| Case { zone_caches: n, ..Case::default() };
-    all.extend(txns("zone-caches", "zone_caches", &[10, 20, 37, 75, 150, 300], zone, how));
+    all.extend(txns("zone-caches", "zone_caches", some(&[10, 20, 37, 75, 150, 300], quick), zone, how));
     let no_source = |n| Case { caches: n, parents: 0, ..Case::default() };
-    all.extend(txns("caches-without-parents", "caches", &caches, no_source, how));
+    all.extend(txns("caches-without-parents", "caches", caches, no_source, how));
     let parents = |n| Case { parents: n, ..Case::default() };
-    all.extend(txns("parents", "parents", &[5, 11, 33, 66, 110, 220], parents, how));
+    all.extend(txns("parents", "parents", some(&[5, 11, 33, 66, 110, 220], quick), parents, how));
     let purges = |n: usize| Case { purges_per_s: n as u32, ..Case::default() };
-    all.extend(txns("purges", "purges_per_s", &[0, 15, 50, 150, 300, 1_500], purges, how));
+    all.extend(txns("purges", "purges_per_s", some(&[0, 15, 50, 150, 300, 1_500], quick), purges, how));
     let sets = |n: usize| Case { purges_per_s: n as u32, sets: true, ..Case::default() };
-    all.extend(txns("purges-in-sets", "purges_per_s", &[0, 15, 50, 150, 300, 1_500], sets, how));
+    all.extend(txns("purges-in-sets", "purges_per_s", some(&[0, 15, 50, 150, 300, 1_500], quick), sets, how));
     let open = |open| Case { open, ..Case::default() };
-    all.extend(txns("open-txns", "open_txns", &[60, 250, 1_000, 4_000, 16_000], open, how));
-    all.push(changes("module.processor-of-a-change.by-caches", &caches, how, one_drains));
-    all.push(changes("module.processor-of-a-replacement.by-caches", &caches, how, one_is_replaced));
-    all.push(changes("module.processor-of-a-whole-list.by-caches", &caches, how, whole_list));
+    all.extend(txns("open-txns", "open_txns", some(&[60, 125, 250, 1_000, 4_000, 16_000], quick), open, how));
+    all.push(changes("module.processor-of-a-change.by-caches", caches, how, one_drains));
+    all.push(changes("module.processor-of-a-replacement.by-caches", caches, how, one_is_replaced));
+    all.push(changes("module.processor-of-a-whole-list.by-caches", caches, how, whole_list));
     all
 }
