--- a/rig/src/fleet_day.rs
+++ b/rig/src/fleet_day.rs
@@ -115,7 +115,10 @@
 struct Book {
     open: BTreeMap<(usize, u64), Sent>,
     answered: BTreeSet<(usize, u64)>,
-    purges: BTreeMap<u64, u64>,
+    /// By object: when it was purged, in order, in Unix ms.
+    purges: BTreeMap<u64, Vec<u64>>,
+    /// Answers that were asked for after a purge while a cache may have had a copy from before it.
+    after_purge: u64,
     /// Those whose gateway was not there, or went.
     lost: u64,
 }
@@ -289,10 +292,13 @@
             None => report.broken.damaged += 1,
             Some(_) if answer.body.len() != len(sent.object) => report.broken.damaged += 1,
             Some(born) => {
-                let purged = book.purges.get(&sent.object).copied();
-                if let Some(at) = purged.filter(|at| sent.unix_ms > *at && born < *at) {
-                    let after = sent.unix_ms - at;
-                    self.stale.lock().unwrap().push((i, after));
+                let purges = book.purges.get(&sent.object).map(Vec::as_slice).unwrap_or_default();
+                let before = purges.partition_point(|at| *at < sent.unix_ms);
+                let lately = before > 0 && sent.unix_ms - purges[before - 1] < tier::DROPPED_MS;
+                let first = purges[..before].get(purges.partition_point(|at| *at <= born)).copied();
+                book.after_purge += u64::from(lately);
+                if let Some(at) = first {
+                    self.stale.lock().unwrap().push((i, sent.unix_ms - at));
                 }
             }
         }
@@ -315,6 +321,17 @@
 /// Hundreds of processes share a few cores: what the machine adds to a time limit is not the gateway's.
 const LATE_MACHINE: f64 = 0.5;
 
+/// Copies that were served although older than a purge, and how long after the purge they were asked for.
+#[derive(Clone, Copy, Debug, Default, serde::Serialize, PartialEq)]
+pub struct AfterPurge {
+    pub purges: usize,
+    /// Answers asked for within the time in which a cache may have had an old copy.
+    pub reads: u64,
+    pub copies: usize,
+    pub p99_ms: u64,
+    pub latest_ms: u64,
+}
+
 pub struct Outcome {
     pub report: Report,
     pub list: list_service::Counts,
@@ -333,8 +350,7 @@
     pub first_again: (f64, f64),
     pub started_over: f64,
     pub lost: u64,
-    /// Copies older than a purge that were served, and how long after it, in milliseconds: number, most.
-    pub after_purge: (usize, u64),
+    pub after_purge: AfterPurge,
     pub stopped: BTreeSet<usize>,
 }
 
@@ -455,19 +471,24 @@
             What::Roll => {}
             What::Purge => {
                 if on {
-                    let (object, at) = (self.pick(true).1, unix_ms());
-                    self.tier.purge(object, at);
-                    self.clients.book.lock().unwrap().purges.insert(object, at);
-                    self.list.push("recall", json!({"item": format!("{object:016x}"), "issued": at}));
+                    let object = self.pick(true).1;
+                    self.purge(object);
                 }
             }
-            What::Rekey => {}
+            What::Purges(_) | What::Rekey => {}
         }
         if on {
             self.hit.insert(id, hits);
         }
     }
 
+    fn purge(&mut self, object: u64) {
+        let at = unix_ms();
+        self.tier.purge(object, at);
+        self.clients.book.lock().unwrap().purges.entry(object).or_default().push(at);
+        self.list.push("recall", json!({"item": format!("{object:016x}"), "issued": at}));
+    }
+
     /// What goes on over an event's time: its step by the part that is over.
     fn step(&mut self, event: &Event, from: f64, to: f64) {
         let n = self.o.gateways;
@@ -479,6 +500,13 @@
                     self.rolling.extend(some);
                 }
             }
+            What::Purges(rate) => {
+                let told = |part: f64| (part.clamp(0.0, 1.0) * event.lasts * rate) as u64;
+                for _ in told(from)..told(to) {
+                    let object = self.rng.random_range(1..self.o.objects) * 2 + self.rng.random_range(0..2);
+                    self.purge(object);
+                }
+            }
             What::Rekey => {
                 let steps = [vec![key(1), key(2)], vec![key(2), key(1)], vec![key(2)]];
                 for (s, keys) in steps.iter().enumerate() {
@@ -682,7 +710,18 @@
     // How late hundreds of processes on a few cores hear of it is the machine's as well: its part is told apart.
     let late = o.told_ms + PURGE_GRACE_MS + (LATE_MACHINE * 1e3) as u64;
     report.broken.stale = stale.iter().filter(|(_, after)| *after > late).count() as u64;
-    let after_purge = (stale.len(), stale.iter().map(|s| s.1).max().unwrap_or(0));
+    let mut after: Vec<u64> = stale.iter().map(|s| s.1).collect();
+    after.sort_unstable();
+    let after_purge = {
+        let book = clients.book.lock().unwrap();
+        AfterPurge {
+            purges: book.purges.values().map(Vec::len).sum(),
+            reads: book.after_purge,
+            copies: after.len(),
+            p99_ms: after.get(after.len() * 99 / 100).copied().unwrap_or(0),
+            latest_ms: after.last().copied().unwrap_or(0),
+        }
+    };
     let (first, started) = (clients.first.lock().unwrap(), clients.started.lock().unwrap());
     let to_first = |again: bool| {
         let of = first.iter().filter(|(i, _)| run.again.contains(i) == again);
@@ -733,6 +772,7 @@
     };
     let names = [
         "fleet members live",
+        "fleet bytes in",
         "fleet bytes out",
         "fleet datagrams out",
         "fleet suspected",
@@ -765,7 +805,7 @@
         "fetches_of_an_object": {"mean": outcome.fetches.0, "most": outcome.fetches.1, "objects": outcome.fetches.2},
         "served_0.95_at_s": outcome.served_at, "first_served_s": outcome.first_served,
         "first_served_again_s": outcome.first_again, "started_over_s": outcome.started_over, "lost": outcome.lost, "crashed": outcome.crashed,
-        "after_purge": {"copies": outcome.after_purge.0, "latest_ms": outcome.after_purge.1},
+        "after_purge": outcome.after_purge,
         "cpu_s": {"mean": outcome.used.iter().map(|u| u.cpu_s).sum::<f64>() / n,
             "most": outcome.used.iter().map(|u| u.cpu_s).fold(0.0, f64::max)},
         "peak_mb": outcome.used.iter().map(|u| u.peak_mb).fold(0.0, f64::max),
@@ -804,9 +844,11 @@
     }
     let (mean, most, n) = outcome.fetches;
     line("store: fetches of an object, mean, most, of", format!("{mean:.2}, {most}, {n}"));
+    let p = &outcome.after_purge;
+    line("purges told, reads soon after one", format!("{}, {}", p.purges, p.reads));
     line(
-        "copies older than a purge, latest ms after",
-        format!("{}, {}", outcome.after_purge.0, outcome.after_purge.1),
+        "copies older than a purge, p99, latest ms after",
+        format!("{}, {}, {}", p.copies, p.p99_ms, p.latest_ms),
     );
     line("txns that lost their gateway or found none", outcome.lost.to_string());
     line(
--- a/rig/src/fleet_plan.rs
+++ b/rig/src/fleet_plan.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+const MOST_PURGES: f64 = 10_000.0;
+
 /// What is cut, killed or stopped is undone at the event's end.
 #[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
 #[serde(rename_all = "kebab-case")]
@@ -30,6 +32,8 @@
     Roll,
     /// An object that many want is purged.
     Purge,
+    /// So many objects a second are purged, drawn evenly from those that clients want.
+    Purges(f64),
     /// The keys change in three steps over the event's time.
     Rekey,
 }
@@ -73,6 +77,12 @@
             {
                 return Err(Unusable::Event(i, "a part lies between 0 and 1"));
             }
+            What::Purges(rate) if !(rate > 0.0 && rate <= MOST_PURGES) => {
+                return Err(Unusable::Event(i, "purges a second are more than 0 and 10,000 at the most"));
+            }
+            What::Purges(_) if event.lasts == 0.0 => {
+                return Err(Unusable::Event(i, "purges a second want a time that they last"));
+            }
             What::Bad(0) | What::Slow(0, _) => return Err(Unusable::Event(i, "one cache in 1 or more")),
             _ => {}
         }
@@ -105,6 +115,8 @@
             (r#"[{"at": -1, "what": "purge"}]"#, "event 0: at and lasts"),
             (r#"[{"at": 1, "what": {"kill": 2}}]"#, "event 0: a part"),
             (r#"[{"at": 1, "what": {"bad": 0}}]"#, "event 0: one cache"),
+            (r#"[{"at": 1, "lasts": 2, "what": {"purges": 0}}]"#, "event 0: purges a second are"),
+            (r#"[{"at": 1, "what": {"purges": 9}}]"#, "event 0: purges a second want"),
             (r#"[{"at": 1, "what": "fog"}]"#, "the plan: unknown variant"),
         ] {
             let why = read(text).unwrap_err().to_string();
--- a/rig/src/tier.rs
+++ b/rig/src/tier.rs
@@ -15,7 +15,7 @@
 
 const MARK: usize = 16;
 /// A purge has come to all caches by then.
-const DROPPED_MS: u64 = 5_500;
+pub const DROPPED_MS: u64 = 5_500;
 
 /// What one of them bears.
 #[derive(Clone, Copy, Debug)]
@@ -61,7 +61,8 @@
     /// By object: how often the store was asked for it.
     fetched: BTreeMap<u64, u64>,
     ran: BTreeMap<u64, u32>,
-    purged: BTreeMap<u64, u64>,
+    /// By object: when it was purged, in order.
+    purged: BTreeMap<u64, Vec<u64>>,
 }
 
 pub struct Tier {
@@ -137,7 +138,7 @@
     }
 
     pub fn purge(&self, object: u64, at_ms: u64) {
-        self.state.lock().unwrap().purged.insert(object, at_ms);
+        self.state.lock().unwrap().purged.entry(object).or_default().push(at_ms);
     }
 
     pub fn counts(&self) -> BTreeMap<String, Counts> {
@@ -264,8 +265,9 @@
         let held = |name: &str| {
             let state = self.state.lock().unwrap();
             let born = state.caches.get(name)?.copies.get(&object).copied()?;
-            let purged =
-                state.purged.get(&object).is_some_and(|at| born < *at && unix_ms() >= at + DROPPED_MS);
+            let purges = state.purged.get(&object).map(Vec::as_slice).unwrap_or_default();
+            let first = purges.get(purges.partition_point(|at| *at <= born));
+            let purged = first.is_some_and(|at| unix_ms() >= at + DROPPED_MS);
             (unix_ms().saturating_sub(born) <= asked.oldest && !purged).then_some(born)
         };
         let is_origin = place.kind == "origin";
