--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -185,7 +185,7 @@
     last_tick: Time,
     calm_until: Time,
     /// What is said of oneself with probes.
-    pub list: Pulse,
+    pub list: Option<Pulse>,
     leaving: bool,
     /// Counts changes of who is there.
     pub version: u64,
@@ -233,7 +233,7 @@
             cursor: None,
             last_tick: now,
             calm_until: now,
-            list: Pulse::default(),
+            list: None,
             leaving: false,
             version: 0,
             grew: now,
@@ -327,7 +327,7 @@
 
     fn ping(&mut self) -> Ping {
         let (incarnation, known) = (self.incarnation, self.digest());
-        Ping { seq: 0, incarnation, known, list: Some(self.list.clone()) }
+        Ping { seq: 0, incarnation, known, list: self.list.clone() }
     }
 
     fn nonce(&self, now: Time, name: &str, run: u64, back: u64) -> u64 {
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -237,7 +237,7 @@
 
     pub fn tick(&mut self, now: Time) {
         self.comes(now);
-        self.members.list = self.relay.pulse(now);
+        self.members.list = (!self.relay.is_off()).then(|| self.relay.pulse(now));
         self.members.tick(now);
         self.relay.tick(now, &self.members);
         self.leases.tick(now, &self.members);
--- a/fleet/src/relay.rs
+++ b/fleet/src/relay.rs
@@ -122,6 +122,8 @@
 
 pub struct Relay {
     set: settings::Relays,
+    /// The list comes by the feed: nobody is asked, followed or told.
+    off: bool,
     expected: usize,
     /// Its place among the seeds is one of the first.
     seed: bool,
@@ -163,6 +165,7 @@
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let early: f64 = rng.random();
         Relay {
+            off: file.feed.is_some(),
             expected: file.members.expected,
             seed: file.seeds.iter().take(set.askers).any(|s| *s == file.reached()),
             list,
@@ -217,7 +220,11 @@
 
     /// The list, whole, has come from somewhere.
     pub fn listed(&self) -> bool {
-        !self.list.is_empty()
+        self.off || !self.list.is_empty()
+    }
+
+    pub fn is_off(&self) -> bool {
+        self.off
     }
 
     pub fn pulse(&self, now: Time) -> Pulse {
@@ -301,6 +308,9 @@
     // What members say.
 
     pub fn said(&mut self, now: Time, from: &Name, said: &Said) {
+        if self.off {
+            return;
+        }
         self.silent.remove(from);
         match said {
             Said::Follow(follow) => self.follow(now, from, follow),
@@ -402,6 +412,9 @@
 
     /// A number, a digest and an age that another names, by whatever way.
     pub fn weigh(&mut self, now: Time, from: &Name, pulse: &Pulse) {
+        if self.off {
+            return;
+        }
         self.compare(now, from, pulse);
         let no = self.list.no();
         if pulse.no > no && pulse.age_us != NEVER && !self.is_avoided(now, from) {
@@ -603,6 +616,9 @@
     }
 
     pub fn tick(&mut self, now: Time, members: &Members) {
+        if self.off {
+            return;
+        }
         if self.ranked != members.version {
             self.rerank(members);
         }
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -21,7 +21,9 @@
     /// Where they reach it, if that is another address (IPv4).
     #[serde(default)]
     pub advertise: Option<SocketAddr>,
-    /// A few gateways that are asked first; its own address among them does no harm.
+    /// A few gateways that are asked first; its own address among them does no harm. A machine set aside for control has
+    /// none.
+    #[serde(default)]
     pub seeds: Vec<SocketAddr>,
     /// The first one signs, each of them is good for what comes; read again on SIGHUP.
     pub keys: Vec<Key>,
@@ -149,7 +151,14 @@
             "advertise",
             "an IPv4 address with its port",
         )?;
-        need(!self.seeds.is_empty() && self.seeds.len() <= 16, "seeds", "1 to 16 are wanted")?;
+        let control = self.feed.as_ref().and_then(|f| f.control.as_ref());
+        match control {
+            Some(control) => {
+                need(self.seeds.is_empty(), "seeds", "a control machine has no members: none are wanted")?;
+                need(self.gateway == control.name, "gateway", "a control machine has the name of its hub")?;
+            }
+            None => need((1..=16).contains(&self.seeds.len()), "seeds", "1 to 16 are wanted")?,
+        }
         need((1..=4).contains(&self.keys.len()), "keys", "1 to 4 are wanted")?;
         let mut ids = BTreeSet::new();
         for (i, key) in self.keys.iter().enumerate() {
