A hub whose secret is not that of its public key does not start

It started well, and every bundle of it was refused by all gateways. The start now ends with feed: control.secret; gateway/tests/feed.rs (off_there_is_nothing_of_it) failed before.

--- a/feed/src/common.rs
+++ b/feed/src/common.rs
@@ -30,6 +30,14 @@
     key: UnparsedPublicKey<Vec<u8>>,
 }
 
+impl Hub {
+    /// Guards against a hub that starts well while all its bundles are refused: `None` where the secret is not that of its
+    /// public key.
+    pub fn signer(&self, secret: &str) -> Option<Ed25519KeyPair> {
+        Ed25519KeyPair::from_seed_and_public_key(&hex(secret)?, self.key.as_ref()).ok()
+    }
+}
+
 pub struct Set {
     /// The installation's name.
     pub of: String,
--- a/feed/src/hub.rs
+++ b/feed/src/hub.rs
@@ -6,7 +6,7 @@
 use crate::compose::{Composer, Head};
 use crate::log::{Log, Seen};
 use crate::report::{Sites, Taken};
-use crate::settings::{self, MOST_SITES, hex};
+use crate::settings::{self, MOST_SITES};
 use crate::wire::{Bundle, Fetch, Follow, Passed, Range, Report, Said};
 use crate::{Counts, Missing, Unusable};
 use kelpcart::{Span, Time};
@@ -75,7 +75,7 @@
 }
 
 impl Hub {
-    /// `None`: the seed of its key is none.
+    /// `None`: its secret is not that of its public key.
     pub fn new(
         set: Arc<Set>,
         me: usize,
@@ -84,7 +84,7 @@
         seed: u64,
         now: Time,
     ) -> Option<Hub> {
-        let signer = Ed25519KeyPair::from_seed_unchecked(&hex(&control.secret)?).ok()?;
+        let signer = set.hubs[me].signer(&control.secret)?;
         let known: Vec<u64> = set.streams.iter().map(|s| s.known).collect();
         let id = set.hubs[me].id;
         // Hubs don't all send at the same time.
--- a/feed/src/lib.rs
+++ b/feed/src/lib.rs
@@ -162,7 +162,8 @@
         let set = Arc::new(Set::new(file).ok_or(public)?);
         let role = match (&file.control, file.hub()) {
             (Some(control), Some(me)) => {
-                let secret = Unstartable::File("control.secret".to_owned(), "the seed of a key is wanted");
+                let secret =
+                    Unstartable::File("control.secret".to_owned(), "not the seed of the hub's public key");
                 let hub = Hub::new(Arc::clone(&set), me, control, run, seed, now).ok_or(secret)?;
                 Role::Hub(Box::new(hub))
             }
