--- a/gateway/src/fleet.rs
+++ b/gateway/src/fleet.rs
@@ -8,6 +8,7 @@
 use crate::clock::Clock;
 use crate::config::{self, Config, Names};
 use crate::counters::Counters;
+use crate::feed::{self, Feed, Serves};
 use crate::seam::{Common, Event, Job, Permit, Permits, Service};
 use async_channel::{Receiver, Sender};
 use async_io::Async;
@@ -33,7 +34,11 @@
 
 pub struct Fleet {
     node: RefCell<Node>,
-    socket: Async<UdpSocket>,
+    /// Where many sites are one installation. It shares the socket, and the list comes by it.
+    pub feed: Option<Rc<Feed>>,
+    /// The members that the feed was told of.
+    told: Cell<u64>,
+    socket: Rc<Async<UdpSocket>>,
     clock: Clock,
     counters: Rc<Counters>,
     dispatcher: Sender<Event>,
@@ -89,11 +94,27 @@
         let node = Node::new(&file, run, seed, now, config.last, known).map_err(|e| e.to_string())?;
         let socket =
             Async::<UdpSocket>::bind(file.listen).map_err(|e| format!("listen: {}: {e}", file.listen))?;
+        let socket = Rc::new(socket);
+        let of_feed = feed::Means {
+            tasks: means.tasks,
+            clock: means.clock,
+            counters: Rc::clone(&means.counters),
+            socket: Rc::clone(&socket),
+        };
+        let serves = Serves {
+            dispatcher: means.dispatcher.clone(),
+            names: config.names.clone(),
+            known: config.known.clone(),
+            last: config.last,
+        };
+        let feed = Feed::start(of_feed, &file, Some(serves))?;
         let counts = file.budgets.connections.is_some()
             || file.budgets.fills.is_some()
             || file.budgets.fills_at_cache.is_some();
         let fleet = Rc::new(Fleet {
             node: RefCell::new(node),
+            feed,
+            told: Cell::new(u64::MAX),
             socket,
             clock: means.clock,
             counters: means.counters,
@@ -125,6 +146,7 @@
         let file = text.and_then(|text| File::read(&text).map_err(|e| e.to_string()));
         match file {
             Ok(file) if self.node.borrow_mut().rekey(&file.keys) => {
+                self.feed.iter().for_each(|feed| feed.reread(&file));
                 self.counters.add("fleet keys read again");
                 log::info!("the fleet's keys are as they are now in its file");
             }
@@ -142,6 +164,12 @@
             for _ in 0..AT_ONCE {
                 match self.socket.recv_from(&mut bytes).await {
                     Ok((n, from)) => {
+                        if let Some(feed) = &self.feed
+                            && bytes[..n].first() == Some(&feed::VERSION)
+                        {
+                            feed.datagram(from, &bytes[..n]);
+                            continue;
+                        }
                         let now = self.clock.now();
                         self.node.borrow_mut().datagram(now, from, &bytes[..n]);
                         self.pull();
@@ -225,6 +253,13 @@
             let node = self.node.borrow();
             (node.asks(), node.phase())
         };
+        if let Some(feed) = &self.feed {
+            let node = self.node.borrow();
+            let version = node.members.version;
+            if self.told.replace(version) != version {
+                feed.members(node.members.others().map(|(name, known)| (&**name, known.address)));
+            }
+        }
         if self.asked.replace(asks) != asks {
             self.asks.notify(usize::MAX);
         }
@@ -427,6 +462,7 @@
             ]
             .map(|(name, n)| (name, n as usize)),
         );
+        all.extend(self.feed.iter().flat_map(|feed| feed.sizes()));
         all
     }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod counters;
 pub mod dispatcher;
 pub mod end;
+pub mod feed;
 pub mod fleet;
 pub mod http;
 pub mod logger;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -6,6 +6,7 @@
 use async_io::Async;
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
+use kelpcart_fleet::settings::Fleet as FleetFile;
 use kelpcart_gateway::buffers::Pool;
 use kelpcart_gateway::bulletin::{Alone, Bulletin};
 use kelpcart_gateway::caches::{Bounds, Caches};
@@ -14,6 +15,7 @@
 use kelpcart_gateway::config::{self, Config};
 use kelpcart_gateway::counters::Counters;
 use kelpcart_gateway::dispatcher::Dispatcher;
+use kelpcart_gateway::feed;
 use kelpcart_gateway::fleet::{Asker, Fleet, Means as FleetMeans};
 use kelpcart_gateway::seam::{Event, Keys};
 use kelpcart_gateway::sites::{Between, Means};
@@ -41,6 +43,17 @@
     // Before all else: what comes while the configuration is read must not end the process by its default.
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup]);
     let signals = signals.map_err(|e| format!("signals: {e}"))?;
+    let tasks: Tasks = Box::leak(Box::new(LocalExecutor::new()));
+    let named = |name: &str| env::var(name).ok();
+    if let Some(path) = named("KELPCART_FLEET") {
+        let file = || read(&path, |text| FleetFile::read(text).map_err(|e| e.to_string()));
+        let first = file()?;
+        // Set aside for control: whatever else is configured for this machine, it takes no txns.
+        if first.feed.as_ref().is_some_and(|f| f.control.is_some()) {
+            let control = feed::control(tasks, first, signals, file);
+            return async_io::block_on(tasks.run(control)).map_err(|why| format!("{path}: {why}"));
+        }
+    }
     let path = env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG is not set")?;
     let mut config = read(&path, Config::read)?;
     if let Ok(listen) = env::var("NODE_LISTEN") {
@@ -48,8 +61,6 @@
     }
     let listener = Async::<TcpListener>::bind(config.listen);
     let listener = listener.map_err(|e| format!("{}: {e}", config.listen))?;
-    let tasks: Tasks = Box::leak(Box::new(LocalExecutor::new()));
-    let named = |name: &str| env::var(name).ok();
     let (sites, fleet) = (named("KELPCART_SITES"), named("KELPCART_FLEET"));
     let files = Files { sites, fleet, copies: named("KELPCART_COPIES") };
     if files.copies.is_some() && files.sites.is_none() {
@@ -116,8 +127,9 @@
     };
     let fleet = files.fleet.as_ref().map(join).transpose()?;
     let address = config.bulletin;
-    match &fleet {
-        None => {
+    match (&fleet, fleet.as_ref().and_then(|f| f.feed.as_ref())) {
+        (_, Some(feed)) => feed.follow(tasks, Some((address, moves))),
+        (None, None) => {
             let subscriber = Alone {
                 last: config.last,
                 names: config.names.clone(),
@@ -127,7 +139,7 @@
             let bulletin = Bulletin { address, moves, clock, counters: Rc::clone(&counters), subscriber };
             tasks.spawn(bulletin.follow()).detach();
         }
-        Some(fleet) => {
+        (Some(fleet), None) => {
             let subscriber = Asker(Rc::clone(fleet));
             let bulletin = Bulletin { address, moves, clock, counters: Rc::clone(&counters), subscriber };
             tasks.spawn(bulletin.follow()).detach();
--- /dev/null
+++ b/gateway/tests/common/installation.rs
@@ -0,0 +1,386 @@
+//! Several sites of gateways with their hubs, list services and caches, as processes and stand-ins on loopback. Clients ask
+//! at every gateway all the time, and each answer is held against the purges.
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use super::PATIENCE;
+use kelpcart_rig::bulletin::Bulletin;
+use kelpcart_rig::caches::{Place, Site, Times, born, unix_ms};
+use kelpcart_rig::client::{self, Ask, Word};
+use kelpcart_rig::fleet::{self, Node, Process, counters};
+use kelpcart_rig::fleet_day::front;
+use kelpcart_rig::lane::Weather;
+use kelpcart_rig::switch::{self, Switch};
+use ring::signature::{Ed25519KeyPair, KeyPair};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// Objects that clients ask for and list services purge.
+pub const OBJECTS: u64 = 60;
+const ASK_EVERY: Duration = Duration::from_millis(25);
+/// Gathered for a period, the way to a site and down its tree; the settings' grace; and what a busy machine adds.
+pub const TOLD_MS: u64 = 650 + 500 + 500;
+
+static ONE: Mutex<()> = Mutex::new(());
+
+pub fn alone() -> MutexGuard<'static, ()> {
+    // One that failed has ended its processes.
+    ONE.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+fn digits(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+fn secret(hub: usize) -> [u8; 32] {
+    [hub as u8 + 1; 32]
+}
+
+pub fn hub(i: usize, address: SocketAddr) -> Value {
+    let pair = Ed25519KeyPair::from_seed_unchecked(&secret(i)).unwrap();
+    json!({"name": format!("h{i}"), "address": address.to_string(), "public": digits(pair.public_key().as_ref())})
+}
+
+/// Answers of a gateway that were older than a purge, and by how many milliseconds they were asked for after it.
+#[derive(Default)]
+struct Seen {
+    purges: Mutex<BTreeMap<u64, u64>>,
+    stale: Mutex<Vec<(usize, u64)>>,
+    served: Vec<AtomicU64>,
+    ends: AtomicBool,
+}
+
+pub struct Installation {
+    _alone: MutexGuard<'static, ()>,
+    pub switch: Switch,
+    pub lists: Arc<Vec<Bulletin>>,
+    site: Arc<Site>,
+    places: Vec<Place>,
+    /// The site of each gateway.
+    pub of: Vec<usize>,
+    hubs: usize,
+    processes: Vec<Option<Process>>,
+    seen: Arc<Seen>,
+    clients: Vec<JoinHandle<()>>,
+    purges: Option<(Arc<AtomicBool>, JoinHandle<u64>)>,
+    folder: PathBuf,
+}
+
+impl Installation {
+    /// `sites`: how many gateways each has; waits until all know one another and hear a hub.
+    pub fn start(test: &str, sites: &[usize], hubs: usize, streams: usize) -> Installation {
+        let mut all = Installation::with(test, sites, hubs, streams);
+        (0..all.processes.len()).for_each(|i| all.spawn(i));
+        all.wait_for("a whole installation", |all| {
+            let whole = |i: &usize| {
+                let c = all.counters(*i);
+                let members = sites[all.of[*i]] as f64;
+                c.get("fleet members live") == Some(&members) && c.get("fleet feed bundles") > Some(&0.0)
+            };
+            all.gateways().iter().all(whole)
+        });
+        let (seen, n) = (Arc::clone(&all.seen), all.of.len());
+        all.clients = (0..n)
+            .map(|i| {
+                let seen = Arc::clone(&seen);
+                thread::spawn(move || ask(i, &seen))
+            })
+            .collect();
+        all
+    }
+
+    fn with(test: &str, sites: &[usize], hubs: usize, streams: usize) -> Installation {
+        let alone = alone();
+        switch::next_net();
+        let folder = std::env::temp_dir().join(format!("kelpcart-{test}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let of: Vec<usize> = sites.iter().enumerate().flat_map(|(s, n)| vec![s; *n]).collect();
+        let ms = Duration::from_millis;
+        let site = Site::new(Times { hit: ms(2), fill: ms(3), origin: ms(10) }, |_| 2_000);
+        let kinds = [("c0", "box"), ("c1", "box"), ("p0", "parent"), ("o", "origin")];
+        let places = kinds.map(|(name, kind)| site.place(name, kind).unwrap()).to_vec();
+        let weather = Weather { delay_ms: 2.0, ..Weather::default() };
+        let switch = Switch::start(of.len() + hubs, 1, weather).unwrap();
+        Installation {
+            _alone: alone,
+            switch,
+            lists: Arc::new((0..streams).map(|_| Bulletin::start(1).unwrap()).collect()),
+            site,
+            places,
+            processes: (0..of.len() + hubs).map(|_| None).collect(),
+            seen: Arc::new(Seen {
+                served: of.iter().map(|_| AtomicU64::new(0)).collect(),
+                ..Seen::default()
+            }),
+            of,
+            hubs,
+            clients: Vec::new(),
+            purges: None,
+            folder,
+        }
+    }
+
+    /// The place of a hub among the processes, behind the gateways.
+    pub fn hub(&self, i: usize) -> usize {
+        self.of.len() + i
+    }
+
+    pub fn hubs(&self) -> Vec<usize> {
+        (0..self.hubs).map(|i| self.hub(i)).filter(|i| self.processes[*i].is_some()).collect()
+    }
+
+    /// Gateways that are there.
+    pub fn gateways(&self) -> Vec<usize> {
+        (0..self.of.len()).filter(|i| self.processes[*i].is_some()).collect()
+    }
+
+    pub fn name(i: usize) -> String {
+        format!("g{i}")
+    }
+
+    fn file(&self, i: usize) -> Value {
+        let n = self.of.len();
+        let hubs: Vec<Value> = (0..self.hubs).map(|h| hub(h, switch::reached(n + h))).collect();
+        let stream = |(i, l): (usize, &Bulletin)| json!({"name": format!("s{i}"), "address": l.address.to_string(), "known": 1});
+        let streams: Vec<Value> = self.lists.iter().enumerate().map(stream).collect();
+        let site = self.of.get(i).map_or("control".to_owned(), |s| format!("site{s}"));
+        let mut file = json!({
+            "fleet": site, "gateway": Installation::name(i), "listen": switch::own(i).to_string(),
+            "advertise": switch::reached(i).to_string(), "keys": [{"id": 1, "secret": "01".repeat(32)}],
+            "feed": {"name": "rig", "site": site, "streams": streams, "hubs": hubs},
+        });
+        if i < n {
+            let peers = (0..n).filter(|p| self.of[*p] == self.of[i]);
+            let seeds: Vec<String> = peers.clone().take(3).map(|p| switch::reached(p).to_string()).collect();
+            file["seeds"] = json!(seeds);
+            file["members"] =
+                json!({"expected": peers.count(), "probe_ms": 500, "answer_ms": 200, "suspect_ms": 1_500});
+        } else {
+            let sites: Vec<String> =
+                (0..=self.of.last().copied().unwrap_or(0)).map(|s| format!("site{s}")).collect();
+            let name = format!("h{}", i - n);
+            file["gateway"] = json!(name);
+            file["feed"]["control"] = json!({"name": name, "secret": digits(&secret(i - n)), "sites": sites});
+        }
+        file
+    }
+
+    pub fn spawn(&mut self, i: usize) {
+        let name = if i < self.of.len() { Installation::name(i) } else { format!("h{}", i - self.of.len()) };
+        let (zone, bulletin, places, seed) = ("hub", self.lists[0].address, self.places.as_slice(), i as u64);
+        let mut config = fleet::config(&Node { name: &name, zone, bulletin, places, memory_mb: 64, seed });
+        config["listen"] = json!(front(i).to_string());
+        let process = Process::spawn(super::program(), &self.folder, &name, &config, Some(&self.file(i)));
+        self.processes[i] = Some(process.unwrap());
+    }
+
+    /// As a crash would.
+    pub fn kill(&mut self, i: usize) {
+        if let Some(mut process) = self.processes[i].take() {
+            assert!(!process.has_ended() && !process.log().contains("panicked at"), "{}", process.log());
+            process.kill();
+        }
+    }
+
+    pub fn signal(&self, name: &str, of: &[usize]) {
+        let ids: Vec<u32> = of.iter().filter_map(|i| self.processes[*i].as_ref()).map(Process::id).collect();
+        fleet::signal(name, &ids).unwrap();
+    }
+
+    pub fn log(&self, i: usize) -> String {
+        self.processes[i].as_ref().map(Process::log).unwrap_or_default()
+    }
+
+    /// The counters of a process as they are now; none where it does not write them within a second.
+    pub fn counters(&self, i: usize) -> BTreeMap<String, f64> {
+        let told = || self.log(i).lines().filter(|l| l.contains("now: clients")).count();
+        let (before, began) = (told(), Instant::now());
+        self.signal("USR1", &[i]);
+        while told() == before {
+            if began.elapsed() > Duration::from_secs(1) {
+                return BTreeMap::new();
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        self.log(i).lines().rfind(|l| l.contains("now: clients")).map(counters).unwrap_or_default()
+    }
+
+    pub fn counter(&self, i: usize, name: &str) -> f64 {
+        self.counters(i).get(name).copied().unwrap_or(-1.0)
+    }
+
+    pub fn sum(&self, name: &str) -> f64 {
+        self.gateways().into_iter().map(|i| self.counter(i, name)).sum()
+    }
+
+    pub fn wait_for(&self, what: &str, is: impl Fn(&Installation) -> bool) {
+        let began = Instant::now();
+        while !is(self) {
+            if began.elapsed() > PATIENCE {
+                let all = (0..self.processes.len()).map(|i| format!("{i}: {:?}\n", self.counters(i)));
+                panic!("{what} never came:\n{}", all.collect::<String>());
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// Members of a site in the order in which they become its contact.
+    pub fn order(&self, site: usize) -> Vec<usize> {
+        use kelpcart_feed::rank;
+        let mut all: Vec<usize> = self.gateways().into_iter().filter(|i| self.of[*i] == site).collect();
+        all.sort_by_key(|i| std::cmp::Reverse(rank::score(&Installation::name(*i), rank::ORDER)));
+        all
+    }
+
+    /// Purges so many objects a second from now on, by all list services in turn.
+    pub fn purge(&mut self, a_second: u32) {
+        let (lists, seen, site) = (Arc::clone(&self.lists), Arc::clone(&self.seen), Arc::clone(&self.site));
+        let ends = Arc::new(AtomicBool::new(false));
+        let ended = Arc::clone(&ends);
+        let purges = thread::spawn(move || {
+            let mut n = 0;
+            while !ended.load(Ordering::SeqCst) {
+                let (object, at) = (n * 7 % OBJECTS, unix_ms());
+                seen.purges.lock().unwrap().insert(object, at);
+                site.purges.lock().unwrap().insert(object, at);
+                lists[n as usize % lists.len()].purge(object, at);
+                n += 1;
+                thread::sleep(Duration::from_secs(1) / a_second);
+            }
+            n
+        });
+        self.purges = Some((ends, purges));
+    }
+
+    /// Ends the purges; how many there were.
+    pub fn purged(&mut self) -> u64 {
+        let Some((ends, purges)) = self.purges.take() else { return 0 };
+        ends.store(true, Ordering::SeqCst);
+        purges.join().unwrap()
+    }
+
+    pub fn knows_all(&self, i: usize) -> bool {
+        let c = self.counters(i);
+        let at = |s: usize| c.get(&format!("fleet feed position {s}")).copied();
+        self.lists.iter().enumerate().all(|(s, list)| at(s) == Some(list.last() as f64))
+    }
+
+    /// Every live gateway knows the last number of each list service.
+    pub fn wait_for_all_known(&self) {
+        self.wait_for("all numbers at all gateways", |all| {
+            all.gateways().into_iter().all(|i| all.knows_all(i))
+        });
+    }
+
+    /// Every live gateway knows the numbers that there are now, while more may come.
+    pub fn wait_for_all_known_so_far(&self) {
+        let last: Vec<f64> = self.lists.iter().map(|l| l.last() as f64).collect();
+        self.wait_for("the numbers so far at all gateways", |all| {
+            all.gateways().into_iter().all(|i| {
+                let c = all.counters(i);
+                let at = |s: usize| c.get(&format!("fleet feed position {s}")).copied().unwrap_or(-1.0);
+                (0..last.len()).all(|s| at(s) >= last[s])
+            })
+        });
+    }
+
+    /// Every hub knows that every live gateway knows them.
+    pub fn wait_for_all_done(&self) {
+        self.wait_for_all_known();
+        self.wait_for("all numbers done everywhere at all hubs", |all| {
+            all.hubs().into_iter().all(|i| {
+                let c = all.counters(i);
+                let done = |s: usize| c.get(&format!("fleet feed done everywhere {s}")).copied();
+                all.lists.iter().enumerate().all(|(s, list)| done(s) == Some(list.last() as f64))
+            })
+        });
+    }
+
+    /// Ends all: nothing older than a purge was given to who asked later after it than `told_ms`, and every gateway that
+    /// is there has served.
+    pub fn end(mut self, told_ms: u64) {
+        self.purged();
+        let began = Instant::now();
+        let before: Vec<u64> = self.seen.served.iter().map(|s| s.load(Ordering::SeqCst)).collect();
+        let serves = |i: &usize| self.seen.served[*i].load(Ordering::SeqCst) > before[*i];
+        while !self.gateways().iter().all(serves) {
+            assert!(began.elapsed() < PATIENCE, "one that is there does not serve");
+            thread::sleep(Duration::from_millis(20));
+        }
+        let late: Vec<(usize, u64)> =
+            self.seen.stale.lock().unwrap().iter().copied().filter(|s| s.1 > told_ms).collect();
+        assert!(late.is_empty(), "(gateway, ms after the purge): {late:?}");
+        (0..self.processes.len()).for_each(|i| self.kill(i));
+    }
+}
+
+impl Drop for Installation {
+    fn drop(&mut self) {
+        self.purged();
+        self.seen.ends.store(true, Ordering::SeqCst);
+        self.processes.iter_mut().for_each(|p| *p = None);
+        self.site.end();
+        self.clients.drain(..).for_each(|c| _ = c.join());
+        if !thread::panicking() {
+            _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Asks at one gateway until the end, whenever it is there.
+fn ask(i: usize, seen: &Seen) {
+    let mut n = i as u64;
+    while !seen.ends.load(Ordering::SeqCst) {
+        if let Ok(stream) = TcpStream::connect(front(i)) {
+            // It goes with its gateway, and comes again with it.
+            _ = talk(i, seen, &stream, &mut n);
+        }
+        thread::sleep(ASK_EVERY);
+    }
+}
+
+fn talk(i: usize, seen: &Seen, mut stream: &TcpStream, n: &mut u64) -> std::io::Result<()> {
+    stream.set_read_timeout(Some(Duration::from_millis(200)))?;
+    stream.set_nodelay(true)?;
+    let (mut held, mut bytes) = (Vec::new(), [0; 16 * 1024]);
+    let mut id = 0;
+    loop {
+        thread::sleep(ASK_EVERY);
+        (id, *n) = (id + 1, *n + 11);
+        let (object, sent) = (*n % OBJECTS, unix_ms());
+        let trace = (i as u64) << 40 | *n;
+        let ask = Ask { id, rule: "media", trace, object, timeout_ms: 5_000, need_kb: 2.0, body: b"" };
+        stream.write_all(&client::request(&ask))?;
+        let answer = loop {
+            if let Some((answer, used)) = client::answer(&held).map_err(std::io::Error::other)? {
+                held.drain(..used);
+                break answer;
+            }
+            match stream.read(&mut bytes) {
+                Ok(0) => return Ok(()),
+                Ok(got) => held.extend(&bytes[..got]),
+                Err(e)
+                    if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
+                Err(e) => return Err(e),
+            }
+            if seen.ends.load(Ordering::SeqCst) {
+                return Ok(());
+            }
+        };
+        if answer.word != Word::Served {
+            continue;
+        }
+        seen.served[i].fetch_add(1, Ordering::SeqCst);
+        let born = born(object, &answer.body).expect("the object's own bytes");
+        let purged = seen.purges.lock().unwrap().get(&object).copied();
+        if let Some(at) = purged.filter(|at| sent > *at && born < *at) {
+            seen.stale.lock().unwrap().push((i, sent - at));
+        }
+    }
+}
--- a/gateway/tests/fleet.rs
+++ b/gateway/tests/fleet.rs
@@ -203,7 +203,7 @@
     let ((threads, sockets), (with_threads, with_sockets)) = (held(off.id()), held(on.id()));
     assert_eq!((sockets, with_sockets, with_threads), (0, 1, threads));
     let counters = off.counters();
-    assert!(!counters.is_empty() && !counters.contains("fleet"), "{counters}");
+    assert!(!counters.is_empty() && !counters.contains("fleet") && !counters.contains("feed"), "{counters}");
     // A file that can't be used ends the start with its field.
     let mut bad = file.clone();
     bad["keys"] = json!([]);
--- a/rig/src/bulletin.rs
+++ b/rig/src/bulletin.rs
@@ -53,6 +53,16 @@
         self.shared.more.notify_all();
     }
 
+    /// A list of caches, or what has changed of it.
+    pub fn roster(&self, snapshot: bool, endpoints: &[Value]) {
+        self.push("roster", json!({"index": 0, "snapshot": snapshot, "endpoints": endpoints}));
+    }
+
+    /// The number of the last event.
+    pub fn last(&self) -> u64 {
+        self.shared.first + self.shared.events.lock().unwrap().len() as u64
+    }
+
     /// Purges an object as of a Unix millisecond.
     pub fn purge(&self, object: u64, issued_ms: u64) {
         self.push("recall", json!({"item": format!("{object:016x}"), "issued": issued_ms}));
