--- a/gateway/src/feed.rs
+++ b/gateway/src/feed.rs
@@ -198,6 +198,7 @@
             self.counters.add("fleet feed keys that can't be used");
             log::warn!("the feed's keys can't be used; they stay");
         }
+        self.counters.add("fleet feed files read again");
         let fresh = file.feed.as_ref().map(|f| &f.streams).into_iter().flatten();
         let fresh: BTreeMap<&str, SocketAddr> = fresh.map(|s| (s.name.as_str(), s.address)).collect();
         for (i, tell) in self.moves.borrow().iter() {
--- a/gateway/tests/common/installation.rs
+++ b/gateway/tests/common/installation.rs
@@ -6,7 +6,7 @@
 use kelpcart_rig::bulletin::Bulletin;
 use kelpcart_rig::caches::{Place, Site, Times, born, unix_ms};
 use kelpcart_rig::client::{self, Ask, Word};
-use kelpcart_rig::fleet::{self, Node, Process, counters};
+use kelpcart_rig::fleet::{self, Node, Process, counters, endpoint};
 use kelpcart_rig::fleet_day::front;
 use kelpcart_rig::lane::Weather;
 use kelpcart_rig::switch::{self, Switch};
@@ -70,6 +70,8 @@
     clients: Vec<JoinHandle<()>>,
     purges: Option<(Arc<AtomicBool>, JoinHandle<u64>)>,
     folder: PathBuf,
+    /// The first one signs.
+    pub keys: Vec<u32>,
 }
 
 impl Installation {
@@ -123,6 +125,7 @@
             clients: Vec::new(),
             purges: None,
             folder,
+            keys: vec![1],
         }
     }
 
@@ -140,8 +143,8 @@
         (0..self.of.len()).filter(|i| self.processes[*i].is_some()).collect()
     }
 
-    pub fn name(i: usize) -> String {
-        format!("g{i}")
+    fn name(&self, i: usize) -> String {
+        if i < self.of.len() { format!("g{i}") } else { format!("h{}", i - self.of.len()) }
     }
 
     fn file(&self, i: usize) -> Value {
@@ -150,9 +153,11 @@
         let stream = |(i, l): (usize, &Bulletin)| json!({"name": format!("s{i}"), "address": l.address.to_string(), "known": 1});
         let streams: Vec<Value> = self.lists.iter().enumerate().map(stream).collect();
         let site = self.of.get(i).map_or("control".to_owned(), |s| format!("site{s}"));
+        let keys: Vec<Value> =
+            self.keys.iter().map(|id| json!({"id": id, "secret": format!("{id:02x}").repeat(32)})).collect();
         let mut file = json!({
-            "fleet": site, "gateway": Installation::name(i), "listen": switch::own(i).to_string(),
-            "advertise": switch::reached(i).to_string(), "keys": [{"id": 1, "secret": "01".repeat(32)}],
+            "fleet": site, "gateway": self.name(i), "listen": switch::own(i).to_string(),
+            "advertise": switch::reached(i).to_string(), "keys": keys,
             "feed": {"name": "rig", "site": site, "streams": streams, "hubs": hubs},
         });
         if i < n {
@@ -164,22 +169,58 @@
         } else {
             let sites: Vec<String> =
                 (0..=self.of.last().copied().unwrap_or(0)).map(|s| format!("site{s}")).collect();
-            let name = format!("h{}", i - n);
-            file["gateway"] = json!(name);
-            file["feed"]["control"] = json!({"name": name, "secret": digits(&secret(i - n)), "sites": sites});
+            file["feed"]["control"] =
+                json!({"name": self.name(i), "secret": digits(&secret(i - n)), "sites": sites});
         }
         file
     }
 
-    pub fn spawn(&mut self, i: usize) {
-        let name = if i < self.of.len() { Installation::name(i) } else { format!("h{}", i - self.of.len()) };
-        let (zone, bulletin, places, seed) = ("hub", self.lists[0].address, self.places.as_slice(), i as u64);
-        let mut config = fleet::config(&Node { name: &name, zone, bulletin, places, memory_mb: 64, seed });
+    fn config(&self, i: usize) -> Value {
+        let (zone, bulletin, places) = ("hub", self.lists[0].address, self.places.as_slice());
+        let name = self.name(i);
+        let node = Node { name: &name, zone, bulletin, places, memory_mb: 64, seed: i as u64 };
+        let mut config = fleet::config(&node);
         config["listen"] = json!(front(i).to_string());
-        let process = Process::spawn(super::program(), &self.folder, &name, &config, Some(&self.file(i)));
+        config
+    }
+
+    pub fn spawn(&mut self, i: usize) {
+        let (config, file) = (self.config(i), self.file(i));
+        let process = Process::spawn(super::program(), &self.folder, &self.name(i), &config, Some(&file));
         self.processes[i] = Some(process.unwrap());
     }
 
+    /// Has all of them read their files again, as they would be written now; comes when they have.
+    pub fn reread(&self) {
+        let of: Vec<usize> = self.gateways().into_iter().chain(self.hubs()).collect();
+        let times = |i: usize| self.counter(i, "fleet feed files read again").max(0.0);
+        let before: Vec<f64> = of.iter().map(|i| times(*i)).collect();
+        for i in of.iter().copied() {
+            for (end, value) in [("config", self.config(i)), ("fleet", self.file(i))] {
+                // Replaced whole: nobody reads half a file.
+                let path = self.folder.join(format!("{}.{end}.json", self.name(i)));
+                std::fs::write(path.with_extension("part"), value.to_string()).unwrap();
+                std::fs::rename(path.with_extension("part"), path).unwrap();
+            }
+        }
+        self.signal("HUP", &of);
+        self.wait_for("files read again", |_| of.iter().zip(&before).all(|(i, n)| times(*i) > *n));
+    }
+
+    /// All list services go, and go on elsewhere.
+    pub fn move_lists(&mut self) {
+        let lists = Arc::get_mut(&mut self.lists).expect("purges have ended");
+        lists.iter_mut().for_each(|list| *list = Bulletin::start(list.last()).unwrap());
+        self.reread();
+    }
+
+    /// A list of caches by one list service; they are at addresses at which nobody is.
+    pub fn list(&self, stream: usize, whole: bool, names: &[String]) {
+        let nowhere = |n: &String| Place { name: n.clone(), kind: "box", address: switch::address(4, 0, 9) };
+        let all: Vec<Value> = names.iter().map(|n| endpoint(&nowhere(n), "hub", "draining")).collect();
+        self.lists[stream].roster(whole, &all);
+    }
+
     /// As a crash would.
     pub fn kill(&mut self, i: usize) {
         if let Some(mut process) = self.processes[i].take() {
@@ -234,7 +275,7 @@
     pub fn order(&self, site: usize) -> Vec<usize> {
         use kelpcart_feed::rank;
         let mut all: Vec<usize> = self.gateways().into_iter().filter(|i| self.of[*i] == site).collect();
-        all.sort_by_key(|i| std::cmp::Reverse(rank::score(&Installation::name(*i), rank::ORDER)));
+        all.sort_by_key(|i| std::cmp::Reverse(rank::score(&self.name(*i), rank::ORDER)));
         all
     }
 
--- a/gateway/tests/feed.rs
+++ b/gateway/tests/feed.rs
@@ -164,6 +164,60 @@
     all.end(TOLD_MS + SILENT_MS + 2 * WHILE.as_millis() as u64);
 }
 
+#[test]
+fn keys_and_list_services_change_on_the_way() {
+    let mut all = Installation::start("feed-moves", &[3], 1, 2);
+    all.purge(30);
+    for keys in [vec![1, 2], vec![2, 1], vec![2]] {
+        all.keys = keys;
+        all.reread();
+    }
+    all.purged();
+    all.wait_for_all_done();
+    assert_eq!(all.sum("fleet feed refused seals"), 0.0);
+    all.move_lists();
+    all.purge(30);
+    thread::sleep(WHILE / 3);
+    all.wait_for_all_known_so_far();
+    // The own stream's place came to the gateways by their configuration, the other's by their file.
+    let hub = all.hub(0);
+    all.kill(hub);
+    all.wait_for("both list services asked", |all| all.sum("fleet feed list services asked now") >= 2.0);
+    all.wait_for("purges by the contact", |all| all.sum("fleet feed provisional") > 0.0);
+    thread::sleep(WHILE);
+    all.spawn(hub);
+    assert!(all.purged() > 20);
+    all.wait_for_all_done();
+    all.end(TOLD_MS + SILENT_MS + 2_000);
+}
+
+#[test]
+fn lists_of_all_streams_reach_every_gateway_and_leave_one_another_alone() {
+    let all = Installation::start("feed-lists", &[3, 2], 2, 2);
+    let names = |of: &str, n: usize| (0..n).map(|i| format!("{of}{i}")).collect::<Vec<_>>();
+    let lists = |n: f64| {
+        all.wait_for_all_done();
+        all.wait_for("lists as they were told", |all| {
+            all.gateways().into_iter().all(|i| all.counter(i, "fleet feed caches listed") == n)
+        });
+    };
+    // Four come from the configuration, and no stream has named them yet.
+    lists(4.0);
+    all.list(0, true, &names("east", 12));
+    all.list(1, true, &names("west", 12));
+    lists(28.0);
+    all.list(1, true, &names("west", 2));
+    lists(18.0);
+    all.list(0, false, &names("west", 2));
+    all.list(1, true, &[]);
+    lists(18.0);
+    all.list(0, true, &[]);
+    lists(4.0);
+    // Nobody asks, follows or tells by the fleet's own relay.
+    assert_eq!(all.sum("fleet bulletin asked"), 0.0);
+    all.end(TOLD_MS);
+}
+
 #[test]
 fn whole_lists_of_one_stream_leave_the_caches_of_others_and_moved_ones() {
     let roster = |whole, names: &[(&str, &str)]| {
