--- a/gateway/tests/fleet.rs
+++ b/gateway/tests/fleet.rs
@@ -10,7 +10,7 @@
 use kelpcart_gateway::clock::Clock;
 use kelpcart_rig::bulletin::Bulletin;
 use kelpcart_rig::fleet::{self, Node};
-use kelpcart_rig::fleet_day::{self, Options, Outcome};
+use kelpcart_rig::fleet_day::{self, Installation, Options, Outcome};
 use kelpcart_rig::fleet_plan::{Event, What};
 use kelpcart_rig::switch;
 use serde_json::json;
@@ -217,6 +217,26 @@
 }
 
 /// A member that speaks for itself with the fleet's key, declares all others gone and sends old news again.
+#[test]
+fn a_day_of_two_sites_by_the_feed_with_purges_at_a_rate_keeps_all_rules() {
+    let size = Installation { sites: 2, hubs: 2, streams: 2 };
+    let outcome = play(12, 9.0, vec![event(2.0, 5.0, What::Purges(40.0))], |o| {
+        (o.installation, o.told_ms, o.objects) = (Some(size), fleet_day::FEED_MS, 20);
+    });
+    let after = outcome.after_purge;
+    assert!(after.purges == 200 && after.reads > 50, "{after:?}");
+    assert!(told(&outcome, "fleet members live").iter().all(|n| *n == 6.0));
+    let last: Vec<f64> = outcome.lists.iter().map(|l| l.0 as f64).collect();
+    assert_eq!(last.iter().sum::<f64>(), 201.0);
+    for (stream, last) in last.iter().enumerate() {
+        let known = told(&outcome, &format!("fleet feed position {stream}"));
+        assert!(known.len() == 12 && known.iter().all(|n| n == last), "{stream}: {known:?} of {last}");
+        let name = format!("fleet feed done everywhere {stream}");
+        let done: Vec<f64> = outcome.hubs_counters.iter().filter_map(|c| c.get(&name).copied()).collect();
+        assert_eq!(done, [*last; 2]);
+    }
+}
+
 #[test]
 fn a_member_that_lies_and_replays_does_no_harm() {
     let _alone = alone();
--- a/rig/src/fleet_day.rs
+++ b/rig/src/fleet_day.rs
@@ -18,6 +18,7 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use ring::signature::{Ed25519KeyPair, KeyPair};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpStream};
@@ -26,6 +27,18 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// The last gateway knows what a list service told by then, by the feed's periods and ways (docs/design/feed.md).
+pub const FEED_MS: u64 = 650;
+
+/// Many sites that the feed makes one installation, and what it needs. No guests, and no foreign ones.
+#[derive(Clone, Copy, Debug, serde::Serialize)]
+pub struct Installation {
+    pub sites: usize,
+    pub hubs: usize,
+    /// List services whose events are numbered apart; the first tells the list of caches.
+    pub streams: usize,
+}
+
 #[derive(Clone, Debug)]
 pub struct Options {
     pub gateways: usize,
@@ -48,8 +61,10 @@
     pub foreign: usize,
     /// Addresses between gateways for members that the caller plays, behind those of the fleet.
     pub guests: usize,
+    /// Without it all are one fleet, and the list is relayed.
+    pub installation: Option<Installation>,
     /// What the bulletin has to tell counts as told so many milliseconds later: 0 while its connections stand, 2,000
-    /// where the plan breaks all of them at once.
+    /// where the plan breaks all of them at once, `FEED_MS` where the feed tells it.
     pub told_ms: u64,
     /// The caller has taken the run's part of loopback already.
     pub has_net: bool,
@@ -62,6 +77,26 @@
 }
 
 impl Options {
+    fn hubs(&self) -> usize {
+        self.installation.map_or(0, |all| all.hubs)
+    }
+
+    fn streams(&self) -> usize {
+        self.installation.map_or(1, |all| all.streams)
+    }
+
+    /// The site of a gateway and the gateways there; all where there is but one fleet.
+    fn site(&self, i: usize) -> (usize, std::ops::Range<usize>) {
+        let sites = self.installation.map_or(1, |all| all.sites);
+        let (site, from) = (i * sites / self.gateways, |s: usize| (s * self.gateways).div_ceil(sites));
+        (site, from(site)..from(site + 1))
+    }
+
+    /// Hubs stand behind the gateways.
+    fn name(&self, i: usize) -> String {
+        if i < self.gateways { format!("g{i}") } else { format!("h{}", i - self.gateways) }
+    }
+
     /// A small fleet with all remedies between stand-ins that bear what it needs.
     pub fn small(gateways: usize, seconds: f64, program: PathBuf, folder: PathBuf) -> Options {
         Options {
@@ -81,6 +116,7 @@
             fills_at_cache: Some(8),
             foreign: 0,
             guests: 0,
+            installation: None,
             told_ms: 0,
             has_net: false,
             list: list_service::Bears { connections_per_s: 20.0, kb_per_s: 1_024.0 },
@@ -338,8 +374,14 @@
     pub caches: BTreeMap<String, tier::Counts>,
     /// Mean and most fetches of an object by the store, and how many objects.
     pub fetches: (f64, u64, usize),
+    /// By stream, where there are several; the first is `list`.
+    pub lists: Vec<(u64, list_service::Counts)>,
     pub used: Vec<Used>,
     pub counters: Vec<BTreeMap<String, f64>>,
+    /// Seconds from the start to when these were told.
+    pub counted_s: f64,
+    pub hubs_used: Vec<Used>,
+    pub hubs_counters: Vec<BTreeMap<String, f64>>,
     /// Gateways that ended by themselves, or panicked in one of their tasks.
     pub crashed: usize,
     /// Second from the start at which 0.95 of the importance is served, over two seconds.
@@ -356,10 +398,11 @@
 
 struct Run<'a> {
     o: &'a Options,
+    /// The gateways, then the hubs.
     processes: Vec<Option<Process>>,
     configs: Vec<Value>,
     files: Vec<Value>,
-    list: Arc<ListService>,
+    lists: Vec<Arc<ListService>>,
     tier: Arc<Tier>,
     switch: Switch,
     clients: Arc<Clients>,
@@ -382,7 +425,7 @@
 impl Run<'_> {
     fn spawn(&mut self, i: usize) {
         let file = self.o.fleet.then_some(&self.files[i]);
-        let name = format!("g{i}");
+        let name = self.o.name(i);
         match Process::spawn(&self.o.program, &self.o.folder, &name, &self.configs[i], file) {
             Ok(process) => {
                 self.processes[i] = Some(process);
@@ -421,6 +464,12 @@
         }
     }
 
+    /// Processes that are connected to a list service.
+    fn askers(&self) -> Vec<usize> {
+        let all: BTreeSet<usize> = self.lists.iter().flat_map(|l| l.connected()).collect();
+        all.into_iter().collect()
+    }
+
     fn play(&mut self, moment: &Moment) {
         let (on, id) = (moment.begins, format!("{:?}", moment.event));
         let hit = self.hit.remove(&id).unwrap_or_default();
@@ -431,13 +480,15 @@
         };
         let mut hits = Vec::new();
         match &moment.event.what {
-            What::BulletinDown => self.list.set_up(!on),
-            What::BulletinDies(bytes) => self.list.die_after(if on { *bytes } else { 0 }),
+            What::BulletinDown => self.lists.iter().for_each(|l| l.set_up(!on)),
+            What::BulletinDies(bytes) => {
+                self.lists.iter().for_each(|l| l.die_after(if on { *bytes } else { 0 }))
+            }
             What::Kill(_) | What::KillAskers => {
                 if on {
                     hits = match &moment.event.what {
                         What::Kill(part) => self.some(*part),
-                        _ => self.list.connected(),
+                        _ => self.askers(),
                     };
                     hits.iter().for_each(|&i| self.end(i));
                 } else {
@@ -448,7 +499,7 @@
                 if on {
                     hits = match &moment.event.what {
                         What::Stop(part) => self.some(*part),
-                        _ => self.list.connected(),
+                        _ => self.askers(),
                     };
                     self.signal("STOP", &hits);
                     self.stopped.extend(&hits);
@@ -460,7 +511,7 @@
                 hits = if on { self.some(*part) } else { hit };
                 let side: BTreeSet<usize> = hits.iter().copied().collect();
                 self.switch.cut(on, |a, b| side.contains(&a) != side.contains(&b));
-                self.list.cut(on, |i| side.contains(&i));
+                self.lists.iter().for_each(|l| l.cut(on, |i| side.contains(&i)));
             }
             What::Deaf(i) => self.switch.cut(on, |_, to| to == *i),
             What::Lossy(part) => {
@@ -486,12 +537,13 @@
         let at = unix_ms();
         self.tier.purge(object, at);
         self.clients.book.lock().unwrap().purges.entry(object).or_default().push(at);
-        self.list.push("recall", json!({"item": format!("{object:016x}"), "issued": at}));
+        let list = self.rng.random_range(0..self.lists.len());
+        self.lists[list].push("recall", json!({"item": format!("{object:016x}"), "issued": at}));
     }
 
     /// What goes on over an event's time: its step by the part that is over.
     fn step(&mut self, event: &Event, from: f64, to: f64) {
-        let n = self.o.gateways;
+        let (n, all) = (self.o.gateways, self.processes.len());
         match event.what {
             What::Roll => {
                 for tenth in (0..10).filter(|t| (from..to).contains(&(f64::from(*t) / 10.0))) {
@@ -511,9 +563,9 @@
                 let steps = [vec![key(1), key(2)], vec![key(2), key(1)], vec![key(2)]];
                 for (s, keys) in steps.iter().enumerate() {
                     if (from..to).contains(&(s as f64 / 3.0)) {
-                        for i in 0..n {
+                        for i in 0..all {
                             self.files[i]["keys"] = json!(keys);
-                            let path = self.o.folder.join(format!("g{i}.fleet.json"));
+                            let path = self.o.folder.join(format!("{}.fleet.json", self.o.name(i)));
                             // Replaced whole: a gateway may read it at any moment.
                             let part = path.with_extension("new");
                             let written = std::fs::write(&part, self.files[i].to_string());
@@ -521,7 +573,7 @@
                                 eprintln!("{}: {why}", path.display());
                             }
                         }
-                        self.signal("HUP", &(0..n).collect::<Vec<_>>());
+                        self.signal("HUP", &(0..all).collect::<Vec<_>>());
                     }
                 }
             }
@@ -565,34 +617,74 @@
     json!({"no": 1, "roster": {"index": 0, "snapshot": true, "endpoints": all}})
 }
 
-fn config(o: &Options, i: usize) -> Value {
+fn config(o: &Options, i: usize, roster: &Value) -> Value {
     let node = Node {
-        name: &format!("g{i}"),
+        name: &o.name(i),
         zone: "hub",
-        bulletin: list_service::address(i),
+        bulletin: list_service::address(0, i),
         places: &[],
         memory_mb: o.memory_mb,
         seed: o.seed * 1_000 + i as u64,
     };
     let mut all = fleet::config(&node);
     all["listen"] = json!(front(i).to_string());
-    // Nothing is known at the start: the list comes from the bulletin, or from others.
-    all["known"] = json!({"no": 0, "items": []});
+    // Nothing is known at the start: the list comes from the bulletin, or from others. The feed carries no whole lists.
+    all["known"] = match o.installation {
+        None => json!({"no": 0, "items": []}),
+        Some(_) => json!({"no": 1, "items": [roster]}),
+    };
     all["settings"]["Instances"] = json!(o.gateways);
     all["settings"]["FamilyInfo"]["CrewByZone"] = json!([o.gateways]);
     all
 }
 
 fn fleet_file(o: &Options, i: usize) -> Value {
-    let seeds: Vec<String> = (0..3.min(o.gateways)).map(|s| switch::reached(s).to_string()).collect();
-    json!({
-        "fleet": "rig", "gateway": format!("g{i}"), "listen": switch::own(i).to_string(),
+    let (site, peers) = o.site(i.min(o.gateways - 1));
+    let seeds: Vec<String> = peers.clone().take(3).map(|s| switch::reached(s).to_string()).collect();
+    let foreign = (o.gateways - o.foreign..o.gateways).contains(&i);
+    let mut file = json!({
+        "fleet": "rig", "gateway": o.name(i), "listen": switch::own(i).to_string(),
         "advertise": switch::reached(i).to_string(), "seeds": seeds,
-        "keys": [key(if i + o.foreign >= o.gateways { 9 } else { 1 })],
-        "members": {"expected": o.gateways},
+        "keys": [key(if foreign { 9 } else { 1 })],
+        "members": {"expected": peers.len()},
         "relays": {"on": o.relays},
         "budgets": {"connections": o.connections, "fills": o.fills, "fills_at_cache": o.fills_at_cache},
-    })
+    });
+    let Some(all) = o.installation else { return file };
+    let site_name = |site: usize| format!("site{site}");
+    let hub = |h: usize| {
+        let address = switch::reached(o.gateways + h).to_string();
+        json!({"name": o.name(o.gateways + h), "address": address, "public": digits(&signs(h).1)})
+    };
+    let stream = |s: usize| {
+        let address = list_service::address(s, i).to_string();
+        json!({"name": format!("list{s}"), "address": address, "known": usize::from(s == 0)})
+    };
+    let streams: Vec<Value> = (0..all.streams).map(stream).collect();
+    let hubs: Vec<Value> = (0..all.hubs).map(hub).collect();
+    file["fleet"] = json!(site_name(site));
+    file["feed"] = json!({"name": "rig", "site": site_name(site), "streams": streams, "hubs": hubs});
+    if i >= o.gateways {
+        let sites: Vec<String> = (0..all.sites).map(site_name).collect();
+        file["fleet"] = json!("control");
+        file["seeds"] = json!([]);
+        file["feed"]["site"] = json!("control");
+        file["feed"]["control"] =
+            json!({"name": o.name(i), "secret": digits(&signs(i - o.gateways).0), "sites": sites});
+    }
+    file
+}
+
+fn digits(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+/// The seed of a hub's key and what is known of it.
+fn signs(hub: usize) -> ([u8; 32], Vec<u8>) {
+    let seed = [hub as u8 + 1; 32];
+    let public = Ed25519KeyPair::from_seed_unchecked(&seed).map(|k| k.public_key().as_ref().to_vec());
+    // Any 32 bytes are a seed.
+    (seed, public.unwrap_or_default())
 }
 
 pub fn run(o: &Options) -> Result<Outcome, Box<dyn std::error::Error>> {
@@ -609,8 +701,13 @@
     let ms = Duration::from_millis;
     let times = tier::Times { hit: ms(3), fill: ms(8), origin: ms(60) };
     let (tier, places) = Tier::start(&work, &members, (times, o.cache), len)?;
-    let list = ListService::start(&work, o.gateways, o.list, roster(&places, unix_ms()))?;
-    let switch = Switch::start(o.gateways + o.guests, o.seed, o.weather)?;
+    let (roster, all) = (roster(&places, unix_ms()), o.gateways + o.hubs());
+    let list = |s: usize| {
+        let first = if s == 0 { vec![roster.clone()] } else { Vec::new() };
+        ListService::start(&work, (s, all), o.list, first)
+    };
+    let lists = (0..o.streams()).map(list).collect::<std::io::Result<Vec<_>>>()?;
+    let switch = Switch::start(all + o.guests, o.seed, o.weather)?;
     let clients = Arc::new(Clients {
         start: Instant::now(),
         book: Mutex::default(),
@@ -621,10 +718,10 @@
     });
     let mut run = Run {
         o,
-        processes: (0..o.gateways).map(|_| None).collect(),
-        configs: (0..o.gateways).map(|i| config(o, i)).collect(),
-        files: (0..o.gateways).map(|i| fleet_file(o, i)).collect(),
-        list,
+        processes: (0..all).map(|_| None).collect(),
+        configs: (0..all).map(|i| config(o, i, &roster)).collect(),
+        files: (0..all).map(|i| fleet_file(o, i)).collect(),
+        lists,
         tier,
         switch,
         clients: Arc::clone(&clients),
@@ -650,7 +747,7 @@
         run.play(&moment);
     }
     let began = clients.now();
-    order.into_iter().for_each(|i| run.spawn(i));
+    (o.gateways..all).chain(order).for_each(|i| run.spawn(i));
     let started_over = clients.now() - began;
     let (mut next, mut next_sweep, mut trace, mut last) = (clients.now(), 1.0, 0u64, 0.0);
     while clients.now() < o.seconds {
@@ -687,23 +784,24 @@
         clients.sweep(false);
     }
     clients.sweep(true);
-    let live: Vec<usize> = (0..o.gateways).filter(|&i| run.processes[i].is_some()).collect();
+    let live: Vec<usize> = (0..all).filter(|&i| run.processes[i].is_some()).collect();
+    let counted_s = clients.now();
     run.signal("USR1", &live);
     let told = |p: &Process| {
         let log = p.log();
         log.lines().rfind(|l| l.contains("now: clients")).map(fleet::counters).unwrap_or_default()
     };
     let wait = Instant::now();
-    let counters = loop {
+    let (counters, hubs_counters) = loop {
         thread::sleep(Duration::from_millis(200));
-        let all: Vec<_> = run.processes.iter().flatten().map(told).collect();
-        if all.iter().all(|c| !c.is_empty()) || wait.elapsed() > Duration::from_secs(10) {
+        let (gateways, hubs) = run.processes.split_at(o.gateways);
+        let of = |some: &[Option<Process>]| some.iter().flatten().map(told).collect::<Vec<_>>();
+        let all = (of(gateways), of(hubs));
+        if all.0.iter().chain(&all.1).all(|c| !c.is_empty()) || wait.elapsed() > Duration::from_secs(10) {
             break all;
         }
     };
-    for i in 0..o.gateways {
-        run.end(i);
-    }
+    (0..all).for_each(|i| run.end(i));
     let mut report = std::mem::replace(&mut *clients.report.lock().unwrap(), Report::new(&RULES));
     report.ran(&run.tier.ran());
     let stale = clients.stale.lock().unwrap();
@@ -740,11 +838,15 @@
         started_over,
         lost: clients.book.lock().unwrap().lost,
         after_purge,
-        list: run.list.counts(),
+        list: run.lists[0].counts(),
+        lists: run.lists.iter().map(|l| (l.last(), l.counts())).collect(),
         caches: run.tier.counts(),
         fetches: run.tier.fetches(),
-        used: run.used.values().copied().collect(),
+        used: run.used.range(..o.gateways).map(|u| *u.1).collect(),
         counters,
+        counted_s,
+        hubs_used: run.used.range(o.gateways..).map(|u| *u.1).collect(),
+        hubs_counters,
         crashed: run.crashed,
         stopped: run.stopped.clone(),
         report,
@@ -789,14 +891,56 @@
         "fleet units refused",
         "fleet units free",
         "fleet list age us",
+        "names of purges kept",
+        "purges kept",
+        "fleet feed bundles",
+        "fleet feed bytes in",
+        "fleet feed bytes out",
+        "fleet feed contacts",
+        "fleet feed copies",
+        "fleet feed datagrams in",
+        "fleet feed datagrams out",
+        "fleet feed dropped",
+        "fleet feed fetches",
+        "fleet feed gaps purged",
+        "fleet feed hubs left",
+        "fleet feed is contact",
+        "fleet feed lacked",
+        "fleet feed list services asked",
+        "fleet feed numbers missing",
+        "fleet feed oldest age us",
+        "fleet feed provisional",
+        "fleet feed purges",
+        "fleet feed repaired",
     ];
-    let counters: BTreeMap<&str, Value> = names
-        .iter()
-        .map(|n| {
-            let (mean, most) = over(&outcome.counters, n);
-            (*n, json!({"mean": mean, "most": most}))
-        })
-        .collect();
+    let told = |of: &[BTreeMap<String, f64>]| -> serde_json::Map<String, Value> {
+        let known = |n: &&&str| of.iter().any(|c| c.contains_key(**n));
+        let one = |n: &&str| {
+            let (mean, most) = over(of, n);
+            (n.to_string(), json!({"mean": mean, "most": most}))
+        };
+        names.iter().filter(known).map(one).collect()
+    };
+    let a_second = |way: &str| {
+        let all = |c: &BTreeMap<String, f64>| {
+            let of = |what: &str| c.get(&format!("{what} {way}")).copied().unwrap_or(0.0);
+            (of("fleet bytes") + of("fleet feed bytes")) / outcome.counted_s
+        };
+        let all = outcome.counters.iter().map(all);
+        let (sum, most) = all.fold((0.0, 0.0f64), |(sum, most), n| (sum + n, most.max(n)));
+        json!({"mean": sum / outcome.counters.len().max(1) as f64, "most": most})
+    };
+    let streams = || -> Vec<Value> {
+        let one = |(s, (last, counts)): (usize, &(u64, list_service::Counts))| {
+            let done = |what: &str| {
+                let all = outcome.hubs_counters.iter();
+                all.filter_map(|c| c.get(&format!("fleet feed done {what} {s}")).copied()).collect::<Vec<_>>()
+            };
+            json!({"last": last, "asked": counts, "done_in_touch": done("in touch"),
+                "done_everywhere": done("everywhere")})
+        };
+        outcome.lists.iter().enumerate().map(one).collect()
+    };
     let n = outcome.used.len().max(1) as f64;
     json!({
         "gateways": o.gateways, "seconds": o.seconds, "seed": o.seed, "rate": o.rate, "fleet": o.fleet,
@@ -809,7 +953,12 @@
         "cpu_s": {"mean": outcome.used.iter().map(|u| u.cpu_s).sum::<f64>() / n,
             "most": outcome.used.iter().map(|u| u.cpu_s).fold(0.0, f64::max)},
         "peak_mb": outcome.used.iter().map(|u| u.peak_mb).fold(0.0, f64::max),
-        "counters": counters, "report": outcome.report.json(),
+        "control_bytes_a_second": {"in": a_second("in"), "out": a_second("out")},
+        "installation": o.installation.map(|all| json!({"size": all, "streams": streams(),
+            "hubs": {"counters": told(&outcome.hubs_counters),
+                "cpu_s": outcome.hubs_used.iter().map(|u| u.cpu_s).collect::<Vec<_>>(),
+                "peak_mb": outcome.hubs_used.iter().map(|u| u.peak_mb).collect::<Vec<_>>()}})),
+        "counters": told(&outcome.counters), "report": outcome.report.json(),
     })
 }
 
@@ -860,18 +1009,38 @@
             all["peak_mb"].as_f64().unwrap_or(0.0)
         ),
     );
+    let mean_and_most = |of: &Value| {
+        format!("{:.1}, {:.0}", of["mean"].as_f64().unwrap_or(0.0), of["most"].as_f64().unwrap_or(0.0))
+    };
     if o.fleet {
+        for (way, of) in all["control_bytes_a_second"].as_object().into_iter().flatten() {
+            line(&format!("control bytes {way} a second, mean, most"), mean_and_most(of));
+        }
         for (name, of) in all["counters"].as_object().into_iter().flatten() {
-            line(
-                &format!("{name}, mean, most"),
-                format!(
-                    "{:.1}, {:.0}",
-                    of["mean"].as_f64().unwrap_or(0.0),
-                    of["most"].as_f64().unwrap_or(0.0)
-                ),
-            );
+            line(&format!("{name}, mean, most"), mean_and_most(of));
         }
     }
+    let hubs = &all["installation"]["hubs"];
+    for (s, stream) in all["installation"]["streams"].as_array().into_iter().flatten().enumerate() {
+        let told = format!("{}, {}, {}", stream["last"], stream["done_in_touch"], stream["done_everywhere"]);
+        line(&format!("stream {s}: last, hubs' done in touch, everywhere"), told);
+        let asked = &stream["asked"];
+        line(
+            &format!("stream {s}: connections, most at once, KB"),
+            format!(
+                "{}, {}, {}",
+                asked["connections"],
+                asked["most_at_once"],
+                asked["bytes"].as_u64().unwrap_or(0) / 1024
+            ),
+        );
+    }
+    for (name, of) in hubs["counters"].as_object().into_iter().flatten() {
+        line(&format!("hubs: {name}, mean, most"), mean_and_most(of));
+    }
+    if o.installation.is_some() {
+        line("hubs: CPU s; memory MB", format!("{}; {}", hubs["cpu_s"], hubs["peak_mb"]));
+    }
     if outcome.crashed > 0 {
         line("gateways that ended by themselves or panicked", format!("{}  BROKEN", outcome.crashed));
     }
--- a/rig/src/list_service.rs
+++ b/rig/src/list_service.rs
@@ -58,20 +58,22 @@
     more: event_listener::Event,
 }
 
-pub fn address(i: usize) -> SocketAddr {
-    switch::address(3, i, 7_070)
+/// Where process `i` reaches one of several list services.
+pub fn address(stream: usize, i: usize) -> SocketAddr {
+    switch::address(3, i, 7_070 + stream as u16)
 }
 
 impl ListService {
+    /// `stream`: which of several it is; `first`: the events of the start.
     pub fn start(
         work: &Arc<Executor<'static>>,
-        gateways: usize,
+        (stream, processes): (usize, usize),
         bears: Bears,
-        first: Value,
+        first: Vec<Value>,
     ) -> io::Result<Arc<ListService>> {
         let service = Arc::new(ListService {
             state: Mutex::new(State {
-                events: vec![first],
+                events: first,
                 counts: Counts::default(),
                 open: 0,
                 by: BTreeMap::new(),
@@ -86,8 +88,8 @@
             dies_after: AtomicU64::new(0),
             more: event_listener::Event::new(),
         });
-        for i in 0..gateways {
-            let listener = Async::<TcpListener>::bind(address(i))?;
+        for i in 0..processes {
+            let listener = Async::<TcpListener>::bind(address(stream, i))?;
             let (service, on) = (Arc::clone(&service), Arc::clone(work));
             work.spawn(async move {
                 loop {
@@ -138,7 +140,12 @@
         self.state.lock().unwrap().counts
     }
 
-    /// The gateways that are connected now.
+    /// The number of the last event.
+    pub fn last(&self) -> u64 {
+        self.state.lock().unwrap().events.len() as u64
+    }
+
+    /// The processes that are connected now.
     pub fn connected(&self) -> Vec<usize> {
         self.state.lock().unwrap().by.keys().copied().collect()
     }
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -325,9 +325,19 @@
     loss: f64,
     #[arg(long, value_enum)]
     without: Vec<Without>,
-    /// Purges count as told so many milliseconds later: 2,000 where the plan breaks all connections to the bulletin.
-    #[arg(long, default_value_t = 0)]
-    told_ms: u64,
+    /// Sites of one installation, made one by the feed, each with its own fleet; else all are one fleet.
+    #[arg(long)]
+    sites: Option<usize>,
+    /// Machines set aside for control, with --sites.
+    #[arg(long, default_value_t = 3)]
+    hubs: usize,
+    /// List services whose events are numbered apart, with --sites.
+    #[arg(long, default_value_t = 1)]
+    streams: usize,
+    /// Purges count as told so many milliseconds later: 2,000 where the plan breaks all connections to the bulletin. Else
+    /// 0, and 650 with --sites.
+    #[arg(long)]
+    told_ms: Option<u64>,
     /// So many gateways have another key: a fleet of its own with the same seeds.
     #[arg(long, default_value_t = 0)]
     foreign: usize,
@@ -366,6 +376,21 @@
     if day.seconds.is_nan() || day.seconds < 1.0 || day.rate.is_nan() || day.rate <= 0.0 {
         return Err("--seconds is at least 1, --rate above 0".into());
     }
+    let fits = |sites: usize| {
+        (1..=day.gateways).contains(&sites)
+            && (1..=16).contains(&day.hubs)
+            && (1..=32).contains(&day.streams)
+            && day.foreign == 0
+            && !day.without.contains(&Without::Fleet)
+    };
+    if !day.sites.is_none_or(fits) {
+        return Err(
+            "--sites is 1 to the gateways, --hubs 1 to 16, --streams 1 to 32, none foreign, with fleet"
+                .into(),
+        );
+    }
+    let (hubs, streams) = (day.hubs, day.streams);
+    let installation = day.sites.map(|sites| fleet_day::Installation { sites, hubs, streams });
     let plan = match &day.plan {
         Some(path) => {
             fleet_plan::read(&std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?)?
@@ -391,7 +416,8 @@
         fills_at_cache: has(Without::FillsAtCache).then_some(day.fills_at_cache),
         foreign: day.foreign,
         guests: 0,
-        told_ms: day.told_ms,
+        installation,
+        told_ms: day.told_ms.unwrap_or(if installation.is_some() { fleet_day::FEED_MS } else { 0 }),
         has_net: false,
         list: list_service::Bears { connections_per_s: day.bulletin_connections, kb_per_s: day.bulletin_kb },
         cache: tier::Bears {
