--- a/rig/src/fleet_day.rs
+++ b/rig/src/fleet_day.rs
@@ -641,6 +641,8 @@
 fn fleet_file(o: &Options, i: usize) -> Value {
     let (site, peers) = o.site(i.min(o.gateways - 1));
     let seeds: Vec<String> = peers.clone().take(3).map(|s| switch::reached(s).to_string()).collect();
+    // What a cache bears is that of all sites: each lends its part.
+    let part = |all: Option<u32>| all.map(|all| (all as usize * peers.len() / o.gateways).max(1));
     let foreign = (o.gateways - o.foreign..o.gateways).contains(&i);
     let mut file = json!({
         "fleet": "rig", "gateway": o.name(i), "listen": switch::own(i).to_string(),
@@ -648,7 +650,8 @@
         "keys": [key(if foreign { 9 } else { 1 })],
         "members": {"expected": peers.len()},
         "relays": {"on": o.relays},
-        "budgets": {"connections": o.connections, "fills": o.fills, "fills_at_cache": o.fills_at_cache},
+        "budgets": {"connections": part(o.connections), "fills": o.fills,
+            "fills_at_cache": part(o.fills_at_cache)},
     });
     let Some(all) = o.installation else { return file };
     let site_name = |site: usize| format!("site{site}");
