--- a/src/logic.rs
+++ b/src/logic.rs
@@ -276,8 +276,8 @@
         while over(&self.book) && self.join_purges() {}
     }
 
-    /// Guards memory and the time of each read against a flood of purges: the two neighbours in time whose names stand
-    /// for the least together are kept as one. What is purged by it is too much, never too little.
+    /// Guards memory and the time of each read against a flood of purges: the two neighbours in time whose
+    /// names stand for the least together are kept as one. What it purges is too much, never too little.
     fn join_purges(&mut self) -> bool {
         let covered = |pair: &[Purge]| {
             let (a, b) = (&pair[0].names, &pair[1].names);
