--- a/feed/tests/hard.rs
+++ b/feed/tests/hard.rs
@@ -554,3 +554,36 @@
     w.run(ms(3_000));
     settles(&mut w, 10_000);
 }
+
+#[test]
+fn a_gap_is_a_purge_as_late_as_what_it_hides_also_by_a_new_hub() {
+    let mut w = started(SMALL, 20);
+    let contact = w.contacts()[&5].first().copied().unwrap();
+    (0..3).for_each(|stream| _ = w.purge(stream, 5));
+    w.run(ms(2_000));
+    w.wrong(true);
+    // Stale stamps are known at site 5, and the hubs that tell it of the gap have told no purge themselves.
+    w.cuts.borrow_mut().sites.insert(5);
+    w.rate = 800.0;
+    w.run(ms(10_000));
+    w.rate = 0.0;
+    w.hubs().for_each(|h| w.kill(h));
+    w.run(ms(2_000));
+    w.hubs().for_each(|h| w.start(h, false));
+    w.run(ms(3_000));
+    // The contact lacks nothing, so that nobody fetches for the others before their grace ends.
+    w.kill(contact);
+    w.start(contact, true);
+    w.cuts.borrow_mut().sites.clear();
+    // A contact finds its hub again, a period, and the grace.
+    w.run(ms(4_000));
+    for i in w.of_site(5) {
+        let lacks: usize = w.places[i].track.todo.iter().map(BTreeSet::len).sum();
+        let name = &w.places[i].name;
+        assert_eq!(lacks, 0, "{name} serves what was purged; gaps {}, {:?}", w.feed(i).gaps(), w.feed(i).counts);
+    }
+    assert!(w.of_site(5).into_iter().all(|i| w.feed(i).gaps() > 0), "still behind, but safe");
+    w.heal();
+    w.run(ms(9_000));
+    settles(&mut w, 10_000);
+}
