--- a/feed/src/compose.rs
+++ b/feed/src/compose.rs
@@ -23,8 +23,10 @@
 const MOST_LINE_BYTES: usize = 16 * 1024 * 1024;
 /// Purges bind for so long.
 const LATE_MS: u64 = 30_000;
-/// Stamps of bundles of late.
+/// Bundles of late, and events of each stream, by whose stamps a bundle without purges has its own: not those of all
+/// times, since one may come from a clock that was far ahead.
 const RECENT: usize = 64;
+const STAMPS: usize = 512;
 /// In place of a stamp: the event is no purge.
 const OTHER: u64 = u64::MAX;
 
@@ -300,6 +302,13 @@
         }
     }
 
+    /// The latest stamp of late, also of what was never told here: a gap that a bundle shows may hide that.
+    fn of_late(&self) -> u64 {
+        let kept =
+            self.sources.iter().flat_map(|s| s.kept.iter().rev().take(STAMPS).map(|(_, issued)| *issued));
+        kept.filter(|i| *i != OTHER).chain(self.recent.iter().copied()).max().unwrap_or(0)
+    }
+
     /// The next bundle of what has not been told.
     pub fn live(&mut self, head: &Head) -> Bundle {
         let mut bundle = self.empty();
@@ -370,7 +379,7 @@
             self.sources[s].told = Some(told + bundle.counts[s]);
         }
         if all.is_empty() {
-            bundle.issued = self.recent.iter().copied().max().unwrap_or(0);
+            bundle.issued = self.of_late();
         } else {
             bundle.issued = issued;
             self.recent.push_back(issued);
