--- a/feed/src/site.rs
+++ b/feed/src/site.rs
@@ -6,9 +6,10 @@
 use crate::common::{self, Bucket, Set, Signs, short};
 use crate::compose::{Composer, Head};
 use crate::log::Log;
+use crate::positions::MOST_NO;
 use crate::rank;
 use crate::report::{self, Ends, Gather};
-use crate::streams::Streams;
+use crate::streams::{Stream, Streams};
 use crate::wire::{Bundle, Confirm, Fetch, Follow, MOST_RANGES, Named, Passed, Range, Said};
 use crate::{Counts, Out, Unusable};
 use kelpcart::names::NameSet;
@@ -52,6 +53,8 @@
 const FOUND_PER_S: f64 = 40.0;
 /// A bundle that is older than what was known so long ago is no sign of life.
 const OLD: Span = Span::from_millis(2_000);
+/// A bundle comes a period after the last one and so much later at the most, when nothing is lost.
+const OVERDUE: Span = Span::from_millis(150);
 /// Without hubs the next place in the order asks list services so much later than all had their turn.
 const NEXT_PLACE: Span = Span::from_millis(2_000);
 /// Pieces and backlogs go out in bundles so far apart.
@@ -78,7 +81,9 @@
     seen: u64,
     from: Option<SocketAddr>,
     asked: Option<SocketAddr>,
+    /// No request to a hub before, from one that is no contact; and to a neighbour, from a contact.
     hub_at: Time,
+    near_at: Time,
 }
 
 /// What is wanted of before the start: by stream, up to which number it isn't there yet, and what is there below that.
@@ -127,6 +132,8 @@
     /// A hub's live bundle was heard: by any way, and from the hub itself.
     heard: Option<Time>,
     direct: Option<Time>,
+    /// When the next one has to be here.
+    overdue: Option<Time>,
     /// What one before it in the order gathered without hubs.
     gathered: Option<Time>,
     /// The place of the contact that was heard last.
@@ -169,6 +176,7 @@
             was_at: now,
             heard: None,
             direct: None,
+            overdue: None,
             gathered: None,
             via: 0,
             contact: None,
@@ -206,6 +214,15 @@
     /// All of the site in the order of one bundle's tree: an order for each hub, turned on by its number, so that each
     /// one carries as much as the others over any row of bundles.
     fn tree(&self, named: &Named) -> Vec<&str> {
+        self.order(named, named.number)
+    }
+
+    /// Who gathers what is confirmed: every second bundle asks, and each one's turn comes.
+    fn gatherer(&self, named: &Named) -> &str {
+        self.order(named, named.number / 2)[0]
+    }
+
+    fn order(&self, named: &Named, turn: u64) -> Vec<&str> {
         let mut all: Vec<&str> = self.members.keys().map(String::as_str).collect();
         all.push(&self.name);
         all.sort_by_cached_key(|n| std::cmp::Reverse((rank::score(n, named.hub.into()), *n)));
@@ -213,7 +230,7 @@
         // Near the golden section, so that turns spread evenly, and without a part in common with the members.
         let whole = |step: &u64| (2..=*step).all(|d| !n.is_multiple_of(d) || !step.is_multiple_of(d));
         let step = (1..=(n * 5).div_ceil(8)).rev().find(whole).unwrap_or(1);
-        all.rotate_left((named.number % n * step % n) as usize);
+        all.rotate_left((turn % n * step % n) as usize);
         all
     }
 
@@ -222,8 +239,10 @@
         let Some(own) = tree.iter().position(|n| *n == self.name) else { return };
         let children = (ARITY * own + 1..=ARITY * own + ARITY).filter(|i| *i < tree.len());
         let root = (root_too && own != 0).then_some(0);
-        let to: Vec<SocketAddr> =
-            root.into_iter().chain(children).filter_map(|i| self.members.get(tree[i]).copied()).collect();
+        // The contact had it first.
+        let contact = if root_too { None } else { self.at_place(via) };
+        let to = root.into_iter().chain(children).map(|i| tree[i]).filter(|n| contact != Some(*n));
+        let to: Vec<SocketAddr> = to.filter_map(|n| self.members.get(n).copied()).collect();
         for address in to {
             let passed = Passed { bundle: bytes.to_vec(), via };
             self.said.push_back((address, Said::Live(passed)));
@@ -290,6 +309,7 @@
         let live = via.is_some() && self.is_late(&body);
         if live {
             self.heard = Some(now);
+            self.overdue = Some(now + self.set.period + OVERDUE);
             if hub.is_some() {
                 self.direct = Some(now);
                 self.speaks(now, hub);
@@ -350,10 +370,11 @@
         }
         self.direct = Some(now);
         self.speaks(now, hub);
-        let behind = (self.via as usize) > self.place && self.contact.is_some();
-        let other = self.via as usize - usize::from(behind);
-        if let Some(address) = self.ranked.get(other).filter(|_| behind).and_then(|n| self.members.get(n)) {
-            self.said.push_back((*address, Said::Hears(self.place as u32)));
+        if (self.via as usize) > self.place
+            && self.contact.is_some()
+            && let Some(address) = self.contact_heard()
+        {
+            self.said.push_back((address, Said::Hears(self.place as u32)));
         }
     }
 
@@ -501,6 +522,11 @@
             self.repair.from = self.by_address.contains_key(&from).then_some(from);
         }
         self.repair.seen = seen;
+        if self.streams.missing() < before && self.repair.asked == Some(from) {
+            // It has more of it, likely.
+            self.repair.tries = self.repair.tries.min(3);
+            self.repair.next = self.repair.next.map(|at| at.min(now + AGAIN));
+        }
     }
 
     fn ranges(&self, now: Time) -> Vec<Range> {
@@ -541,15 +567,19 @@
         }
         counts.fetches += 1;
         let hubs = self.set.order.len();
+        let near = !self.members.is_empty() && now >= self.repair.near_at;
         if let Some(contact) = &self.contact {
-            let own = contact.hub;
-            self.repair.next = Some(now + AGAIN_FAR);
-            // The hub that is followed; then others in turn, with a neighbour now and then.
-            match tries % 4 {
-                0 | 1 => self.ask_hub(now, self.set.order[own]),
-                2 if !self.members.is_empty() => self.ask_neighbour(ranges),
-                _ => self.ask_hub(now, self.set.order[(own + 1 + tries as usize / 4) % hubs]),
+            // The hub that is followed, and another one now and then; between them neighbours, who may have been here
+            // while this one was not.
+            if now >= self.repair.hub_at {
+                let turn = tries as usize / 4;
+                let hub = self.set.order[(contact.hub + if turn % 4 == 3 { turn } else { 0 }) % hubs];
+                self.repair.hub_at = now + AGAIN_FAR;
+                self.ask_hub(now, hub);
+            } else if near {
+                self.ask_neighbour(ranges);
             }
+            self.repair.next = Some(if near { now + AGAIN } else { self.repair.hub_at });
             return;
         }
         let wait = if tries < 6 {
@@ -572,18 +602,50 @@
     fn ask_neighbour(&mut self, ranges: Vec<Range>) {
         let from = self.repair.from.take();
         // The contact has whatever came to the site.
-        let contact = (self.repair.tries == 2).then(|| {
-            let at = self.via as usize - usize::from(self.via as usize > self.place);
-            self.ranked.get(at).and_then(|n| self.members.get(n)).copied()
-        });
+        let contact = (self.repair.tries == 2).then(|| self.contact_heard());
         let Some(to) = from.or(contact.flatten()).or_else(|| self.neighbour()) else { return };
         self.repair.asked = Some(to);
         self.said.push_back((to, Said::Fetch(Fetch { ranges, ..Fetch::default() })));
     }
 
+    /// A bundle is over its time: it is asked for before the next one shows that it was lost.
+    fn tick_overdue(&mut self, now: Time, counts: &mut Counts) {
+        if self.overdue.is_none_or(|at| at > now) {
+            return;
+        }
+        self.overdue = None;
+        let started = self.streams.all.iter().enumerate().filter(|(_, t)| t.started);
+        let beyond = |(s, t): (usize, &Stream)| {
+            let first = t.hard.seen() + 1;
+            Range { stream: s as u32, first, last: MOST_NO, offset: 0 }
+        };
+        let ranges = started.map(beyond).take(MOST_RANGES).collect();
+        counts.fetches += 1;
+        if let Some(contact) = &self.contact {
+            let hub = self.set.order[contact.hub];
+            let (site, token) = (self.set.site.clone(), self.tokens[hub]);
+            let fetch = Fetch { ranges, site, token, ..Fetch::default() };
+            self.said.push_back((self.set.hubs[hub].address, Said::Fetch(fetch)));
+        } else if let Some(to) = self.contact_heard() {
+            self.said.push_back((to, Said::Fetch(Fetch { ranges, ..Fetch::default() })));
+        }
+    }
+
+    /// Where the contact is that was heard last, if that is another one.
+    fn contact_heard(&self) -> Option<SocketAddr> {
+        self.at_place(self.via).and_then(|n| self.members.get(n)).copied()
+    }
+
+    /// Who stands there in the common order, where it is another one.
+    fn at_place(&self, place: u32) -> Option<&str> {
+        let place = place as usize;
+        let at = if place > self.place { place - 1 } else { place };
+        self.ranked.get(at).filter(|_| place != self.place).map(String::as_str)
+    }
+
     fn tick_late(&mut self, now: Time, counts: &mut Counts) {
         let Some(late) = &mut self.late else { return };
-        if late.floors.is_empty() || now >= late.until || late.tries > 8 {
+        if late.floors.is_empty() || now >= late.until || late.tries > 12 {
             self.late = None;
             return;
         }
@@ -602,7 +664,9 @@
         counts.fetches += 1;
         let hub = match &self.contact {
             Some(contact) if tries >= 2 || self.members.is_empty() => Some(self.set.order[contact.hub]),
-            None if self.members.is_empty() => Some(self.set.order[0]),
+            None if tries >= 6 || self.members.is_empty() => {
+                Some(self.set.order[tries as usize % self.set.order.len()])
+            }
             _ => None,
         };
         late.next = now + if hub.is_some() { AGAIN_FAR } else { AGAIN };
@@ -648,6 +712,9 @@
     }
 
     fn lacks(&mut self, now: Time, from: SocketAddr) {
+        if self.contact.is_some() && self.by_address.contains_key(&from) {
+            self.repair.near_at = now + AGAIN_MOST;
+        }
         // The next one at once, but only a few times: others wait for the same.
         if self.repair.asked == Some(from) && self.contact.is_none() && self.repair.tries <= 3 {
             self.repair.next = self.repair.next.map(|_| now);
@@ -659,7 +726,7 @@
     fn confirm_later(&mut self, now: Time, named: Named, body: &Bundle) {
         let n = self.streams.all.len();
         let ends: Ends = body.ranges().filter(|r| r.0 < n).map(|(s, _, last)| (s, last)).collect();
-        let root = self.tree(&named)[0].to_owned();
+        let root = self.gatherer(&named).to_owned();
         match self.members.get(&root) {
             Some(root) => {
                 self.dues.push_back(Due { at: now + CONFIRM_AFTER, named, root: *root, ends });
@@ -881,7 +948,7 @@
             None if self.place == 0 => by(if self.ranked.is_empty() { self.start + ALONE } else { now }),
             None => by(quiet + self.set.silent + STEP * self.place as f64),
         }
-        self.repair.next.into_iter().for_each(&mut by);
+        self.repair.next.into_iter().chain(self.overdue).for_each(&mut by);
         self.late.iter().for_each(|l| by(l.next));
         self.dues.front().into_iter().for_each(|d| by(d.at));
         self.gathers.values().for_each(|g| by(g.due));
@@ -900,6 +967,7 @@
         self.tick_reports(now);
         self.tick_repair(now, counts);
         self.tick_late(now, counts);
+        self.tick_overdue(now, counts);
         self.look(now);
     }
 
