--- a/feed/src/site.rs
+++ b/feed/src/site.rs
@@ -522,7 +522,15 @@
             self.repair.from = self.by_address.contains_key(&from).then_some(from);
         }
         self.repair.seen = seen;
-        if self.streams.missing() < before && self.repair.asked == Some(from) {
+        if self.streams.missing() >= before {
+            return;
+        }
+        let near = self.by_address.contains_key(&from);
+        if near || far {
+            // While others bring it, a hub is left to them.
+            self.repair.since = now;
+        }
+        if near && self.repair.asked == Some(from) {
             // It has more of it, likely.
             self.repair.tries = self.repair.tries.min(3);
             self.repair.next = self.repair.next.map(|at| at.min(now + AGAIN));
@@ -589,12 +597,13 @@
         } else {
             AGAIN_MOST
         };
-        self.repair.next = Some(now + wait);
-        let long = now - self.repair.since >= HUB_AFTER * self.rng.random_range(1.0..2.0);
-        if self.members.is_empty() || tries >= 3 && long && now >= self.repair.hub_at {
-            self.repair.hub_at = now + AGAIN_MOST * self.rng.random_range(1.0..3.0);
+        let long = tries >= 3 && now - self.repair.since >= HUB_AFTER * self.rng.random_range(1.0..2.0);
+        if self.members.is_empty() || long && now >= self.repair.hub_at {
+            self.repair.hub_at = now + AGAIN_FAR * self.rng.random_range(1.0..3.0);
+            self.repair.next = Some(self.repair.hub_at);
             self.ask_hub(now, self.set.order[tries as usize % hubs]);
         } else {
+            self.repair.next = Some(now + wait);
             self.ask_neighbour(ranges);
         }
     }
