Feed: a bundle names the latest stamp its hub knows, so that a gap's purge covers what it hides

A hub that has told no purge yet named no stamp, and stamps of one bundle are those of its own purges only. A gap was then a purge of everything with a stale stamp.

--- a/feed/src/compose.rs
+++ b/feed/src/compose.rs
@@ -147,6 +147,8 @@
     line_bytes: usize,
     piece: usize,
     recent: VecDeque<u64>,
+    /// The latest stamp that another hub knew of.
+    pub heard: u64,
     /// Events that were let go of although nobody can have them again.
     pub dropped: u64,
 }
@@ -176,6 +178,7 @@
             // So that the heads of many streams and a piece fit together.
             piece: PIECE.min(1_010 - 13 * positions.len()),
             recent: VecDeque::new(),
+            heard: 0,
             dropped: 0,
         }
     }
@@ -291,7 +294,14 @@
         Bundle { hub: self.hub, run: self.run, number: self.number, firsts, counts, ..Bundle::default() }
     }
 
+    /// Guards against a gap that is told as a purge of everything with a stamp of before what it hides.
+    fn mark_latest(&self, bundle: &mut Bundle) {
+        let latest = self.sources.iter().map(|s| s.latest).max().unwrap_or(0).max(self.heard);
+        bundle.later = latest.saturating_sub(bundle.issued);
+    }
+
     fn seal_names(&mut self, bundle: &mut Bundle, all: &[u64]) {
+        self.mark_latest(bundle);
         if !all.is_empty() {
             let room = (MOST_BUNDLE - SIGNATURE).saturating_sub(bundle.encoded_len() + 3);
             let (_, code) = code::fit(all, room);
@@ -319,6 +329,7 @@
             bundle.apart = vec![1_000; n];
         }
         (bundle.issued, bundle.sites, bundle.asks) = (u64::MAX >> 20, head.sites, true);
+        bundle.later = u64::MAX >> 20;
         let mut length = bundle.encoded_len() + 8;
         let (mut all, mut issued) = (Vec::new(), 0);
         bundle.counts.fill(0);
@@ -415,7 +426,7 @@
             }
         }
         let mut bundle = self.empty();
-        bundle.issued = u64::MAX >> 20;
+        (bundle.issued, bundle.later) = (u64::MAX >> 20, u64::MAX >> 20);
         bundle.firsts.fill(MOST_NO >> 8);
         bundle.counts.fill(1_000);
         let mut length = bundle.encoded_len() + 8;
@@ -475,6 +486,7 @@
         let piece = self.piece_at(s, no, offset).filter(|p| !p.bytes.is_empty())?;
         let mut bundle = self.empty();
         bundle.pieces.push(piece);
+        self.mark_latest(&mut bundle);
         Some(bundle)
     }
 
@@ -488,6 +500,7 @@
         let mut bundle = self.empty();
         (bundle.firsts[s], bundle.counts[s], bundle.issued) = (first, last + 1 - first, issued);
         bundle.names = code::encode(&NameSet::all());
+        self.mark_latest(&mut bundle);
         let mut length = bundle.encoded_len() + 8;
         let others: Vec<u64> = self.sources[s].lines.range(first..=last).map(|(no, _)| *no).rev().collect();
         for no in others {
--- a/feed/src/hub.rs
+++ b/feed/src/hub.rs
@@ -286,6 +286,7 @@
         counts.bundles += 1;
         self.others[hub] = Some(now);
         self.log.push(now, &body, bytes);
+        self.composer.heard = self.composer.heard.max(body.latest());
         let mut hands_on = false;
         for (s, first, last) in body.ranges().filter(|r| r.0 < self.set.streams.len()) {
             if !self.lacks(now, s) {
--- a/feed/src/streams.rs
+++ b/feed/src/streams.rs
@@ -140,7 +140,7 @@
         for (s, first, last) in body.ranges() {
             let Some(stream) = self.all.get_mut(s).filter(|t| t.started) else { continue };
             if last > stream.hard.position() {
-                stream.stamp = stream.stamp.max(body.issued);
+                stream.stamp = stream.stamp.max(body.latest());
             }
             for (a, b) in Self::parts(body, &self.hard, s, first, last) {
                 stream.hard.add(a, b);
@@ -188,7 +188,7 @@
                 stream.soft.start(first - 1);
                 stream.covered = stream.covered.max(first - 1);
             }
-            stream.stamp = stream.stamp.max(body.issued);
+            stream.stamp = stream.stamp.max(body.latest());
             for (a, b) in Self::parts(body, &self.soft, s, first, last) {
                 stream.soft.add(a, b);
             }
--- a/feed/src/wire.rs
+++ b/feed/src/wire.rs
@@ -102,6 +102,9 @@
     /// How many there are, so that they share a pace when no hub is there.
     #[prost(uint32, tag = "13")]
     pub sites: u32,
+    /// From `issued` to the latest stamp that the hub knows of: nothing up to the last numbers was issued after it.
+    #[prost(uint64, tag = "14")]
+    pub later: u64,
 }
 
 /// Of an event that is no purge.
@@ -251,6 +254,11 @@
 }
 
 impl Bundle {
+    /// No purge up to its last numbers has a later stamp.
+    pub fn latest(&self) -> u64 {
+        self.issued.saturating_add(self.later)
+    }
+
     pub fn named(&self) -> Named {
         Named { hub: self.hub, run: self.run, number: self.number }
     }
