--- a/feed/tests/common/mod.rs
+++ b/feed/tests/common/mod.rs
@@ -7,8 +7,10 @@
 use kelpcart::{Span, Time};
 use kelpcart_feed::seal::{Keys, MOST_DATAGRAM};
 use kelpcart_feed::settings::{self, Key};
+use kelpcart_feed::wire::{Packet, Said};
 use kelpcart_feed::{Feed, Out};
 use kelpcart_scale::sim::{Actor, Sim};
+use prost::Message;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use ring::signature::{Ed25519KeyPair, KeyPair};
@@ -492,6 +494,11 @@
 
     pub fn purge(&mut self, stream: usize, object: u64) -> u64 {
         let issued_ms = self.now_ms() - self.rng.random_range(0..60);
+        self.purge_at(stream, object, issued_ms)
+    }
+
+    /// With a stamp of one whose clock is wrong.
+    pub fn purge_at(&mut self, stream: usize, object: u64, issued_ms: u64) -> u64 {
         let no = self.last(stream) + 1;
         let line = json!({"no": no, "recall": {"item": format!("{object:016x}"), "issued": issued_ms}});
         self.tell(stream, What::Purge { name: of_object(object), issued_ms }, line.to_string().into_bytes())
@@ -887,6 +894,34 @@
         (all.iter().sum::<f64>() / all.len().max(1) as f64, all.iter().copied().fold(0.0, f64::max))
     }
 
+    /// One says something under the common key, as if the first had sent it.
+    pub fn say(&mut self, from: usize, to: usize, said: Said) {
+        if let Some(keys) = Keys::new("sea", &[key(1, "17")]) {
+            let bytes = keys.seal(kelpcart_feed::VERSION, &Packet { said: Some(said) }.encode_to_vec());
+            self.sim.send(from, to, &bytes);
+        }
+    }
+
+    /// What was said on tape, with who said it to whom.
+    pub fn said(&self) -> Vec<(usize, usize, Said)> {
+        let Some(keys) = Keys::new("sea", &[key(1, "17")]) else { return Vec::new() };
+        let said = |bytes: &[u8]| Packet::decode(keys.open(kelpcart_feed::VERSION, bytes).ok()?).ok()?.said;
+        let tape = self.tape.borrow();
+        let all = tape
+            .kept
+            .iter()
+            .filter_map(|(a, b, bytes)| Some((self.place(*a)?, self.place(*b)?, said(bytes)?)));
+        all.collect()
+    }
+
+    /// What of late is not there yet at one that knew nothing at its start, though it binds.
+    pub fn owes(&self, i: usize) -> usize {
+        let now = self.sim.now;
+        let owed = self.places[i].track.owed.iter().zip(&self.services);
+        let binds = |s: &Service, no: &u64| now - s.events[*no as usize - 1].told < BINDS;
+        owed.map(|(owed, s)| owed.iter().filter(|no| binds(s, no)).count()).sum()
+    }
+
     /// Opens what was sent and seals it again after a change.
     pub fn changed(&self, bytes: &[u8], change: impl FnOnce(&mut Vec<u8>)) -> Option<Vec<u8>> {
         let keys = Keys::new("sea", &[key(1, "17")])?;
--- a/feed/tests/hard.rs
+++ b/feed/tests/hard.rs
@@ -5,6 +5,12 @@
 
 use common::*;
 use kelpcart::Span;
+use kelpcart::names::NameSet;
+use kelpcart_feed::seal::Keys;
+use kelpcart_feed::wire::{Bundle, Passed, Said};
+use kelpcart_feed::{VERSION, code};
+use prost::Message;
+use ring::signature::Ed25519KeyPair;
 use std::collections::BTreeSet;
 
 /// One purge in calm, from its list service to the last gateway, without loss; the note's figure.
@@ -332,12 +338,7 @@
     w.run(ms(4_000));
     // What was told of late and binds is there also at those that knew nothing.
     for &i in &tenth {
-        for stream in 0..3 {
-            let now = w.sim.now;
-            let told = |no: &u64| w.services[stream].events[*no as usize - 1].told;
-            let owed = w.places[i].track.owed[stream].iter().filter(|no| now - told(no) < BINDS).count();
-            assert_eq!(owed, 0, "{} owes purges of {stream}", w.places[i].name);
-        }
+        assert_eq!(w.owes(i), 0, "{} lacks what binds", w.places[i].name);
     }
     w.wrong(false);
     w.run(ms(10_000));
@@ -593,3 +594,210 @@
     w.run(ms(9_000));
     settles(&mut w, 10_000);
 }
+
+#[test]
+fn one_that_confirms_more_than_was_told_is_refused_and_named() {
+    let mut w = started(SMALL, 21);
+    w.tape.borrow_mut().runs = true;
+    w.rate = 10.0;
+    w.run(ms(4_000));
+    w.tape.borrow_mut().runs = false;
+    let last = w.said().into_iter().rev().find_map(|(a, b, said)| match said {
+        Said::Report(r) => Some((a, b, r)),
+        _ => None,
+    });
+    let (from, hub, report) = last.unwrap();
+    let told = w.last(1);
+    // Beyond what the bundle named, of a bundle that was never made, and of a stream that there isn't.
+    let mut beyond = report.clone();
+    (beyond.streams, beyond.positions) = (vec![1], vec![told + 500]);
+    let mut never = report.clone();
+    never.of.as_mut().unwrap().number += 1_000;
+    let mut nowhere = report.clone();
+    (nowhere.streams, nowhere.positions) = (vec![9], vec![1]);
+    for lie in [beyond, never, nowhere] {
+        w.say(from, hub, Said::Report(lie));
+        w.run(ms(200));
+    }
+    assert_eq!(w.feed(hub).counts.refused_reports, 3);
+    let liars = w.feed(hub).liars();
+    assert!(
+        liars.iter().any(|(site, gateway, n)| *site == report.site && *gateway == report.gateway && *n == 3)
+    );
+    // An old report again moves nothing, nor does one for a bundle of another run.
+    let mut other_run = report.clone();
+    other_run.of.as_mut().unwrap().run ^= 1;
+    for _ in 0..20 {
+        w.say(from, hub, Said::Report(report.clone()));
+        w.say(from, hub, Said::Report(other_run.clone()));
+    }
+    w.run(ms(2_000));
+    settles(&mut w, 5_000);
+}
+
+/// As a hub signs bundles, by the seed of its key.
+fn signed(body: &Bundle, seed: [u8; 32]) -> Vec<u8> {
+    let bytes = body.encode_to_vec();
+    let mut all = b"kelpcart feed \x01\0\0\0\x03sea".to_vec();
+    all.extend(&bytes);
+    let pair = Ed25519KeyPair::from_seed_unchecked(&seed).unwrap();
+    [bytes, pair.sign(&all).as_ref().to_vec()].concat()
+}
+
+/// A live bundle that a gateway handed to another.
+fn handed(w: &mut World) -> (usize, usize, Passed, Bundle) {
+    w.tape.borrow_mut().runs = true;
+    w.run(ms(2_000));
+    w.tape.borrow_mut().runs = false;
+    let hubs = w.hubs();
+    let live = w.said().into_iter().rev().find_map(|(a, b, said)| match said {
+        Said::Live(p) if !hubs.contains(&a) && !hubs.contains(&b) => Some((a, b, p)),
+        _ => None,
+    });
+    let (from, to, passed) = live.unwrap();
+    let body = Bundle::decode(&passed.bundle[..passed.bundle.len() - 64]).unwrap();
+    (from, to, passed, body)
+}
+
+#[test]
+fn purges_that_no_hub_signed_move_no_position() {
+    let mut w = started(SMALL, 22);
+    w.rate = 10.0;
+    w.run(ms(2_000));
+    let (from, to, passed, body) = handed(&mut w);
+    let refused = |w: &World| w.feed(to).counts.refused_signatures;
+    let before = (refused(&w), w.feed(to).counts.bundles);
+    let mut made_up = body.clone();
+    made_up.number += 1_000_000;
+    made_up.counts[1] += 500;
+    made_up.names = code::encode(&NameSet::object(4_711));
+    // By a key of no hub, by another hub's, by none.
+    for seed in [[99; 32], hub_seed(usize::from(signed(&body, hub_seed(0)) == passed.bundle))] {
+        let bundle = signed(&made_up, seed);
+        w.say(from, to, Said::Live(Passed { bundle: bundle.clone(), via: 0 }));
+        w.say(from, to, Said::Found(bundle));
+    }
+    w.say(from, to, Said::Provisional(Bundle { hub: 0, ..made_up.clone() }.encode_to_vec()));
+    w.run(ms(300));
+    assert_eq!(refused(&w) - before.0, 5);
+    // What is signed as it should be is taken: the way of signing here is right.
+    let seeds = [hub_seed(0), hub_seed(1)];
+    let own = seeds.into_iter().find(|seed| signed(&body, *seed) == passed.bundle).unwrap();
+    let bundles = w.feed(to).counts.bundles;
+    let mut good = body.clone();
+    good.number += 1_000_000;
+    w.say(from, to, Said::Found(signed(&good, own)));
+    w.run(ms(20));
+    assert!(w.feed(to).counts.bundles > bundles && bundles >= before.1);
+    w.run(ms(1_000));
+    settles(&mut w, 5_000);
+}
+
+#[test]
+fn what_is_made_up_while_hubs_are_away_hides_nothing_afterwards() {
+    let mut w = started(SMALL, 23);
+    w.rate = 10.0;
+    w.run(ms(2_000));
+    let (from, to, _, body) = handed(&mut w);
+    w.wrong(true);
+    w.hubs().for_each(|h| w.kill(h));
+    w.run(ms(4_000));
+    let site = w.places[to].site.unwrap();
+    let positions: Vec<u64> = w.of_site(site).into_iter().map(|i| w.feed(i).position(1)).collect();
+    for n in 0..20 {
+        // Events are claimed to be known that will only be told later.
+        let mut made_up = Bundle { hub: 0, run: 7, number: n, ..body.clone() };
+        made_up.names = code::encode(&NameSet::object(n));
+        made_up.counts[1] += 2_000;
+        made_up.pieces.clear();
+        for i in w.of_site(site).into_iter().filter(|i| *i != from) {
+            w.say(from, i, Said::Provisional(made_up.encode_to_vec()));
+        }
+        w.run(ms(300));
+    }
+    let after: Vec<u64> = w.of_site(site).into_iter().map(|i| w.feed(i).position(1)).collect();
+    assert_eq!(after, positions);
+    w.hubs().for_each(|h| w.start(h, false));
+    w.run(ms(5_000));
+    (w.rate, w.others) = (20.0, 2.0);
+    w.heal();
+    w.run(ms(15_000));
+    settles(&mut w, 30_000);
+}
+
+/// What a later version adds is passed over.
+fn newer(bytes: &[u8]) -> Vec<u8> {
+    let keys = Keys::new("sea", &[key(1, "17")]).unwrap();
+    let mut body = keys.open(VERSION, bytes).unwrap().to_vec();
+    // Field 100 with the number 1.
+    body.extend([0xa0, 0x06, 0x01]);
+    keys.seal(VERSION, &body)
+}
+
+#[test]
+fn fields_of_a_later_version_are_passed_over_and_another_version_is_refused() {
+    let mut w = started(SMALL, 24);
+    for i in (0..w.places.len()).step_by(2) {
+        w.sim.with(i, |host, _| host.twist = Some(newer));
+    }
+    (w.rate, w.others) = (30.0, 1.0);
+    w.run(ms(6_000));
+    assert_eq!(w.sum(|c| c.refused_seals + c.refused_forms), 0);
+    let keys = Keys::new("sea", &[key(1, "17")]).unwrap();
+    let before = w.feed(5).counts.refused_seals;
+    let said = keys.seal(VERSION + 1, &[0xa0, 0x06, 0x01]);
+    w.sim.send(4, 5, &said);
+    // A kind of message that is not known here.
+    let said = keys.seal(VERSION, &[0xa0, 0x06, 0x01]);
+    w.sim.send(4, 5, &said);
+    w.run(ms(100));
+    assert_eq!((w.feed(5).counts.refused_seals - before, w.feed(5).counts.refused_forms), (1, 1));
+    settles(&mut w, 5_000);
+}
+
+#[test]
+fn a_range_that_no_hub_keeps_any_more_is_a_purge_of_everything() {
+    let mut w = World::with_files(SMALL, 25, |i, file| {
+        if i < SMALL.hubs {
+            file["control"]["most_kept"] = 1_024.into();
+        }
+    });
+    w.start_all();
+    w.run(ms(4_000));
+    w.wrong(true);
+    w.cuts.borrow_mut().sites.insert(3);
+    w.rate = 1_500.0;
+    w.run(ms(10_000));
+    w.rate = 20.0;
+    // Longer than what neighbours keep is about.
+    w.run(ms(60_000));
+    w.cuts.borrow_mut().sites.clear();
+    w.run(ms(8_000));
+    settles(&mut w, 30_000);
+    assert!(w.of_site(3).into_iter().all(|i| w.places[i].track.purges_of_all > 0));
+    assert!(w.of_site(2).into_iter().all(|i| w.places[i].track.purges_of_all == 0));
+}
+
+#[test]
+fn a_stamp_far_ahead_hides_nothing_from_a_site_that_starts_anew() {
+    let mut w = started(SMALL, 26);
+    w.rate = 20.0;
+    w.run(ms(3_000));
+    // Its clock is an hour ahead, and another's an hour behind.
+    let now = w.now_ms();
+    w.purge_at(0, 1, now + 3_600_000);
+    w.purge_at(0, 2, now - 3_600_000);
+    w.run(ms(6_000));
+    w.wrong(true);
+    let site = w.of_site(2);
+    site.iter().for_each(|&i| w.kill(i));
+    w.run(ms(4_000));
+    site.iter().for_each(|&i| w.start(i, false));
+    w.run(ms(6_000));
+    for i in site {
+        assert_eq!(w.owes(i), 0, "{} lacks what binds", w.places[i].name);
+    }
+    w.heal();
+    w.run(ms(9_000));
+    settles(&mut w, 5_000);
+}
