--- a/feed/src/compose.rs
+++ b/feed/src/compose.rs
@@ -21,8 +21,10 @@
 /// Pieces that wait for the next bundles, and the bytes of all events that are kept and no purges.
 const MOST_QUEUE: usize = 8_192;
 const MOST_LINE_BYTES: usize = 16 * 1024 * 1024;
-/// Purges bind for so long.
-const LATE_MS: u64 = 30_000;
+/// Purges bind for so long; what came before that is no more of late, whatever its stamp. Seconds are marked.
+const LATE: Span = Span::from_millis(30_000);
+const MARK_EVERY: Span = Span::from_millis(1_000);
+const MOST_MARKS: usize = 40;
 /// Bundles of late, and events of each stream, by whose stamps a bundle without purges has its own: not those of all
 /// times, since one may come from a clock that was far ahead.
 const RECENT: usize = 64;
@@ -87,6 +89,8 @@
     /// The latest stamps: of all, and of those that are not kept any more.
     latest: u64,
     gone: u64,
+    /// Positions at times of late.
+    marks: VecDeque<(Time, u64)>,
 }
 
 impl Source {
@@ -103,6 +107,7 @@
             lines: BTreeMap::new(),
             latest: 0,
             gone: 0,
+            marks: VecDeque::new(),
         }
     }
 
@@ -115,6 +120,21 @@
         is
     }
 
+    /// Notes how far it is.
+    fn mark(&mut self, now: Time) {
+        if self.marks.back().is_none_or(|(at, _)| now - *at >= MARK_EVERY) {
+            self.marks.push_back((now, self.position));
+            if self.marks.len() > MOST_MARKS {
+                self.marks.pop_front();
+            }
+        }
+    }
+
+    /// All up to this number came before a time.
+    fn came_before(&self, time: Time) -> u64 {
+        self.marks.iter().rev().find(|(at, _)| *at <= time).map_or(0, |(_, position)| *position)
+    }
+
     fn untold(&self) -> u64 {
         self.told.map_or(0, |t| self.position.saturating_sub(t))
     }
@@ -149,8 +169,8 @@
     line_bytes: usize,
     piece: usize,
     recent: VecDeque<u64>,
-    /// The latest stamp that another hub knew of.
-    pub heard: u64,
+    /// The latest stamps that other hubs know of.
+    pub heard: BTreeMap<u32, u64>,
     /// Events that were let go of although nobody can have them again.
     pub dropped: u64,
 }
@@ -180,7 +200,7 @@
             // So that the heads of many streams and a piece fit together.
             piece: PIECE.min(1_010 - 13 * positions.len()),
             recent: VecDeque::new(),
-            heard: 0,
+            heard: BTreeMap::new(),
             dropped: 0,
         }
     }
@@ -197,6 +217,7 @@
         if no != source.position + 1 && !source.begins(no) {
             return Err(Unusable::Gap(no, source.position));
         }
+        source.mark(now);
         source.position = no;
         if source.caught {
             source.fresh = Some(now);
@@ -298,7 +319,7 @@
 
     /// Guards against a gap that is told as a purge of everything with a stamp of before what it hides.
     fn mark_latest(&self, bundle: &mut Bundle) {
-        let latest = self.sources.iter().map(|s| s.latest).max().unwrap_or(0).max(self.heard);
+        let latest = self.of_late().max(self.heard.values().copied().max().unwrap_or(0));
         bundle.later = latest.saturating_sub(bundle.issued);
     }
 
@@ -414,7 +435,7 @@
     }
 
     /// What was asked for, as much as fits from its newest end; `None`: it is not here.
-    pub fn old(&mut self, ranges: &[Range], late: bool) -> Option<Bundle> {
+    pub fn old(&mut self, now: Time, ranges: &[Range], late: bool) -> Option<Bundle> {
         let mut wanted: Vec<(usize, u64, u64, u32)> = Vec::new();
         for r in ranges {
             let s = r.stream as usize;
@@ -448,15 +469,12 @@
         for (i, (s, first, last, _)) in wanted.iter().copied().enumerate() {
             let quota = most.saturating_sub(all.len()) / (wanted.len() - i);
             let oldest = first.max(self.sources[s].first);
-            let before = self.sources[s].latest.saturating_sub(LATE_MS);
+            let before = if late { self.sources[s].came_before(now.back(LATE)) } else { 0 };
             let (mut low, mut taken) = (last + 1, 0);
-            while low > oldest && taken < quota {
+            while low > oldest.max(before + 1) && taken < quota {
                 let no = low - 1;
                 match self.issued_at(s, no) {
                     Some(stamp) => {
-                        if late && stamp < before {
-                            break;
-                        }
                         let names: Vec<u64> = self.names_at(s, no).collect();
                         if length + wants(all.len() + names.len(), OLD_BITS) > room {
                             break;
--- a/feed/src/hub.rs
+++ b/feed/src/hub.rs
@@ -246,7 +246,7 @@
             counts.refused_requests += 1;
             return;
         }
-        let said = match self.found(&fetch.ranges, fetch.late) {
+        let said = match self.found(now, &fetch.ranges, fetch.late) {
             Some(bytes) => Said::Found(bytes),
             None => {
                 counts.lacked += 1;
@@ -256,8 +256,8 @@
         self.said.push_back((from, said));
     }
 
-    fn found(&mut self, ranges: &[Range], late: bool) -> Option<Vec<u8>> {
-        if let Some(body) = self.composer.old(ranges, late) {
+    fn found(&mut self, now: Time, ranges: &[Range], late: bool) -> Option<Vec<u8>> {
+        if let Some(body) = self.composer.old(now, ranges, late) {
             return Some(self.sign(&body));
         }
         // What this one lacks another hub may have told.
@@ -286,7 +286,7 @@
         counts.bundles += 1;
         self.others[hub] = Some(now);
         self.log.push(now, &body, bytes);
-        self.composer.heard = self.composer.heard.max(body.latest());
+        self.composer.heard.insert(body.hub, body.latest());
         let mut hands_on = false;
         for (s, first, last) in body.ranges().filter(|r| r.0 < self.set.streams.len()) {
             if !self.lacks(now, s) {
