--- a/feed/src/compose.rs
+++ b/feed/src/compose.rs
@@ -21,10 +21,14 @@
 /// Pieces that wait for the next bundles, and the bytes of all events that are kept and no purges.
 const MOST_QUEUE: usize = 8_192;
 const MOST_LINE_BYTES: usize = 16 * 1024 * 1024;
-/// Purges bind for so long.
-const LATE_MS: u64 = 30_000;
-/// Stamps of bundles of late.
+/// Purges bind for so long; what came before that is no more of late, whatever its stamp. Seconds are marked.
+const LATE: Span = Span::from_millis(30_000);
+const MARK_EVERY: Span = Span::from_millis(1_000);
+const MOST_MARKS: usize = 40;
+/// Bundles of late, and events of each stream, by whose stamps a bundle without purges has its own: not those of all
+/// times, since one may come from a clock that was far ahead.
 const RECENT: usize = 64;
+const STAMPS: usize = 512;
 /// In place of a stamp: the event is no purge.
 const OTHER: u64 = u64::MAX;
 
@@ -85,6 +89,8 @@
     /// The latest stamps: of all, and of those that are not kept any more.
     latest: u64,
     gone: u64,
+    /// Positions at times of late.
+    marks: VecDeque<(Time, u64)>,
 }
 
 impl Source {
@@ -101,6 +107,7 @@
             lines: BTreeMap::new(),
             latest: 0,
             gone: 0,
+            marks: VecDeque::new(),
         }
     }
 
@@ -113,6 +120,21 @@
         is
     }
 
+    /// Notes how far it is.
+    fn mark(&mut self, now: Time) {
+        if self.marks.back().is_none_or(|(at, _)| now - *at >= MARK_EVERY) {
+            self.marks.push_back((now, self.position));
+            if self.marks.len() > MOST_MARKS {
+                self.marks.pop_front();
+            }
+        }
+    }
+
+    /// All up to this number came before a time.
+    fn came_before(&self, time: Time) -> u64 {
+        self.marks.iter().rev().find(|(at, _)| *at <= time).map_or(0, |(_, position)| *position)
+    }
+
     fn untold(&self) -> u64 {
         self.told.map_or(0, |t| self.position.saturating_sub(t))
     }
@@ -147,6 +169,8 @@
     line_bytes: usize,
     piece: usize,
     recent: VecDeque<u64>,
+    /// The latest stamps that other hubs know of.
+    pub heard: BTreeMap<u32, u64>,
     /// Events that were let go of although nobody can have them again.
     pub dropped: u64,
 }
@@ -176,6 +200,7 @@
             // So that the heads of many streams and a piece fit together.
             piece: PIECE.min(1_010 - 13 * positions.len()),
             recent: VecDeque::new(),
+            heard: BTreeMap::new(),
             dropped: 0,
         }
     }
@@ -192,6 +217,7 @@
         if no != source.position + 1 && !source.begins(no) {
             return Err(Unusable::Gap(no, source.position));
         }
+        source.mark(now);
         source.position = no;
         if source.caught {
             source.fresh = Some(now);
@@ -291,7 +317,14 @@
         Bundle { hub: self.hub, run: self.run, number: self.number, firsts, counts, ..Bundle::default() }
     }
 
+    /// Guards against a gap that is told as a purge of everything with a stamp of before what it hides.
+    fn mark_latest(&self, bundle: &mut Bundle) {
+        let latest = self.of_late().max(self.heard.values().copied().max().unwrap_or(0));
+        bundle.later = latest.saturating_sub(bundle.issued);
+    }
+
     fn seal_names(&mut self, bundle: &mut Bundle, all: &[u64]) {
+        self.mark_latest(bundle);
         if !all.is_empty() {
             let room = (MOST_BUNDLE - SIGNATURE).saturating_sub(bundle.encoded_len() + 3);
             let (_, code) = code::fit(all, room);
@@ -300,6 +333,13 @@
         }
     }
 
+    /// The latest stamp of late, also of what was never told here: a gap that a bundle shows may hide that.
+    fn of_late(&self) -> u64 {
+        let kept =
+            self.sources.iter().flat_map(|s| s.kept.iter().rev().take(STAMPS).map(|(_, issued)| *issued));
+        kept.filter(|i| *i != OTHER).chain(self.recent.iter().copied()).max().unwrap_or(0)
+    }
+
     /// The next bundle of what has not been told.
     pub fn live(&mut self, head: &Head) -> Bundle {
         let mut bundle = self.empty();
@@ -319,6 +359,7 @@
             bundle.apart = vec![1_000; n];
         }
         (bundle.issued, bundle.sites, bundle.asks) = (u64::MAX >> 20, head.sites, true);
+        bundle.later = u64::MAX >> 20;
         let mut length = bundle.encoded_len() + 8;
         let (mut all, mut issued) = (Vec::new(), 0);
         bundle.counts.fill(0);
@@ -370,7 +411,7 @@
             self.sources[s].told = Some(told + bundle.counts[s]);
         }
         if all.is_empty() {
-            bundle.issued = self.recent.iter().copied().max().unwrap_or(0);
+            bundle.issued = self.of_late();
         } else {
             bundle.issued = issued;
             self.recent.push_back(issued);
@@ -394,7 +435,7 @@
     }
 
     /// What was asked for, as much as fits from its newest end; `None`: it is not here.
-    pub fn old(&mut self, ranges: &[Range], late: bool) -> Option<Bundle> {
+    pub fn old(&mut self, now: Time, ranges: &[Range], late: bool) -> Option<Bundle> {
         let mut wanted: Vec<(usize, u64, u64, u32)> = Vec::new();
         for r in ranges {
             let s = r.stream as usize;
@@ -415,7 +456,7 @@
             }
         }
         let mut bundle = self.empty();
-        bundle.issued = u64::MAX >> 20;
+        (bundle.issued, bundle.later) = (u64::MAX >> 20, u64::MAX >> 20);
         bundle.firsts.fill(MOST_NO >> 8);
         bundle.counts.fill(1_000);
         let mut length = bundle.encoded_len() + 8;
@@ -428,15 +469,12 @@
         for (i, (s, first, last, _)) in wanted.iter().copied().enumerate() {
             let quota = most.saturating_sub(all.len()) / (wanted.len() - i);
             let oldest = first.max(self.sources[s].first);
-            let before = self.sources[s].latest.saturating_sub(LATE_MS);
+            let before = if late { self.sources[s].came_before(now.back(LATE)) } else { 0 };
             let (mut low, mut taken) = (last + 1, 0);
-            while low > oldest && taken < quota {
+            while low > oldest.max(before + 1) && taken < quota {
                 let no = low - 1;
                 match self.issued_at(s, no) {
                     Some(stamp) => {
-                        if late && stamp < before {
-                            break;
-                        }
                         let names: Vec<u64> = self.names_at(s, no).collect();
                         if length + wants(all.len() + names.len(), OLD_BITS) > room {
                             break;
@@ -475,6 +513,7 @@
         let piece = self.piece_at(s, no, offset).filter(|p| !p.bytes.is_empty())?;
         let mut bundle = self.empty();
         bundle.pieces.push(piece);
+        self.mark_latest(&mut bundle);
         Some(bundle)
     }
 
@@ -488,6 +527,7 @@
         let mut bundle = self.empty();
         (bundle.firsts[s], bundle.counts[s], bundle.issued) = (first, last + 1 - first, issued);
         bundle.names = code::encode(&NameSet::all());
+        self.mark_latest(&mut bundle);
         let mut length = bundle.encoded_len() + 8;
         let others: Vec<u64> = self.sources[s].lines.range(first..=last).map(|(no, _)| *no).rev().collect();
         for no in others {
--- a/feed/src/hub.rs
+++ b/feed/src/hub.rs
@@ -6,7 +6,7 @@
 use crate::compose::{Composer, Head};
 use crate::log::{Log, Seen};
 use crate::report::{Sites, Taken};
-use crate::settings::{self, MOST_SITES, hex};
+use crate::settings::{self, MOST_SITES};
 use crate::wire::{Bundle, Fetch, Follow, Passed, Range, Report, Said};
 use crate::{Counts, Missing, Unusable};
 use kelpcart::{Span, Time};
@@ -77,7 +77,7 @@
 }
 
 impl Hub {
-    /// `None`: the seed of its key is none.
+    /// `None`: its secret is not that of its public key.
     pub fn new(
         set: Arc<Set>,
         me: usize,
@@ -86,7 +86,7 @@
         seed: u64,
         now: Time,
     ) -> Option<Hub> {
-        let signer = Ed25519KeyPair::from_seed_unchecked(&hex(&control.secret)?).ok()?;
+        let signer = set.hubs[me].signer(&control.secret)?;
         let known: Vec<u64> = set.streams.iter().map(|s| s.known).collect();
         let id = set.hubs[me].id;
         // Hubs don't all send at the same time.
@@ -246,7 +246,7 @@
             counts.refused_requests += 1;
             return;
         }
-        let said = match self.found(&fetch.ranges, fetch.late) {
+        let said = match self.found(now, &fetch.ranges, fetch.late) {
             Some(bytes) => Said::Found(bytes),
             None => {
                 counts.lacked += 1;
@@ -256,8 +256,8 @@
         self.said.push_back((from, said));
     }
 
-    fn found(&mut self, ranges: &[Range], late: bool) -> Option<Vec<u8>> {
-        if let Some(body) = self.composer.old(ranges, late) {
+    fn found(&mut self, now: Time, ranges: &[Range], late: bool) -> Option<Vec<u8>> {
+        if let Some(body) = self.composer.old(now, ranges, late) {
             return Some(self.sign(&body));
         }
         // What this one lacks another hub may have told.
@@ -286,6 +286,7 @@
         counts.bundles += 1;
         self.others[hub] = Some(now);
         self.log.push(now, &body, bytes);
+        self.composer.heard.insert(body.hub, body.latest());
         let mut hands_on = false;
         for (s, first, last) in body.ranges().filter(|r| r.0 < self.set.streams.len()) {
             if !self.lacks(now, s) {
