Ladders of the feed by purges, sites, changes, restarts and by what goes wrong

Need: slopes over each thing that grows, and the faults of the feed's design note at 1,000 gateways.

Change: scale/src/ladders/feed.rs; each run ends by checking positions of all live gateways, each followed purge and that a hub knows. Beside bytes, processor time, memory and delay: purges later than 3.9 s, gaps told as purges of everything, connections tried. Fleet's ladders are shorter.

--- a/scale/src/feed_net.rs
+++ b/scale/src/feed_net.rs
@@ -3,12 +3,12 @@
 
 use crate::fleet_net::delays;
 use crate::hollow::{Hollow, Told};
-use crate::sim::Sim;
+use crate::sim::{Sim, Spent};
 use hdrhistogram::Histogram;
 use kelpcart::names::of_object;
 use kelpcart::{Span, Time};
 use kelpcart_feed::Feed;
-use kelpcart_feed::settings::{Key, hex};
+use kelpcart_feed::settings::Key;
 use kelpcart_fleet::node::Node;
 use kelpcart_fleet::settings::Fleet;
 use rand::{Rng, SeedableRng};
@@ -27,8 +27,8 @@
 /// A host's pause before it connects to a list service again.
 const CONNECT_AGAIN: Span = Span::from_millis(200);
 const PULSE: Span = Span::from_millis(1_000);
-/// One in so many purges is followed to each gateway by its name; positions follow all.
-const FOLLOWED: f64 = 0.05;
+/// So many purges a second are followed to each gateway by their names; positions follow all.
+const FOLLOWED_PER_S: f64 = 8.0;
 pub const REGIONS: usize = 11;
 pub const HUBS: usize = 5;
 /// Gateways of a site.
@@ -242,7 +242,6 @@
         }
         let file: kelpcart_feed::settings::Feed = serde_json::from_value(file).expect("a file of the feed");
         let keys = [Key { id: 1, secret: "17".repeat(32) }];
-        debug_assert!(hex(&keys[0].secret).is_some());
         let now = self.sim.at(i);
         let feed = Feed::new(&file, &keys, &place.name, seeds[0], seeds[1], now).expect("a feed");
         let mut hollow = Hollow::new(now, self.node(i, seeds), feed);
@@ -274,7 +273,7 @@
         self.measures = true;
         for slot in &mut self.sim.slots {
             if let Some(hollow) = &mut slot.actor {
-                hollow.spent = Default::default();
+                hollow.spent = Spent::default();
                 hollow.measures = true;
             }
         }
@@ -282,6 +281,7 @@
         self.delays.reset();
         self.changes.reset();
         self.known.reset();
+        (self.attempts, self.connections) = (0, 0);
     }
 
     /// Whether one has run since the beginning.
@@ -297,7 +297,7 @@
         let no = self.services[stream].events.len() as u64 + 1;
         let line = if purge {
             let (object, issued_ms): (u64, u64) = (self.rng.random(), self.now_ms());
-            if self.rng.random_bool(FOLLOWED) {
+            if self.rng.random_bool((FOLLOWED_PER_S / self.purges_per_s.max(FOLLOWED_PER_S)).min(1.0)) {
                 self.followed.push(Follow { at: self.sim.now, name: of_object(object), issued_ms });
             }
             json!({"no": no, "recall": {"item": format!("{object:016x}"), "issued": issued_ms}})
--- a/scale/src/ladders/feed.rs
+++ b/scale/src/ladders/feed.rs
@@ -7,11 +7,14 @@
 use crate::memory;
 use crate::sim::Spent;
 use crate::slopes::{Host, Ladder};
+use hdrhistogram::Histogram;
 use kelpcart::Span;
-use rand::Rng;
 use rand::seq::IteratorRandom;
 
 const MECHANISM: &str = "feed/src/lib.rs";
+/// A purge has to be everywhere by then, in us.
+const WITHIN: u64 = 3_900_000;
+const TARGET_PURGES: f64 = 150.0;
 
 /// What one run gave, of gateways and of hubs.
 struct Given {
@@ -29,6 +32,10 @@
     span: Span,
 }
 
+fn late(delays: &Histogram<u64>) -> u64 {
+    delays.count_between(WITHIN, delays.high())
+}
+
 /// Starts an installation, lets it settle, and measures it over the load's span while `wrong` happens to it.
 fn run(seed: u64, load: Load, wrong: impl FnOnce(&mut Net, Span)) -> Given {
     let held = memory::held();
@@ -39,8 +46,9 @@
         net.run(ms(20));
     }
     let start = net.sim.now - begun;
+    net.run(ms(3_000));
     (net.purges_per_s, net.changes_per_s) = (load.purges_per_s, load.changes_per_s);
-    net.run(ms(10_000));
+    net.run(ms(2_000));
     net.begin();
     let from = net.sim.now;
     wrong(&mut net, load.span);
@@ -55,20 +63,28 @@
     while (net.all_told().is_err() || !net.all_known()) && net.sim.now - ended < ms(30_000) {
         net.run(ms(100));
     }
-    let told = net.all_told();
-    let told = told.and(if net.all_known() { Ok(()) } else { Err("no hub holds all to be done".to_owned()) });
+    let known = if net.all_known() { Ok(()) } else { Err("no hub holds all to be done".to_owned()) };
+    let told = net.all_told().and(known);
+    let purges_of_all: u64 = net.sim.live().map(|(_, h)| h.feed.counts.purged_all).sum();
     // Hubs hold what is kept for all; a gateway's own is what its end gives back.
     let hub_memory = (memory::held() - held) as f64;
     let before = memory::held();
     net.gateways().for_each(|i| net.kill(i));
-    let memory = (before - memory::held()) as f64 / live.len() as f64;
-    let each_hub = (hub_memory - memory * live.len() as f64) / net.hubs().len() as f64;
-    let delays = if load.purges_per_s > 0.0 { net.delays.clone() } else { net.changes.clone() };
-    let run = |spent, delays, memory| Run { spent, over, delays, memory, start, told: told.clone() };
+    let given_back = before.saturating_sub(memory::held()) as f64;
+    let memory = given_back / load.shape.gateways as f64;
+    let each_hub = (hub_memory - given_back) / net.hubs().len() as f64;
+    let delays = if load.changes_per_s > 0.0 { &net.changes } else { &net.delays }.clone();
+    let more = vec![
+        ("late", "count", late(&delays) as f64),
+        ("purges-of-all", "count", purges_of_all as f64),
+        ("connections-tried", "count", net.attempts as f64),
+    ];
+    let run =
+        |spent, delays, memory, more| Run { spent, over, delays, memory, start, told: told.clone(), more };
     Given {
-        feed: run(feed, delays.clone(), memory),
-        control: run(control, delays, memory),
-        hubs: run(hubs, net.known.clone(), each_hub),
+        feed: run(feed, delays.clone(), memory, more),
+        control: run(control, delays, memory, Vec::new()),
+        hubs: run(hubs, net.known.clone(), each_hub, vec![("late", "count", late(&net.known) as f64)]),
     }
 }
 
@@ -81,7 +97,7 @@
 
 impl Groups {
     fn new(of: &str, over: &'static str, fixed: &[(&str, f64)]) -> Groups {
-        let one = |of: String| Group::new(&of, MECHANISM, Host::Simulated, over, fixed);
+        let one = |of: String| Group::new(&of, "feed", MECHANISM, Host::Simulated, over, fixed);
         Groups {
             feed: one(of.to_owned()),
             control: one(of.replacen("feed", "control", 1)),
@@ -116,121 +132,125 @@
     net.run(until - net.sim.now);
 }
 
-fn faults(seed: u64, quick: bool) -> Vec<Ladder> {
-    let n = if quick { 48 } else { 1_000 };
-    let rate = 150.0;
-    let span = ms(10_000);
-    let load = Load { shape: Shape::of(n), purges_per_s: rate, changes_per_s: 0.0, span };
-    let fixed = [("gateways", n as f64), ("purges_per_s", rate)];
+fn start_again(net: &mut Net, which: &[usize], after: Span) {
+    which.iter().for_each(|&i| net.kill(i));
+    net.run(after);
+    which.iter().for_each(|&i| net.start(i));
+}
+
+type Wrong = fn(&mut Net, f64);
+
+/// Each goes wrong to a degree; what it is called, over what, and the degrees.
+const FAULTS: &[(&str, &str, &[f64], Wrong)] = &[
+    ("feed-hubs-killed", "hubs_killed", &[0.0, 1.0, 2.0, 3.0, 4.0], |net, n| {
+        let hubs: Vec<usize> = net.hubs().take(n as usize).collect();
+        start_again(net, &hubs, ms(8_000));
+        net.run(ms(7_000));
+    }),
+    ("feed-hubs-away", "away_s", &[1.0, 2.0, 5.0, 10.0, 20.0], |net, s| {
+        let hubs: Vec<usize> = net.hubs().collect();
+        start_again(net, &hubs, Span::from_secs_f64(s));
+        net.run(ms(7_000));
+    }),
+    ("feed-restarted-at-once", "restarted_part", &[0.01, 0.05, 0.1, 0.3, 0.9], |net, part| {
+        let some = (part * net.shape.gateways as f64).round() as usize;
+        let chosen = net.gateways().choose_multiple(&mut net.sim.rng, some);
+        start_again(net, &chosen, ms(1_000));
+        net.run(ms(9_000));
+    }),
+    // As much comes twice.
+    ("feed-lossy", "lost_part", &[0.005, 0.01, 0.02, 0.05, 0.1], |net, part| {
+        (net.sim.loss, net.sim.repeat) = (part, part);
+        net.run(ms(10_000));
+        (net.sim.loss, net.sim.repeat) = (0.0, 0.0);
+    }),
+    ("feed-region-away", "away_s", &[1.0, 2.0, 5.0, 10.0, 20.0], |net, s| {
+        net.cuts.borrow_mut().regions.insert(3);
+        net.run(Span::from_secs_f64(s));
+        net.cuts.borrow_mut().regions.clear();
+        net.run(ms(7_000));
+    }),
+    ("feed-flood", "purges_per_s", &[300.0, 500.0, 750.0, 1_000.0, 1_500.0], |net, rate| {
+        net.purges_per_s = rate;
+        net.run(ms(30_000));
+        net.purges_per_s = TARGET_PURGES;
+        net.run(ms(2_000));
+    }),
+];
+
+fn faults(seed: u64) -> Vec<Ladder> {
+    let n = 1_000;
+    let load =
+        Load { shape: Shape::of(n), purges_per_s: TARGET_PURGES, changes_per_s: 0.0, span: Span::ZERO };
     let mut all = Vec::new();
-    let mut by = Groups::new("feed.hubs-killed", "hubs_killed", &fixed);
-    for k in if quick { 1..2 } else { 1..5 } {
-        by.take(
-            f64::from(k),
-            run(seed, load, |net, span| {
-                net.run(ms(1_000));
-                (0..k as usize).for_each(|h| net.kill(h));
-                net.run(span);
-                (0..k as usize).for_each(|h| net.start(h));
-                net.run(ms(5_000));
-            }),
-        );
-    }
-    all.extend(by.ladders(seed));
-    let mut by = Groups::new("feed.hubs-away", "away_s", &fixed);
-    for s in if quick { &[3][..] } else { &[2, 5, 10, 30] } {
-        by.take(
-            *s as f64,
-            run(seed, load, |net, _| {
-                net.run(ms(1_000));
-                net.hubs().for_each(|h| net.kill(h));
-                net.run(ms(s * 1_000));
-                net.hubs().for_each(|h| net.start(h));
-                net.run(ms(10_000));
-            }),
-        );
-    }
-    all.extend(by.ladders(seed));
-    let mut by = Groups::new("feed.restarted-at-once", "restarted_part", &fixed);
-    for part in if quick { &[0.1][..] } else { &[0.01, 0.1, 0.3, 0.9] } {
-        by.take(
-            *part,
-            run(seed, load, |net, span| {
-                net.run(ms(1_000));
-                let some = (part * n as f64).round() as usize;
-                let chosen = net.gateways().choose_multiple(&mut net.sim.rng, some);
-                chosen.iter().for_each(|&i| net.kill(i));
-                net.run(ms(1_000));
-                chosen.iter().for_each(|&i| net.start(i));
-                net.run(span);
-            }),
-        );
-    }
-    all.extend(by.ladders(seed));
-    let mut by = Groups::new("feed.lossy", "lost_part", &fixed);
-    for part in if quick { &[0.05][..] } else { &[0.01, 0.02, 0.05, 0.1] } {
-        by.take(
-            *part,
-            run(seed, load, |net, span| {
-                (net.sim.loss, net.sim.repeat) = (*part, *part);
-                net.run(span);
-                (net.sim.loss, net.sim.repeat) = (0.0, 0.0);
-            }),
-        );
-    }
-    all.extend(by.ladders(seed));
-    let mut by = Groups::new("feed.region-away", "away_s", &fixed);
-    for s in if quick { &[3][..] } else { &[2, 5, 10, 30] } {
-        by.take(
-            *s as f64,
-            run(seed, load, |net, _| {
-                net.run(ms(1_000));
-                net.cuts.borrow_mut().regions.insert(3);
-                net.run(ms(s * 1_000));
-                net.cuts.borrow_mut().regions.clear();
-                net.run(ms(10_000));
-            }),
-        );
-    }
-    all.extend(by.ladders(seed));
-    let mut by = Groups::new("feed.flood", "purges_per_s", &fixed[..1]);
-    for rate in if quick { &[600.0][..] } else { &[300.0, 600.0, 1_500.0] } {
-        by.take(
-            *rate,
-            run(seed, load, |net, _| {
-                net.purges_per_s = *rate;
-                net.run(ms(if quick { 3_000 } else { 30_000 }));
-            }),
-        );
+    for (of, over, degrees, wrong) in FAULTS {
+        let purges = (*over != "purges_per_s").then_some(("purges_per_s", TARGET_PURGES));
+        let fixed: Vec<(&str, f64)> = [Some(("gateways", n as f64)), purges].into_iter().flatten().collect();
+        let mut by = Groups::new(of, over, &fixed);
+        for degree in *degrees {
+            by.take(*degree, run(seed, load, |net, _| wrong(net, *degree)));
+        }
+        all.extend(by.ladders(seed));
     }
-    all.extend(by.ladders(seed));
     all
 }
 
 pub fn measure(seed: u64, quick: bool) -> Vec<Ladder> {
     let span = if quick { ms(2_000) } else { ms(10_000) };
-    let load =
-        |n: usize, purges_per_s: f64| Load { shape: Shape::of(n), purges_per_s, changes_per_s: 0.0, span };
+    let n = if quick { 24 } else { 1_000 };
+    let shape = Shape::of(n);
+    let load = Load { shape, purges_per_s: TARGET_PURGES, changes_per_s: 0.0, span };
     let mut all = Vec::new();
-    let sizes: &[usize] = if quick { &[24, 48, 72] } else { &[25, 100, 300, 1_000, 3_000, 8_000] };
-    let mut by = Groups::new("feed", "gateways", &[("purges_per_s", 150.0)]);
+
+    let sizes: &[usize] = if quick { &[12, 24, 36, 48, 60] } else { &[25, 100, 300, 1_000, 3_000, 8_000] };
+    let mut by = Groups::new("feed", "gateways", &[("purges_per_s", TARGET_PURGES)]);
     for &n in sizes {
         if !by.feed.fits(n as f64, false) {
             break;
         }
-        by.take(n as f64, run(seed, load(n, 150.0), calm));
+        by.take(n as f64, run(seed, Load { shape: Shape::of(n), ..load }, calm));
     }
     all.extend(by.ladders(seed));
-    all
-}
 
-#[allow(dead_code)]
-fn rest(seed: u64, quick: bool) -> Vec<Ladder> {
-    let mut all = faults(seed, quick);
-    let mut by = Groups::new("feed", "restarts_per_h", &[]);
-    let load = Load { shape: Shape::of(100), purges_per_s: 10.0, changes_per_s: 0.0, span: ms(2_000) };
-    by.take(1.0, run(seed, load, |net, span| restarts(net, span, 3_600.0)));
+    let mut by = Groups::new("feed", "purges_per_s", &[("gateways", n as f64)]);
+    for rate in [15.0, 50.0, 150.0, 300.0, 600.0] {
+        by.take(rate, run(seed, Load { purges_per_s: rate, ..load }, calm));
+    }
+    all.extend(by.ladders(seed));
+    if !quick {
+        let mut by = Groups::new("feed-at-8000", "purges_per_s", &[("gateways", 8_000.0)]);
+        for rate in [15.0, 50.0, 300.0] {
+            let load = Load { shape: Shape::of(8_000), purges_per_s: rate, span: ms(4_000), ..load };
+            by.take(rate, run(seed, load, calm));
+        }
+        all.extend(by.ladders(seed));
+    }
+
+    let sites: [usize; 5] = if quick { [1, 2, 3, 4, 6] } else { [10, 20, 42, 80, 160] };
+    let fixed = [("gateways", n as f64), ("purges_per_s", TARGET_PURGES)];
+    let mut by = Groups::new("feed", "sites", &fixed);
+    for sites in sites {
+        by.take(sites as f64, run(seed, Load { shape: Shape { sites, ..shape }, ..load }, calm));
+    }
+    all.extend(by.ladders(seed));
+
+    // 0.085 a second is the target.
+    let mut by = Groups::new("feed", "changes_per_s", &fixed);
+    for rate in if quick { [2.0, 4.0, 8.0, 16.0, 32.0] } else { [0.085, 0.34, 1.36, 5.44, 21.76] } {
+        let span = if rate < 1.0 { ms(40_000) } else { span };
+        by.take(rate, run(seed, Load { changes_per_s: rate, span, ..load }, calm));
+    }
     all.extend(by.ladders(seed));
-    let _: u64 = rand::rng().random();
+
+    let mut by = Groups::new("feed", "restarts_per_h", &fixed);
+    let per_h = [450.0, 900.0, 1_800.0, 3_600.0, 7_200.0];
+    for per_h in if quick { per_h.map(|n| n * 4.0) } else { per_h } {
+        let span = if quick { ms(3_000) } else { ms(17_000) };
+        by.take(per_h, run(seed, Load { span, ..load }, |net, span| restarts(net, span, per_h)));
+    }
+    all.extend(by.ladders(seed));
+    if !quick {
+        all.extend(faults(seed));
+    }
     all
 }
--- a/scale/src/ladders/fleet.rs
+++ b/scale/src/ladders/fleet.rs
@@ -1,5 +1,8 @@
 //! What the relayed list and membership of one fleet cost by its size and by its purges: the present way, against which
 //! the feed is measured. Must never count the start into a rate.
+//!
+//! It stops at 1,000 members: each step of a member looks at all others (`Members::next_wake`), so that a run costs the
+//! square of them, and the fleet's file takes 4,096 members at the most.
 
 use super::group::{Group, Run};
 use crate::fleet_net::{Net, ms};
@@ -26,14 +29,14 @@
         net.run(ms(100));
     }
     let start = net.sim.now - begun;
-    net.run(ms(10_000));
+    net.run(ms(4_000));
     net.sim.reset_spent();
     net.sim.measures = true;
     net.run(span);
     let spent = net.sim.slots.iter().map(|s| s.spent).collect();
     let told = if net.seen() == (n, n) { Ok(()) } else { Err(format!("{:?} are seen", net.seen())) };
     let memory = (memory::held() - held) as f64 / n as f64;
-    Run { spent, over: span, delays: net.delays.clone(), memory, start, told }
+    Run { spent, over: span, delays: net.delays.clone(), memory, start, told, more: Vec::new() }
 }
 
 /// One fleet of `n` at so many purges a second.
@@ -46,9 +49,9 @@
     while net.all_told().is_err() && net.sim.now - begun < ms(60_000) {
         net.run(ms(20));
     }
-    let listed = net.sim.now - begun;
-    net.run(ms(10_000));
-    purge(&mut net, rate, ms(2_000));
+    let start = net.sim.now - begun;
+    net.run(ms(4_000));
+    purge(&mut net, rate, ms(1_000));
     net.delays.reset();
     net.sim.reset_spent();
     net.sim.measures = true;
@@ -56,11 +59,11 @@
     purge(&mut net, rate, span);
     let over = net.sim.now - from;
     let spent = net.sim.slots.iter().map(|s| s.spent).collect();
-    net.run(ms(5_000));
+    net.run(ms(2_000));
     let told = net.all_told();
     let delays = net.delays.clone();
     let memory = (memory::held() - held) as f64 / n as f64;
-    Run { spent, over, delays, memory, start: listed, told }
+    Run { spent, over, delays, memory, start, told, more: Vec::new() }
 }
 
 fn purge(net: &mut Net, rate: u64, span: Span) {
@@ -75,12 +78,18 @@
 }
 
 pub fn measure(seed: u64, quick: bool) -> Vec<Ladder> {
-    let span = if quick { ms(2_000) } else { ms(10_000) };
-    let sizes: &[usize] = if quick { &[10, 20, 40] } else { &[25, 100, 300, 1_000] };
+    let span = if quick { ms(2_000) } else { ms(5_000) };
+    let sizes: &[usize] = if quick { &[5, 10, 15, 20, 30] } else { &[24, 50, 100, 300, 1_000] };
     let rate = if quick { 20 } else { 150 };
     let mut all = Vec::new();
-    let mut by =
-        Group::new("fleet", MECHANISM, Host::Simulated, "gateways", &[("purges_per_s", rate as f64)]);
+    let mut by = Group::new(
+        "fleet",
+        "fleet",
+        MECHANISM,
+        Host::Simulated,
+        "gateways",
+        &[("purges_per_s", rate as f64)],
+    );
     for &n in sizes {
         if !by.fits(n as f64, true) {
             break;
@@ -88,13 +97,15 @@
         by.take(n as f64, run(seed, n, rate, span));
     }
     all.extend(by.ladders(seed));
-    let (n, rates): (usize, &[u64]) = if quick { (20, &[10, 20, 40]) } else { (300, &[15, 50, 150, 300]) };
-    let mut by = Group::new("fleet", MECHANISM, Host::Simulated, "purges_per_s", &[("gateways", n as f64)]);
+    let (n, rates): (usize, &[u64]) =
+        if quick { (20, &[10, 20, 40, 60, 80]) } else { (300, &[15, 50, 100, 150, 300]) };
+    let mut by =
+        Group::new("fleet", "fleet", MECHANISM, Host::Simulated, "purges_per_s", &[("gateways", n as f64)]);
     for &rate in rates {
         by.take(rate as f64, run(seed, n, rate, span));
     }
     all.extend(by.ladders(seed));
-    let mut by = Group::new("members", "fleet/src/members.rs", Host::Simulated, "gateways", &[]);
+    let mut by = Group::new("members", "fleet", "fleet/src/members.rs", Host::Simulated, "gateways", &[]);
     for &n in sizes {
         if !by.fits(n as f64, true) {
             break;
--- a/scale/src/ladders/group.rs
+++ b/scale/src/ladders/group.rs
@@ -21,11 +21,15 @@
     pub start: Span,
     /// Whether each live gateway knows each change in the end.
     pub told: Result<(), String>,
+    /// Other figures by their names and units.
+    pub more: Vec<(&'static str, &'static str, f64)>,
 }
 
 /// Runs at growing sizes of one thing.
 pub struct Group {
     of: String,
+    /// The ladders' name at the command line.
+    module: &'static str,
     mechanism: &'static str,
     host: Host,
     over: &'static str,
@@ -46,13 +50,14 @@
 impl Group {
     pub fn new(
         of: &str,
+        module: &'static str,
         mechanism: &'static str,
         host: Host,
         over: &'static str,
         fixed: &[(&str, f64)],
     ) -> Group {
         let fixed = fixed.iter().map(|(k, v)| ((*k).to_owned(), *v)).collect();
-        Group { of: of.to_owned(), mechanism, host, over, fixed, runs: Vec::new() }
+        Group { of: of.to_owned(), module, mechanism, host, over, fixed, runs: Vec::new() }
     }
 
     /// Whether a run of so many members fits into half of the memory, by what the last one took: `grows` where each
@@ -85,7 +90,7 @@
                     let a_second = |s: &Spent| of(s) / run.over.as_secs_f64();
                     let sum: f64 = run.spent.iter().map(a_second).sum();
                     let worst = run.spent.iter().map(a_second).fold(0.0, f64::max);
-                    Some((sum / run.spent.len() as f64, worst, None))
+                    (!run.spent.is_empty()).then(|| (sum / run.spent.len() as f64, worst, None))
                 })
             })
             .collect();
@@ -100,6 +105,9 @@
             let took = r.start.as_secs_f64() * 1e3;
             Some((took, took, None))
         }));
+        for (at, (name, unit, _)) in self.runs.first().iter().flat_map(|r| r.1.more.iter().enumerate()) {
+            all.push(self.ladder(seed, name, unit, false, |r| r.more.get(at).map(|m| (m.2, m.2, None))));
+        }
         all.retain(|l| !l.points.is_empty());
         all
     }
@@ -124,7 +132,10 @@
             unit: unit.to_owned(),
             host: self.host,
             mechanism: self.mechanism.to_owned(),
-            command: format!("cargo run --release -p kelpcart-scale -- measure --seed {seed}"),
+            command: format!(
+                "cargo run --release -p kelpcart-scale -- measure --seed {seed} --only {} --json slopes.json",
+                self.module
+            ),
             timed,
             points: self.runs.iter().filter_map(point).collect(),
         }
@@ -133,12 +144,13 @@
 
 impl Run {
     fn told_short(&self) -> String {
-        let n = self.spent.len() as f64;
+        let n = self.spent.len().max(1) as f64;
         let s = self.over.as_secs_f64();
+        let more: String = self.more.iter().map(|(name, _, n)| format!("; {name} {n}")).collect();
         let out = self.spent.iter().map(|x| x.bytes_out as f64 / s);
         let (sum, worst) = out.fold((0.0, 0f64), |(a, w), x| (a + x, w.max(x)));
         format!(
-            "{:.0} B/s out at the mean, {worst:.0} at the worst; p99 {:.1} ms, most {:.1} ms; {:.0} B held",
+            "{:.0} B/s out at the mean, {worst:.0} at the worst; p99 {:.1} ms, most {:.1} ms; {:.0} B held{more}",
             sum / n,
             self.delays.value_at_quantile(0.99) as f64 / 1e3,
             self.delays.max() as f64 / 1e3,
