--- a/feed/src/hub.rs
+++ b/feed/src/hub.rs
@@ -6,7 +6,7 @@
 use crate::compose::{Composer, Head};
 use crate::log::{Log, Seen};
 use crate::report::{Sites, Taken};
-use crate::settings::{self, MOST_SITES, hex};
+use crate::settings::{self, MOST_SITES};
 use crate::wire::{Bundle, Fetch, Follow, Passed, Range, Report, Said};
 use crate::{Counts, Missing, Unusable};
 use kelpcart::{Span, Time};
@@ -30,7 +30,9 @@
 const SPACED: Span = Span::from_millis(20);
 /// A list service that told nothing for so long: another hub may know more.
 const STALE: Span = Span::from_millis(2_000);
-const GATHER_EVERY: Span = Span::from_millis(500);
+/// Sites have reported by then on a bundle that asks: what they confirmed is told to the other hubs.
+const GATHER_AFTER: Span = Span::from_millis(550);
+const GATHER_EVERY: Span = Span::from_millis(1_000);
 
 struct Follower {
     site: String,
@@ -75,7 +77,7 @@
 }
 
 impl Hub {
-    /// `None`: the seed of its key is none.
+    /// `None`: its secret is not that of its public key.
     pub fn new(
         set: Arc<Set>,
         me: usize,
@@ -84,7 +86,7 @@
         seed: u64,
         now: Time,
     ) -> Option<Hub> {
-        let signer = Ed25519KeyPair::from_seed_unchecked(&hex(&control.secret)?).ok()?;
+        let signer = set.hubs[me].signer(&control.secret)?;
         let known: Vec<u64> = set.streams.iter().map(|s| s.known).collect();
         let id = set.hubs[me].id;
         // Hubs don't all send at the same time.
@@ -358,6 +360,9 @@
                 self.period += self.set.period.max(Span::from_millis(1));
             }
             self.asks = !self.asks;
+            if self.asks {
+                self.gather = self.gather.min(now + GATHER_AFTER);
+            }
             self.composer.begin_period();
             self.tell(now, counts);
         } else if self.spaced.is_some_and(|at| now >= at) {
