Hollow gateways over loopback beside real ones, with a ladder of five sizes

Need: simulated figures have to be held against real sockets, threads and processes.

Change: kelpcart-scale hollow serves gateways of a list of fleet files, each with its own socket and thread; the ladders loopback start real hubs, list services' stand-ins, some real gateways and hollow processes, follow purges by name and end when a hub holds all to be done everywhere and all positions are the last.

--- a/scale/src/ladders/fleet.rs
+++ b/scale/src/ladders/fleet.rs
@@ -79,7 +79,7 @@
 
 pub fn measure(seed: u64, quick: bool) -> Vec<Ladder> {
     let span = if quick { ms(2_000) } else { ms(5_000) };
-    let sizes: &[usize] = if quick { &[5, 10, 15, 20, 30] } else { &[24, 50, 100, 300, 1_000] };
+    let sizes: &[usize] = if quick { &[10, 15, 20, 30, 40] } else { &[24, 50, 100, 300, 1_000] };
     let rate = if quick { 20 } else { 150 };
     let mut all = Vec::new();
     let mut by = Group::new(
--- a/scale/src/ladders/group.rs
+++ b/scale/src/ladders/group.rs
@@ -136,7 +136,8 @@
                 "cargo run --release -p kelpcart-scale -- measure --seed {seed} --only {} --json slopes.json",
                 self.module
             ),
-            timed,
+            // Nothing on loopback comes twice the same.
+            timed: timed || self.host == Host::Loopback,
             points: self.runs.iter().filter_map(point).collect(),
         }
     }
--- a/scale/src/ladders/mod.rs
+++ b/scale/src/ladders/mod.rs
@@ -5,7 +5,8 @@
 pub mod data_path;
 pub mod feed;
 pub mod fleet;
-mod group;
+pub(crate) mod group;
+pub mod loopback;
 pub mod module;
 pub mod roles;
 
@@ -18,5 +19,6 @@
     ("roles", roles::measure),
     ("fleet", fleet::measure),
     ("feed", feed::measure),
+    ("loopback", loopback::measure),
     ("data-path", data_path::measure),
 ];
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet_net;
 pub mod hollow;
 pub mod ladders;
+pub mod loopback;
 pub mod memory;
 pub mod plot;
 pub mod sim;
--- /dev/null
+++ b/scale/src/loopback.rs
@@ -0,0 +1,501 @@
+//! Hollow gateways in real time, each with its own UDP socket and thread: what a process of them serves, and an
+//! installation of such processes, real gateways, real hubs and stand-ins of list services on loopback. Must never open
+//! a socket outside of 127.0.0.0/8.
+
+use crate::fleet_net::delays;
+use crate::hollow::{Hollow, Told};
+use crate::ladders::group::{Group, Run};
+use crate::sim::{Actor, Spent};
+use crate::slopes::{Host, Ladder};
+use hdrhistogram::Histogram;
+use kelpcart::names::of_object;
+use kelpcart::{Span, Time};
+use kelpcart_feed::Feed;
+use kelpcart_fleet::node::Node;
+use kelpcart_fleet::settings::Fleet;
+use kelpcart_rig::bulletin::Bulletin;
+use kelpcart_rig::fleet::{self, Process};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use ring::signature::{Ed25519KeyPair, KeyPair};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, BufReader, ErrorKind, Write};
+use std::net::{SocketAddr, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, RwLock};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime};
+
+const MECHANISM: &str = "feed/src/lib.rs";
+const SITE: usize = 24;
+const HUBS: usize = 2;
+const STREAMS: usize = 3;
+const PURGES_PER_S: u64 = 150;
+/// One in so many purges is followed by its name.
+const FOLLOWED: u64 = 10;
+/// Hollow gateways of one process.
+const OF_A_PROCESS: usize = 100;
+const MOST_DATAGRAM: usize = 2_048;
+const STARTS: Duration = Duration::from_secs(60);
+
+#[derive(Debug, thiserror::Error)]
+pub enum Failed {
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
+    #[error("{0}")]
+    File(String),
+    #[error("{0} is not at a socket of 127.0.0.0/8")]
+    Outside(SocketAddr),
+    #[error("{0}")]
+    NotDone(String),
+}
+
+fn unix_us() -> u64 {
+    SystemTime::UNIX_EPOCH.elapsed().map_or(0, |d| d.as_micros() as u64)
+}
+
+// A process of hollow gateways.
+
+/// A purge that is followed: its name, when it was told, and as of when it holds.
+#[derive(Clone, Copy)]
+struct Follow {
+    name: u64,
+    told_us: u64,
+}
+
+/// What one of them has to say in the end.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Said {
+    pub name: String,
+    pub positions: Vec<u64>,
+    pub missing: usize,
+    pub bytes_in: u64,
+    pub bytes_out: u64,
+    pub datagrams_in: u64,
+    pub datagrams_out: u64,
+    pub processor_us: u64,
+    /// Delays in us, and how many there were of each.
+    pub delays: Vec<(u64, u64)>,
+}
+
+#[derive(Default)]
+struct Shared {
+    followed: RwLock<Vec<Follow>>,
+    /// Counts up at each command; the last one ends them.
+    begun: AtomicU32,
+    said: Mutex<Vec<Said>>,
+}
+
+const ENDS: u32 = 1 << 16;
+
+struct One {
+    hollow: Hollow,
+    socket: UdpSocket,
+    clock: Instant,
+    first: usize,
+    done: Vec<bool>,
+    delays: Histogram<u64>,
+    all: Spent,
+}
+
+impl One {
+    fn new(file: &Fleet, clock: Instant) -> Result<One, Failed> {
+        if !file.listen.ip().is_loopback() {
+            return Err(Failed::Outside(file.listen));
+        }
+        let now = now(clock);
+        let (run, mut rng) = (rand::rng().random(), rand::rng());
+        let node =
+            Node::new(file, run, rng.random(), now, 0, &[]).map_err(|e| Failed::File(e.to_string()))?;
+        let of = file.feed.as_ref().ok_or_else(|| Failed::File(format!("{}: no feed", file.gateway)))?;
+        let feed = Feed::new(of, &file.keys, &file.gateway, run, rng.random(), now)
+            .map_err(|e| Failed::File(e.to_string()))?;
+        let mut hollow = Hollow::new(now, Some(node), feed);
+        hollow.measures = true;
+        let socket = UdpSocket::bind(file.listen)?;
+        let (done, delays) = (Vec::new(), delays());
+        Ok(One { hollow, socket, clock, first: 0, done, delays, all: Spent::default() })
+    }
+
+    fn flush(&mut self, shared: &Shared) {
+        while let Some((to, bytes)) = self.hollow.sent() {
+            self.all.datagrams_out += 1;
+            self.all.bytes_out += bytes.len() as u64;
+            // What the system doesn't take is lost on the way.
+            _ = self.socket.send_to(&bytes, to);
+        }
+        let at = unix_us();
+        for told in std::mem::take(&mut self.hollow.told) {
+            let Told::Purge { names, .. } = told else { continue };
+            let followed = shared.followed.read().expect("no writer fails");
+            self.done.resize(followed.len(), false);
+            for (follow, done) in followed.iter().zip(&mut self.done).skip(self.first) {
+                if !*done && names.covers(follow.name) {
+                    *done = true;
+                    self.delays.saturating_record(at.saturating_sub(follow.told_us));
+                }
+            }
+            self.first += self.done[self.first..].iter().take_while(|d| **d).count();
+        }
+    }
+
+    /// Serves until it is told to end.
+    fn run(mut self, shared: &Shared) -> Said {
+        let mut begun = 0;
+        let mut bytes = [0; MOST_DATAGRAM];
+        loop {
+            let command = shared.begun.load(Ordering::Relaxed);
+            if command >= ENDS {
+                break;
+            }
+            if command != begun {
+                begun = command;
+                (self.all, self.hollow.spent) = (Spent::default(), Spent::default());
+                self.delays.reset();
+            }
+            let at = now(self.clock);
+            let wake = self.hollow.next_wake(at);
+            if wake <= at {
+                self.hollow.tick(at);
+                self.flush(shared);
+                continue;
+            }
+            let most = Duration::from_micros((wake - at).as_micros().clamp(1_000, 100_000));
+            _ = self.socket.set_read_timeout(Some(most));
+            match self.socket.recv_from(&mut bytes) {
+                Ok((n, from)) => {
+                    self.all.datagrams_in += 1;
+                    self.all.bytes_in += n as u64;
+                    self.hollow.datagram(now(self.clock), from, &bytes[..n]);
+                    self.flush(shared);
+                }
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                Err(_) => thread::sleep(Duration::from_millis(1)),
+            }
+        }
+        let followed = shared.followed.read().map_or(0, |f| f.len());
+        self.done.resize(followed, false);
+        let file = self.hollow.node.as_ref().map_or(String::new(), |n| n.members.name.to_string());
+        Said {
+            name: file,
+            positions: (0..STREAMS).map(|s| self.hollow.feed.position(s)).collect(),
+            missing: self.done.iter().filter(|d| !**d).count(),
+            bytes_in: self.all.bytes_in,
+            bytes_out: self.all.bytes_out,
+            datagrams_in: self.all.datagrams_in,
+            datagrams_out: self.all.datagrams_out,
+            processor_us: self.hollow.spent.processor.as_micros() as u64,
+            delays: self
+                .delays
+                .iter_recorded()
+                .map(|v| (v.value_iterated_to(), v.count_at_value()))
+                .collect(),
+        }
+    }
+}
+
+fn now(clock: Instant) -> Time {
+    Time::from_micros(1_000_000_000) + Span::from_micros(clock.elapsed().as_micros() as u64)
+}
+
+/// Serves the gateways of a file (a list of fleet files, each with a `feed`). Commands on standard input: `OBJECT US` a
+/// purge that is followed and when it was told, `begin` to count from now on; its end ends them, and each says what it
+/// has seen on standard output as a list in JSON.
+pub fn serve(files: &Path) -> Result<(), Failed> {
+    let all: Vec<Value> = serde_json::from_str(&std::fs::read_to_string(files)?)?;
+    let (clock, shared) = (Instant::now(), Arc::new(Shared::default()));
+    let mut ones = Vec::new();
+    for file in all {
+        let file = Fleet::read(&file.to_string()).map_err(|e| Failed::File(e.to_string()))?;
+        ones.push(One::new(&file, clock)?);
+    }
+    let mut threads = Vec::new();
+    for one in ones {
+        let shared = Arc::clone(&shared);
+        let builder = thread::Builder::new().stack_size(512 * 1_024);
+        threads.push(builder.spawn(move || {
+            let said = one.run(&shared);
+            shared.said.lock().expect("none fails").push(said);
+        })?);
+    }
+    for line in io::stdin().lock().lines() {
+        let line = line?;
+        if line == "begin" {
+            shared.begun.fetch_add(1, Ordering::Relaxed);
+            continue;
+        }
+        let (object, told_us) = line.split_once(' ').unwrap_or_default();
+        if let (Ok(object), Ok(told_us)) = (object.parse(), told_us.parse()) {
+            let follow = Follow { name: of_object(object), told_us };
+            shared.followed.write().expect("no reader fails").push(follow);
+        }
+    }
+    shared.begun.store(ENDS, Ordering::Relaxed);
+    for thread in threads {
+        _ = thread.join();
+    }
+    let mut said = std::mem::take(&mut *shared.said.lock().expect("none fails"));
+    said.sort_by(|a, b| a.name.cmp(&b.name));
+    println!("{}", serde_json::to_string(&said)?);
+    Ok(())
+}
+
+// An installation of them.
+
+pub struct Options {
+    /// The program `kelpcart`, and the one that has the command `hollow`.
+    pub kelpcart: PathBuf,
+    pub hollow: PathBuf,
+    pub folder: PathBuf,
+    pub seed: u64,
+    pub sizes: Vec<usize>,
+    /// Gateways of these that are real processes, one a site.
+    pub real: usize,
+    pub span: Duration,
+}
+
+fn digits(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+fn hub_secret(h: usize) -> [u8; 32] {
+    [h as u8 + 1; 32]
+}
+
+struct Installation {
+    lists: Vec<Bulletin>,
+    hubs: Vec<Process>,
+    real: Vec<Process>,
+    hollow: Vec<Child>,
+    first: usize,
+}
+
+impl Drop for Installation {
+    fn drop(&mut self) {
+        for child in &mut self.hollow {
+            // It fails only where it has ended already.
+            _ = child.kill();
+            _ = child.wait();
+        }
+    }
+}
+
+impl Installation {
+    fn start(o: &Options, n: usize, net: u8) -> Result<Installation, Failed> {
+        let place = |i: usize| SocketAddr::from(([127, net, (i / 200) as u8, (i % 200) as u8 + 1], 7_800));
+        let lists = (0..STREAMS).map(|_| Bulletin::start(1)).collect::<io::Result<Vec<_>>>()?;
+        let sites = n.div_ceil(SITE);
+        let hubs: Vec<Value> = (0..HUBS)
+            .map(|h| {
+                let pair = Ed25519KeyPair::from_seed_unchecked(&hub_secret(h)).expect("a seed");
+                let public = digits(pair.public_key().as_ref());
+                json!({"name": format!("h{h}"), "address": place(n + h).to_string(), "public": public})
+            })
+            .collect();
+        let streams: Vec<Value> = lists
+            .iter()
+            .enumerate()
+            .map(|(s, l)| json!({"name": format!("s{s}"), "address": l.address.to_string(), "known": 1}))
+            .collect();
+        let file = |i: usize, name: String, site: String, first: usize| {
+            json!({
+                "fleet": site, "gateway": name, "listen": place(i).to_string(),
+                "seeds": (first..first + 3).map(|j| place(j).to_string()).collect::<Vec<_>>(),
+                "keys": [{"id": 1, "secret": "17".repeat(32)}], "members": {"expected": SITE},
+                "feed": {"name": "loop", "site": site, "streams": streams, "hubs": hubs},
+            })
+        };
+        let site_of = |i: usize| i * sites / n;
+        let first_of = |site: usize| (0..n).find(|&i| site_of(i) == site).unwrap_or(0);
+        let all: Vec<Value> = (0..n)
+            .map(|i| file(i, format!("g{i}"), format!("site{}", site_of(i)), first_of(site_of(i))))
+            .collect();
+        let mut made =
+            Installation { lists, hubs: Vec::new(), real: Vec::new(), hollow: Vec::new(), first: n };
+        let spawn = |name: &str, file: &Value, made: &Installation| {
+            let node = fleet::Node {
+                name,
+                zone: "hub",
+                bulletin: made.lists[0].address,
+                places: &[],
+                memory_mb: 64,
+                seed: o.seed,
+            };
+            Process::spawn(&o.kelpcart, &o.folder, name, &fleet::config(&node), Some(file))
+        };
+        for h in 0..HUBS {
+            let mut own = file(n + h, format!("h{h}"), "control".to_owned(), 0);
+            let named: Vec<String> = (0..sites).map(|s| format!("site{s}")).collect();
+            own["seeds"] = json!([]);
+            own["feed"]["control"] =
+                json!({"name": format!("h{h}"), "secret": digits(&hub_secret(h)), "sites": named});
+            made.hubs.push(spawn(&format!("h{h}"), &own, &made)?);
+        }
+        // One real gateway a site, the last of it.
+        let last_of = |site: usize| (0..n).rfind(|&i| site_of(i) == site).unwrap_or(0);
+        let real: Vec<usize> = (0..sites.min(o.real)).map(last_of).collect();
+        for &i in &real {
+            made.real.push(spawn(&format!("g{i}"), &all[i], &made)?);
+        }
+        let hollow: Vec<&Value> = (0..n).filter(|i| !real.contains(i)).map(|i| &all[i]).collect();
+        for (p, files) in hollow.chunks(OF_A_PROCESS).enumerate() {
+            let path = o.folder.join(format!("hollow{p}.json"));
+            std::fs::write(&path, json!(files).to_string())?;
+            let mut command = Command::new(&o.hollow);
+            command.arg("hollow").arg("--files").arg(&path);
+            made.hollow.push(command.stdin(Stdio::piped()).stdout(Stdio::piped()).spawn()?);
+        }
+        Ok(made)
+    }
+
+    fn counters(&self, of: &Process) -> BTreeMap<String, f64> {
+        let count = |log: &str| log.lines().filter(|l| l.contains("now: clients")).count();
+        let before = count(&of.log());
+        _ = fleet::signal("USR1", &[of.id()]);
+        let began = Instant::now();
+        while count(&of.log()) == before && began.elapsed() < Duration::from_secs(5) {
+            thread::sleep(Duration::from_millis(10));
+        }
+        of.log().lines().rfind(|l| l.contains("now: clients")).map(fleet::counters).unwrap_or_default()
+    }
+
+    fn command(&mut self, line: &str) -> io::Result<()> {
+        for child in &mut self.hollow {
+            if let Some(input) = &mut child.stdin {
+                writeln!(input, "{line}")?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether a hub holds all that was told to be done everywhere.
+    fn is_done(&self) -> bool {
+        let done = |c: &BTreeMap<String, f64>| {
+            let mut all = self.lists.iter().enumerate();
+            all.all(|(s, l)| c.get(&format!("fleet feed done everywhere {s}")) == Some(&(l.last() as f64)))
+        };
+        self.hubs.iter().any(|h| done(&self.counters(h)))
+    }
+
+    fn wait_done(&self, what: &str) -> Result<(), Failed> {
+        let began = Instant::now();
+        while !self.is_done() {
+            if began.elapsed() > STARTS {
+                return Err(Failed::NotDone(format!(
+                    "{what}: no hub holds all of {} to be done",
+                    self.first
+                )));
+            }
+            thread::sleep(Duration::from_millis(200));
+        }
+        Ok(())
+    }
+
+    fn purge(&mut self, rng: &mut Pcg64Mcg, span: Duration) -> io::Result<()> {
+        let (began, mut no) = (Instant::now(), 0);
+        while began.elapsed() < span {
+            let object: u64 = rng.random();
+            let told = unix_us();
+            self.lists[rng.random_range(0..STREAMS)].purge(object, told / 1_000);
+            if no % FOLLOWED == 0 {
+                self.command(&format!("{object} {told}"))?;
+            }
+            no += 1;
+            let due = Duration::from_micros(no * 1_000_000 / PURGES_PER_S);
+            thread::sleep(due.saturating_sub(began.elapsed()));
+        }
+        Ok(())
+    }
+}
+
+fn run(o: &Options, n: usize, net: u8) -> Result<Run, Failed> {
+    let began = Instant::now();
+    let mut all = Installation::start(o, n, net)?;
+    let mut rng = Pcg64Mcg::seed_from_u64(o.seed);
+    all.purge(&mut rng, Duration::from_millis(500))?;
+    all.wait_done("at the start")?;
+    let start = Span::from_micros(began.elapsed().as_micros() as u64);
+    all.purge(&mut rng, Duration::from_secs(2))?;
+    let before: Vec<_> = all.real.iter().map(|r| all.counters(r)).collect();
+    all.command("begin")?;
+    let from = Instant::now();
+    all.purge(&mut rng, o.span)?;
+    let over = Span::from_micros(from.elapsed().as_micros() as u64);
+    let after: Vec<_> = all.real.iter().map(|r| all.counters(r)).collect();
+    all.wait_done("at the end")?;
+    for r in &all.real {
+        let c = all.counters(r);
+        let at = |(s, l): (usize, &Bulletin)| {
+            c.get(&format!("fleet feed position {s}")) == Some(&(l.last() as f64))
+        };
+        if !all.lists.iter().enumerate().all(at) {
+            return Err(Failed::NotDone(format!("a real gateway is not at the last numbers: {}", r.log())));
+        }
+    }
+    let mut said: Vec<Said> = Vec::new();
+    for child in &mut all.hollow {
+        drop(child.stdin.take());
+        let Some(output) = child.stdout.take() else { continue };
+        let mut line = String::new();
+        BufReader::new(output).read_line(&mut line)?;
+        said.extend(serde_json::from_str::<Vec<Said>>(&line)?);
+    }
+    let lasts: Vec<u64> = all.lists.iter().map(Bulletin::last).collect();
+    let wrong = said.iter().find(|s| s.positions != lasts || s.missing > 0);
+    let told = wrong.map_or(Ok(()), |s| {
+        Err(format!("{} is at {:?} of {lasts:?}, {} purges were not done", s.name, s.positions, s.missing))
+    });
+    let mut delays = delays();
+    said.iter().flat_map(|s| &s.delays).for_each(|(us, n)| _ = delays.record_n(*us, *n));
+    let spent: Vec<Spent> = said.iter().map(Spent::from).collect();
+    let real = |what: &str| {
+        let names = [format!("fleet {what}"), format!("fleet feed {what}")];
+        let of = |c: &BTreeMap<String, f64>| names.iter().filter_map(|n| c.get(n)).sum::<f64>();
+        let all: f64 = after.iter().zip(&before).map(|(a, b)| of(a) - of(b)).sum();
+        all / after.len().max(1) as f64 / over.as_secs_f64()
+    };
+    let more = vec![("real-bytes-in", "B/s", real("bytes in")), ("real-bytes-out", "B/s", real("bytes out"))];
+    Ok(Run { spent, over, delays, memory: 0.0, start, told, more })
+}
+
+impl From<&Said> for Spent {
+    fn from(s: &Said) -> Spent {
+        Spent {
+            bytes_in: s.bytes_in,
+            bytes_out: s.bytes_out,
+            datagrams_in: s.datagrams_in,
+            datagrams_out: s.datagrams_out,
+            processor: Duration::from_micros(s.processor_us),
+        }
+    }
+}
+
+/// Hollow gateways beside some real ones, at growing sizes. Counts are of the feed and of membership, of the hollow ones
+/// unless the ladder's name says `real`.
+pub fn loopback(o: &Options) -> Result<Vec<Ladder>, Failed> {
+    std::fs::create_dir_all(&o.folder)?;
+    let mut by = Group::new(
+        "loopback",
+        "loopback",
+        MECHANISM,
+        Host::Loopback,
+        "gateways",
+        &[("purges_per_s", PURGES_PER_S as f64)],
+    );
+    for (i, &n) in o.sizes.iter().enumerate() {
+        let run = run(o, n, 100 + i as u8)?;
+        if let Err(why) = run.told {
+            return Err(Failed::NotDone(why));
+        }
+        by.take(n as f64, run);
+    }
+    let mut all = by.ladders(o.seed);
+    all.retain(|l| !l.id.contains(".memory."));
+    Ok(all)
+}
--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -5,6 +5,7 @@
 use kelpcart_scale::capacity::{self, State, Verdict};
 use kelpcart_scale::fit::{self, Figure, digits};
 use kelpcart_scale::ladders;
+use kelpcart_scale::loopback;
 use kelpcart_scale::memory;
 use kelpcart_scale::plot;
 use kelpcart_scale::slopes::{Ladder, Slopes};
@@ -25,6 +26,8 @@
     Measure(Measure),
     /// Role by role: what the target asks, what the slopes give, the share of the budget.
     Capacity(Capacity),
+    /// Serves hollow gateways on loopback until standard input ends.
+    Hollow(Hollow),
 }
 
 #[derive(clap::Args)]
@@ -65,12 +68,20 @@
     page: Option<PathBuf>,
 }
 
+#[derive(clap::Args)]
+struct Hollow {
+    /// A list of fleet files, each with a feed.
+    #[arg(long)]
+    files: PathBuf,
+}
+
 type Outcome = Result<bool, Box<dyn std::error::Error>>;
 
 fn main() -> ExitCode {
     let result = match Line::parse().what {
         What::Measure(options) => measure(&options),
         What::Capacity(options) => capacity(&options),
+        What::Hollow(options) => loopback::serve(&options.files).map(|()| true).map_err(Into::into),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
