--- a/feed/src/site.rs
+++ b/feed/src/site.rs
@@ -239,8 +239,10 @@
         let Some(own) = tree.iter().position(|n| *n == self.name) else { return };
         let children = (ARITY * own + 1..=ARITY * own + ARITY).filter(|i| *i < tree.len());
         let root = (root_too && own != 0).then_some(0);
-        let to: Vec<SocketAddr> =
-            root.into_iter().chain(children).filter_map(|i| self.members.get(tree[i]).copied()).collect();
+        // The contact had it first.
+        let contact = if root_too { None } else { self.at_place(via) };
+        let to = root.into_iter().chain(children).map(|i| tree[i]).filter(|n| contact != Some(*n));
+        let to: Vec<SocketAddr> = to.filter_map(|n| self.members.get(n).copied()).collect();
         for address in to {
             let passed = Passed { bundle: bytes.to_vec(), via };
             self.said.push_back((address, Said::Live(passed)));
@@ -368,10 +370,11 @@
         }
         self.direct = Some(now);
         self.speaks(now, hub);
-        let behind = (self.via as usize) > self.place && self.contact.is_some();
-        let other = self.via as usize - usize::from(behind);
-        if let Some(address) = self.ranked.get(other).filter(|_| behind).and_then(|n| self.members.get(n)) {
-            self.said.push_back((*address, Said::Hears(self.place as u32)));
+        if (self.via as usize) > self.place
+            && self.contact.is_some()
+            && let Some(address) = self.contact_heard()
+        {
+            self.said.push_back((address, Said::Hears(self.place as u32)));
         }
     }
 
@@ -519,7 +522,15 @@
             self.repair.from = self.by_address.contains_key(&from).then_some(from);
         }
         self.repair.seen = seen;
-        if self.streams.missing() < before && self.repair.asked == Some(from) {
+        if self.streams.missing() >= before {
+            return;
+        }
+        let near = self.by_address.contains_key(&from);
+        if near || far {
+            // While others bring it, a hub is left to them.
+            self.repair.since = now;
+        }
+        if near && self.repair.asked == Some(from) {
             // It has more of it, likely.
             self.repair.tries = self.repair.tries.min(3);
             self.repair.next = self.repair.next.map(|at| at.min(now + AGAIN));
@@ -586,12 +597,13 @@
         } else {
             AGAIN_MOST
         };
-        self.repair.next = Some(now + wait);
-        let long = now - self.repair.since >= HUB_AFTER * self.rng.random_range(1.0..2.0);
-        if self.members.is_empty() || tries >= 3 && long && now >= self.repair.hub_at {
-            self.repair.hub_at = now + AGAIN_MOST * self.rng.random_range(1.0..3.0);
+        let long = tries >= 3 && now - self.repair.since >= HUB_AFTER * self.rng.random_range(1.0..2.0);
+        if self.members.is_empty() || long && now >= self.repair.hub_at {
+            self.repair.hub_at = now + AGAIN_FAR * self.rng.random_range(1.0..3.0);
+            self.repair.next = Some(self.repair.hub_at);
             self.ask_hub(now, self.set.order[tries as usize % hubs]);
         } else {
+            self.repair.next = Some(now + wait);
             self.ask_neighbour(ranges);
         }
     }
@@ -630,8 +642,14 @@
 
     /// Where the contact is that was heard last, if that is another one.
     fn contact_heard(&self) -> Option<SocketAddr> {
-        let at = self.via as usize - usize::from(self.via as usize > self.place);
-        self.ranked.get(at).and_then(|n| self.members.get(n)).copied()
+        self.at_place(self.via).and_then(|n| self.members.get(n)).copied()
+    }
+
+    /// Who stands there in the common order, where it is another one.
+    fn at_place(&self, place: u32) -> Option<&str> {
+        let place = place as usize;
+        let at = if place > self.place { place - 1 } else { place };
+        self.ranked.get(at).filter(|_| place != self.place).map(String::as_str)
     }
 
     fn tick_late(&mut self, now: Time, counts: &mut Counts) {
