--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -5,6 +5,7 @@
 use kelpcart_scale::capacity::{self, State, Verdict};
 use kelpcart_scale::fit::{self, Figure, digits};
 use kelpcart_scale::ladders;
+use kelpcart_scale::loopback;
 use kelpcart_scale::memory;
 use kelpcart_scale::plot;
 use kelpcart_scale::slopes::{Ladder, Slopes};
@@ -25,6 +26,8 @@
     Measure(Measure),
     /// Role by role: what the target asks, what the slopes give, the share of the budget.
     Capacity(Capacity),
+    /// Serves hollow gateways on loopback until standard input ends.
+    Hollow(Hollow),
 }
 
 #[derive(clap::Args)]
@@ -65,12 +68,20 @@
     page: Option<PathBuf>,
 }
 
+#[derive(clap::Args)]
+struct Hollow {
+    /// A list of fleet files, each with a feed.
+    #[arg(long)]
+    files: PathBuf,
+}
+
 type Outcome = Result<bool, Box<dyn std::error::Error>>;
 
 fn main() -> ExitCode {
     let result = match Line::parse().what {
         What::Measure(options) => measure(&options),
         What::Capacity(options) => capacity(&options),
+        What::Hollow(options) => loopback::serve(&options.files).map(|()| true).map_err(Into::into),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
@@ -160,7 +171,7 @@
         println!("## Ladders\n\n{}", capacity::ladders_table(&slopes));
     }
     if let Some(folder) = &options.plot {
-        std::fs::create_dir_all(folder)?;
+        std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
         for ladder in &slopes.ladders {
             let (budgets, size) = capacity::marks(&ladder.id, &verdicts);
             plot::draw(ladder, &budgets, size, folder)?;
