--- a/feed/src/compose.rs
+++ b/feed/src/compose.rs
@@ -446,7 +446,9 @@
                 wanted.push((s, r.first, last, r.offset));
             }
         }
-        if let Some((s, no, _, offset)) = wanted.iter().copied().find(|w| w.3 > 0) {
+        // A purge has no pieces, whatever was asked for.
+        let is_other = |w: &&(usize, u64, u64, u32)| w.3 > 0 && self.issued_at(w.0, w.1).is_none();
+        if let Some((s, no, _, offset)) = wanted.iter().find(is_other).copied() {
             return self.piece_again(s, no, offset);
         }
         if let Some(gone) = wanted.iter().copied().find(|w| w.2 < self.sources[w.0].first) {
@@ -510,9 +512,21 @@
     }
 
     fn piece_again(&mut self, s: usize, no: u64, offset: u32) -> Option<Bundle> {
-        let piece = self.piece_at(s, no, offset).filter(|p| !p.bytes.is_empty())?;
+        let source = &self.sources[s];
+        let (is_kept, was_kept) = (source.lines.contains_key(&no), no >= source.first);
+        if !is_kept && !was_kept {
+            return self.gone(s, no, no);
+        }
+        // Guards against a signed range without its event: only one that was let go of is passed over.
+        let piece = self.piece_at(s, no, offset).filter(|p| !p.bytes.is_empty());
+        if is_kept && piece.is_none() {
+            return None;
+        }
         let mut bundle = self.empty();
-        bundle.pieces.push(piece);
+        match piece {
+            Some(piece) => bundle.pieces.push(piece),
+            None => (bundle.firsts[s], bundle.counts[s]) = (no, 1),
+        }
         self.mark_latest(&mut bundle);
         Some(bundle)
     }
--- a/feed/src/site.rs
+++ b/feed/src/site.rs
@@ -24,6 +24,7 @@
 
 /// Whom each member hands a bundle to.
 const ARITY: usize = 3;
+const GOLDEN: u64 = 0x9e37_79b9_7f4a_7c15;
 /// From one in the order to the next, before it steps in.
 const STEP: Span = Span::from_millis(150);
 /// Alone at the start: others may only not be known yet.
@@ -226,11 +227,10 @@
         let mut all: Vec<&str> = self.members.keys().map(String::as_str).collect();
         all.push(&self.name);
         all.sort_by_cached_key(|n| std::cmp::Reverse((rank::score(n, named.hub.into()), *n)));
-        let n = all.len() as u64;
-        // Near the golden section, so that turns spread evenly, and without a part in common with the members.
-        let whole = |step: &u64| (2..=*step).all(|d| !n.is_multiple_of(d) || !step.is_multiple_of(d));
-        let step = (1..=(n * 5).div_ceil(8)).rev().find(whole).unwrap_or(1);
-        all.rotate_left((turn % n * step % n) as usize);
+        // By the golden section (Weyl's sequence): turns spread evenly, and who knows one member more or less turns to
+        // nearly the same place.
+        let start = (u128::from(turn.wrapping_mul(GOLDEN)) * all.len() as u128) >> 64;
+        all.rotate_left(start as usize);
         all
     }
 
