--- a/feed/tests/hard.rs
+++ b/feed/tests/hard.rs
@@ -146,7 +146,7 @@
 #[test]
 fn purges_go_on_while_all_hubs_are_away_for_a_minute() {
     let mut w = started(SMALL, 5);
-    w.rate = 20.0;
+    (w.rate, w.others) = (20.0, 0.5);
     w.run(ms(3_000));
     w.wrong(true);
     w.hubs().for_each(|h| w.kill(h));
@@ -801,3 +801,20 @@
     w.run(ms(9_000));
     settles(&mut w, 5_000);
 }
+
+#[test]
+fn large_events_one_after_another_are_had_again_whole() {
+    let mut w = started(SMALL, 27);
+    w.wrong(true);
+    w.cuts.borrow_mut().sites.insert(4);
+    for stream in 0..3 {
+        w.purge(stream, 1);
+        (0..6).for_each(|_| _ = w.other(stream, 2_500));
+        w.purge(stream, 2);
+    }
+    w.run(ms(2_000));
+    w.cuts.borrow_mut().sites.clear();
+    w.run(ms(1_000));
+    // 72 pieces, four a second.
+    w.until(ms(30_000), whole);
+}
