--- a/gateway/tests/common/installation.rs
+++ b/gateway/tests/common/installation.rs
@@ -252,6 +252,19 @@
         self.log(i).lines().rfind(|l| l.contains("now: clients")).map(counters).unwrap_or_default()
     }
 
+    /// Whom a hub names as not having confirmed.
+    pub fn not_confirmed(&self, hub: usize) -> Vec<String> {
+        self.counters(hub);
+        // What follows the first line is whole once the second one is there.
+        self.counters(hub);
+        let log = self.log(hub);
+        let mut lines: Vec<&str> =
+            log.lines().rev().skip_while(|l| !l.contains("now: clients")).skip(1).collect();
+        lines.truncate(lines.iter().position(|l| l.contains("now: clients")).unwrap_or(lines.len()));
+        let named = lines.iter().filter_map(|l| l.split_once("not confirmed: "));
+        named.map(|(_, who)| who.to_owned()).collect()
+    }
+
     pub fn counter(&self, i: usize, name: &str) -> f64 {
         self.counters(i).get(name).copied().unwrap_or(-1.0)
     }
--- a/gateway/tests/feed.rs
+++ b/gateway/tests/feed.rs
@@ -118,11 +118,20 @@
     let cut = |a: usize, b: usize| a < n && of[a] == 0 && b >= n;
     all.switch.cut(true, |a, b| cut(a, b) || cut(b, a));
     all.wait_for("list services asked by the contact", |all| all.sum("fleet feed provisional") > 0.0);
+    // The hubs go on without that site, name it, and tell nothing as done everywhere that it has not confirmed.
+    let hub = all.hub(0);
+    all.wait_for("the site named", |all| {
+        let c = all.counters(hub);
+        let done = |what: &str| c.get(&format!("fleet feed done {what} 0")).copied().unwrap_or(-1.0);
+        let named = all.not_confirmed(hub);
+        done("in touch") > done("everywhere") && named.iter().any(|who| who.starts_with("site0, "))
+    });
     thread::sleep(WHILE);
     all.switch.cut(false, |_, _| true);
     thread::sleep(WHILE);
     assert!(all.purged() > 20);
     all.wait_for_all_done();
+    all.wait_for("nobody missing", |all| all.not_confirmed(hub).is_empty());
     all.end(TOLD_MS + SILENT_MS + 2_000);
 }
 
