Feed's process tests: one contact at each site, at the start and after each fault

With the site's members never told to the feed every gateway was its own contact and members_of_the_tree passed all the same (tried). It fails now: one contact at each site never came.

--- a/gateway/tests/common/installation.rs
+++ b/gateway/tests/common/installation.rs
@@ -87,6 +87,7 @@
             };
             all.gateways().iter().all(whole)
         });
+        all.wait_for_one_contact_each();
         let (seen, n) = (Arc::clone(&all.seen), all.of.len());
         all.clients = (0..n)
             .map(|i| {
@@ -252,6 +253,17 @@
         self.log(i).lines().rfind(|l| l.contains("now: clients")).map(counters).unwrap_or_default()
     }
 
+    /// One gateway of each site hears a hub for all of it: without that each would, and no tree were there to break.
+    pub fn wait_for_one_contact_each(&self) {
+        self.wait_for("one contact at each site", |all| {
+            let mut contacts: BTreeMap<usize, f64> = BTreeMap::new();
+            for i in all.gateways() {
+                *contacts.entry(all.of[i]).or_default() += all.counter(i, "fleet feed is contact");
+            }
+            contacts.values().all(|n| *n == 1.0)
+        });
+    }
+
     /// Whom a hub names as not having confirmed.
     pub fn not_confirmed(&self, hub: usize) -> Vec<String> {
         self.counters(hub);
@@ -365,6 +377,7 @@
     /// The same with a time for each gateway.
     pub fn end_by(mut self, told_ms: impl Fn(usize) -> u64) {
         self.purged();
+        self.wait_for_one_contact_each();
         let began = Instant::now();
         let before: Vec<u64> = self.seen.served.iter().map(|s| s.load(Ordering::SeqCst)).collect();
         let serves = |i: &usize| self.seen.served[*i].load(Ordering::SeqCst) > before[*i];
