Feed: cases made sharper where a remedy could be taken out unnoticed

Hubs' deaths are now held to positions and to no asker, one hub keeps no other's bundles, and a gap that nobody repairs has to purge under stamps of before.

--- a/feed/tests/hard.rs
+++ b/feed/tests/hard.rs
@@ -134,6 +134,9 @@
         w.run(ms(6_000));
         println!("hub{h} dead: worst {} ms", w.worst());
         assert!(w.worst() <= 3_500, "{} ms", w.worst());
+        // By another hub, not by list services.
+        assert!(w.askers().is_empty(), "{:?} ask", w.askers());
+        assert!(w.gateways().all(|i| w.feed(i).position(0) + 30 > w.last(0)), "positions stand still");
         // It knows nothing of what was, and must not say that anything is done.
         w.start(h, false);
         assert_eq!(w.feed(h).done(0).everywhere, 0);
@@ -635,6 +638,43 @@
     settles(&mut w, 5_000);
 }
 
+/// One gateway misses purges, and then hears of the gap but can ask nobody: it has to purge by itself.
+fn gap_without_repair(w: &mut World, gateway: usize, purge: impl Fn(&mut World, u64)) {
+    let others: Vec<usize> = (0..w.places.len()).filter(|i| *i != gateway).collect();
+    let rate = std::mem::take(&mut w.rate);
+    w.run(ms(1_500));
+    w.wrong(true);
+    w.cuts.borrow_mut().pairs.extend(others.iter().map(|i| (*i, gateway)));
+    (0..5).for_each(|n| purge(w, n));
+    w.run(ms(1_000));
+    w.cuts.borrow_mut().pairs.extend(others.iter().map(|i| (gateway, *i)));
+    w.cuts.borrow_mut().pairs.retain(|(_, to)| *to != gateway);
+    for n in 0..20 {
+        // What comes after it has stamps of a clock that is behind.
+        let now = w.now_ms();
+        w.purge_at(2, n, now - 600_000);
+        w.run(ms(100));
+    }
+    let lacks: usize = w.places[gateway].track.todo.iter().take(2).map(BTreeSet::len).sum();
+    assert_eq!(lacks, 0, "{} serves what was purged", w.places[gateway].name);
+    assert!(w.feed(gateway).gaps() > 0, "the gap is known still");
+    w.cuts.borrow_mut().pairs.clear();
+    w.rate = rate;
+}
+
+#[test]
+fn a_gap_is_a_purge_in_time_also_where_later_stamps_are_of_before() {
+    let mut w = started(SMALL, 28);
+    w.rate = 10.0;
+    w.run(ms(3_000));
+    let contact = w.contacts()[&3].first().copied().unwrap();
+    let one = w.of_site(3).into_iter().find(|i| *i != contact).unwrap();
+    gap_without_repair(&mut w, one, |w, n| _ = w.purge(1, n));
+    w.heal();
+    w.run(ms(9_000));
+    settles(&mut w, 10_000);
+}
+
 /// As a hub signs bundles, by the seed of its key.
 fn signed(body: &Bundle, seed: [u8; 32]) -> Vec<u8> {
     let bytes = body.encode_to_vec();
@@ -719,6 +759,8 @@
     assert_eq!(after, positions);
     w.hubs().for_each(|h| w.start(h, false));
     w.run(ms(5_000));
+    // A gap in what was claimed is one, and told in time.
+    gap_without_repair(&mut w, to, |w, n| _ = w.purge(1, n));
     (w.rate, w.others) = (20.0, 2.0);
     w.heal();
     w.run(ms(15_000));
@@ -757,8 +799,10 @@
 
 #[test]
 fn a_range_that_no_hub_keeps_any_more_is_a_purge_of_everything() {
-    let mut w = World::with_files(SMALL, 25, |i, file| {
-        if i < SMALL.hubs {
+    // One hub, so that no other's bundles are kept by it.
+    let shape = Shape { hubs: 1, ..SMALL };
+    let mut w = World::with_files(shape, 25, |i, file| {
+        if i < shape.hubs {
             file["control"]["most_kept"] = 1_024.into();
         }
     });
