--- a/feed/tests/hard.rs
+++ b/feed/tests/hard.rs
@@ -7,7 +7,7 @@
 use kelpcart::Span;
 use kelpcart::names::NameSet;
 use kelpcart_feed::seal::Keys;
-use kelpcart_feed::wire::{Bundle, Passed, Said};
+use kelpcart_feed::wire::{Bundle, Fetch, Follow, Passed, Range, Said};
 use kelpcart_feed::{VERSION, code};
 use prost::Message;
 use ring::signature::Ed25519KeyPair;
@@ -392,11 +392,19 @@
     w.run(ms(2_000));
     w.wrong(true);
     // A site that hears nothing, and a gateway whose word reaches nobody.
+    let before = w.last(0);
     w.cuts.borrow_mut().sites.insert(5);
+    w.run(ms(8_000));
+    let told = w.last(0);
+    w.run(ms(3_000));
+    // The others are not kept waiting.
+    for h in w.hubs() {
+        let done = w.feed(h).done(0);
+        assert!(done.in_touch >= told, "hub{h}: {done:?}, {told} were told 3 s ago");
+    }
     let mute = w.of_site(0)[2];
     let others: Vec<usize> = (0..w.places.len()).filter(|i| *i != mute).collect();
     w.cuts.borrow_mut().pairs.extend(others.into_iter().map(|to| (mute, to)));
-    let before = w.last(0);
     w.run(ms(8_000));
     let mut in_touch = 0;
     for h in w.hubs() {
@@ -862,3 +870,52 @@
     // 72 pieces, four a second.
     w.until(ms(30_000), whole);
 }
+
+#[test]
+fn a_hub_answers_at_its_pace_and_only_who_has_shown_where_it_is() {
+    let mut w = started(SMALL, 29);
+    w.rate = 60.0;
+    w.run(ms(3_000));
+    let contact = w.contacts()[&0].first().copied().unwrap();
+    let one = w.of_site(0).into_iter().find(|i| *i != contact).unwrap();
+    let range = Range { stream: 1, first: 1, last: w.last(1), offset: 0 };
+    let fetch = |token| {
+        Said::Fetch(Fetch { ranges: vec![range], site: "site0".to_owned(), token, ..Fetch::default() })
+    };
+    let follow = |token, number| {
+        let (site, gateway) = ("site0".to_owned(), "g0-9".to_owned());
+        Said::Follow(Follow { site, gateway, run: 9, number, token, ..Follow::default() })
+    };
+    let hub = 1;
+    let heard = |w: &mut World, of: &dyn Fn(&Said) -> bool| {
+        w.run(ms(1_000));
+        let all = w.said().into_iter().filter(|(a, b, said)| (*a, *b) == (hub, one) && of(said)).count();
+        w.tape.borrow_mut().kept.clear();
+        all
+    };
+    let bundles = |said: &Said| matches!(said, Said::Found(_) | Said::Live(_));
+    w.tape.borrow_mut().runs = true;
+    (0..50).for_each(|n| w.say(one, hub, fetch(77 + n)));
+    (0..50).for_each(|n| w.say(one, hub, follow(77 + n, n)));
+    assert_eq!(heard(&mut w, &bundles), 0, "bundles to an address that never showed the number");
+    w.say(one, hub, fetch(0));
+    w.run(ms(100));
+    let token = w.said().into_iter().find_map(|(a, b, said)| match said {
+        Said::Challenge(token) if (a, b) == (hub, one) => Some(token),
+        _ => None,
+    });
+    let token = token.unwrap();
+    (0..100).for_each(|_| w.say(one, hub, fetch(token)));
+    let found = heard(&mut w, &bundles);
+    println!("{found} answers to 100 requests in a second");
+    assert!((1..=9).contains(&found), "{found} answers");
+    // One Follow is heard, the same again is not.
+    w.say(one, hub, follow(token, 5));
+    w.run(ms(200));
+    let before = w.feed(hub).counts.refused_requests;
+    (0..10).for_each(|_| w.say(one, hub, follow(token, 5)));
+    w.run(ms(300));
+    assert_eq!(w.feed(hub).counts.refused_requests - before, 10);
+    w.run(ms(2_000));
+    settles(&mut w, 5_000);
+}
