--- a/feed/tests/hard.rs
+++ b/feed/tests/hard.rs
@@ -919,3 +919,29 @@
     w.run(ms(2_000));
     settles(&mut w, 5_000);
 }
+
+#[test]
+fn a_hub_without_list_services_hands_on_what_another_tells() {
+    let mut w = started(SMALL, 30);
+    w.rate = 30.0;
+    w.run(ms(2_000));
+    w.wrong(true);
+    for hub in 0..2 {
+        w.late.clear();
+        w.cuts.borrow_mut().listless.insert(hub);
+        w.run(ms(5_000));
+        println!("hub{hub} without lists: worst {} ms", w.worst());
+        assert!(w.worst() <= 3_500, "{} ms", w.worst());
+        w.late.clear();
+        w.run(ms(10_000));
+        println!("then: worst {} ms", w.worst());
+        // The way from hub to hub on top.
+        assert!(w.worst() <= CALM + 100, "{} ms", w.worst());
+        assert!(w.gateways().all(|i| w.feed(i).position(0) + 60 > w.last(0)), "positions stand still");
+        w.cuts.borrow_mut().listless.clear();
+        w.run(ms(3_000));
+    }
+    w.heal();
+    w.run(ms(9_000));
+    settles(&mut w, 10_000);
+}
