--- a/feed/src/streams.rs
+++ b/feed/src/streams.rs
@@ -22,6 +22,8 @@
     pub hard: Positions,
     /// The same and what is provisional.
     pub soft: Positions,
+    /// Where the latter began, before a position was known.
+    soft_from: u64,
     /// The latest stamp of a bundle that reaches beyond the position.
     stamp: u64,
     /// Gaps up to here were told as a purge of everything.
@@ -55,6 +57,7 @@
             started: known > 0,
             hard: Positions::new(known),
             soft: Positions::new(known),
+            soft_from: 0,
             stamp: 0,
             covered: known,
             stands: None,
@@ -118,6 +121,10 @@
             stream.started = true;
             stream.covered = stream.covered.max(first - 1);
             stream.hard.start(first - 1);
+            if stream.soft_from > first - 1 {
+                // What was provisional began further on, and stands for nothing in front of that.
+                stream.soft = Positions::new(first - 1);
+            }
             stream.soft.start(first - 1);
             started.push((s, first - 1));
         }
@@ -186,6 +193,7 @@
             let Some(stream) = self.all.get_mut(s) else { continue };
             if !stream.started && stream.soft.position() == 0 {
                 stream.soft.start(first - 1);
+                stream.soft_from = first - 1;
                 stream.covered = stream.covered.max(first - 1);
             }
             stream.stamp = stream.stamp.max(body.latest());
@@ -213,6 +221,10 @@
             }
             let done: Vec<(usize, u64)> = self.early.range((s, 0)..=(s, hard)).map(|(key, _)| *key).collect();
             done.iter().for_each(|key| _ = self.early.remove(key));
+            if !self.all[s].started && self.all[s].soft_from > 0 {
+                // A hub may begin further back: events of before would come after these.
+                continue;
+            }
             let soft_lines = self.soft.take(s, soft);
             if soft <= hard {
                 continue;
