--- a/feed/src/site.rs
+++ b/feed/src/site.rs
@@ -42,9 +42,8 @@
 const AGAIN_MOST: Span = Span::from_millis(1_000);
 /// One that is no contact leaves a gap to its contact for so long, and then to chance for as long again.
 const HUB_AFTER: Span = Span::from_millis(600);
+/// What came before that does not bind any more.
 const LATE: Span = Span::from_millis(30_000);
-/// What is of late is asked for no longer than this, since it does not bind then.
-const LATE_FOR: Span = Span::from_millis(10_000);
 const CONFIRM_AFTER: Span = Span::from_millis(150);
 const REPORT_AFTER: Span = Span::from_millis(300);
 const MOST_DUE: usize = 16;
@@ -92,6 +91,9 @@
     until: Time,
     next: Time,
     tries: u32,
+    /// The hub that was asked last, and how many had nothing.
+    asked: Option<SocketAddr>,
+    lacked: u32,
     floors: BTreeMap<usize, (u64, VecDeque<(u64, u64)>)>,
 }
 
@@ -478,9 +480,11 @@
         if !floors.is_empty() {
             let next = now + Span::from_millis(self.rng.random_range(10..100));
             let late = self.late.get_or_insert(Late {
-                until: now + LATE_FOR,
+                until: now + LATE,
                 next,
                 tries: 0,
+                asked: None,
+                lacked: 0,
                 floors: BTreeMap::new(),
             });
             late.floors.extend(floors);
@@ -497,7 +501,7 @@
             while let Some(at) = below.iter().position(|(a, b)| a <= floor && *floor <= *b) {
                 *floor = below[at].0 - 1;
                 below.remove(at);
-                late.tries = 0;
+                late.tries = late.tries.min(6);
             }
             if below.len() > MOST_UNHANDED {
                 below.pop_front();
@@ -654,7 +658,7 @@
 
     fn tick_late(&mut self, now: Time, counts: &mut Counts) {
         let Some(late) = &mut self.late else { return };
-        if late.floors.is_empty() || now >= late.until || late.tries > 12 {
+        if late.floors.is_empty() || now >= late.until || late.lacked >= 2 {
             self.late = None;
             return;
         }
@@ -672,17 +676,22 @@
         let ranges = late.floors.iter().map(range).take(MOST_RANGES).collect();
         counts.fetches += 1;
         let hub = match &self.contact {
-            Some(contact) if tries >= 2 || self.members.is_empty() => Some(self.set.order[contact.hub]),
-            None if tries >= 6 || self.members.is_empty() => {
-                Some(self.set.order[tries as usize % self.set.order.len()])
-            }
+            Some(contact) if tries >= 2 || self.members.is_empty() => Some(contact.hub + tries as usize / 4),
+            None if tries >= 6 || self.members.is_empty() => Some(tries as usize),
             _ => None,
         };
-        late.next = now + if hub.is_some() { AGAIN_FAR } else { AGAIN };
+        let hub = hub.map(|h| self.set.order[h % self.set.order.len()]);
+        late.next = now
+            + match hub {
+                None => AGAIN,
+                Some(_) if tries < 12 => AGAIN_FAR,
+                Some(_) => AGAIN_MOST,
+            };
         match hub {
             Some(hub) => {
                 let (site, token) = (self.set.site.clone(), self.tokens[hub]);
                 let fetch = Fetch { ranges, late: true, site, token, one: None };
+                late.asked = Some(self.set.hubs[hub].address);
                 self.said.push_back((self.set.hubs[hub].address, Said::Fetch(fetch)));
             }
             None => {
@@ -724,6 +733,10 @@
         if self.contact.is_some() && self.by_address.contains_key(&from) {
             self.repair.near_at = now + AGAIN_MOST;
         }
+        if let Some(late) = self.late.as_mut().filter(|l| l.asked == Some(from)) {
+            // Nothing more of late, if another hub says so, too.
+            (late.asked, late.lacked) = (None, late.lacked + 1);
+        }
         // The next one at once, but only a few times: others wait for the same.
         if self.repair.asked == Some(from) && self.contact.is_none() && self.repair.tries <= 3 {
             self.repair.next = self.repair.next.map(|_| now);
