Random runs of the module: purges by object and group, exact and short, told late

Cause: the model held only exact purges of objects against what is asked for, by their issue and at most 255 ms old.

Change: sets at 64 and 6 bits, of an object or its group, up to 9 s late; each binds what it covers for `purge_done` from when it was told. Stricter than before: the old check is contained.

--- a/tests/random.rs
+++ b/tests/random.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use kelpcart::interface::*;
-use kelpcart::names::NameSet;
+use kelpcart::names::{NameSet, of_group, of_object};
 use kelpcart::{Span, Time};
 use quickcheck::{Gen, QuickCheck};
 use std::collections::BTreeMap;
@@ -50,7 +50,8 @@
     now: Time,
     list: BTreeMap<MemberId, Member>,
     asked: BTreeMap<TxnId, Asked>,
-    purges: Vec<(u64, Time)>,
+    /// What was purged, as of when, and when it was told.
+    purges: Vec<(NameSet, Time, Time)>,
     sent: Vec<(MemberId, Time, f64, TxnId)>,
 }
 
@@ -151,7 +152,11 @@
             let spent = self.sent.iter().filter(|s| s.0 == *place && s.1 >= since);
             assert!(spent.map(|s| s.2).sum::<f64>() <= budget + 1e-9, "{place} pushed over");
         }
-        let purge = self.purges.iter().filter(|p| p.0 == object && self.now - p.1 < self.set.purge_done);
+        let names = [of_object(object), of_group(object % 8)];
+        let binds = |p: &&(NameSet, Time, Time)| {
+            names.iter().any(|n| p.0.covers(*n)) && self.now - p.2 < self.set.purge_done
+        };
+        let purge = self.purges.iter().filter(binds);
         if let (Some(age), Some(fill)) = (purge.map(|p| self.now - p.1).min(), fill) {
             let oldest = fill.oldest.expect("no limit on age after a purge");
             assert!(oldest > Span::ZERO && oldest <= age.max(Span::from_micros(1)));
@@ -215,8 +220,12 @@
                 Vec::new()
             }
             14 => {
-                model.purges.push((object, model.now.back(ms(u64::from(pick)))));
-                model.world.gateway.purged(model.now, NameSet::object(object), ms(u64::from(pick)));
+                let ago = ms(u64::from(pick) * u64::from(what) % 9_000);
+                // Exact ones and short ones that cover some others, too.
+                let names =
+                    NameSet::new([64, 6][i % 2], [[of_object(object), of_group(object % 8)][i / 2 % 2]]);
+                model.purges.push((names.clone(), model.now.back(ago), model.now));
+                model.world.gateway.purged(model.now, names, ago);
                 Vec::new()
             }
             _ => {
