--- a/feed/tests/hard.rs
+++ b/feed/tests/hard.rs
@@ -7,7 +7,7 @@
 use kelpcart::Span;
 use kelpcart::names::NameSet;
 use kelpcart_feed::seal::Keys;
-use kelpcart_feed::wire::{Bundle, Passed, Said};
+use kelpcart_feed::wire::{Bundle, Fetch, Follow, Passed, Range, Said};
 use kelpcart_feed::{VERSION, code};
 use prost::Message;
 use ring::signature::Ed25519KeyPair;
@@ -134,6 +134,9 @@
         w.run(ms(6_000));
         println!("hub{h} dead: worst {} ms", w.worst());
         assert!(w.worst() <= 3_500, "{} ms", w.worst());
+        // By another hub, not by list services.
+        assert!(w.askers().is_empty(), "{:?} ask", w.askers());
+        assert!(w.gateways().all(|i| w.feed(i).position(0) + 30 > w.last(0)), "positions stand still");
         // It knows nothing of what was, and must not say that anything is done.
         w.start(h, false);
         assert_eq!(w.feed(h).done(0).everywhere, 0);
@@ -389,11 +392,19 @@
     w.run(ms(2_000));
     w.wrong(true);
     // A site that hears nothing, and a gateway whose word reaches nobody.
+    let before = w.last(0);
     w.cuts.borrow_mut().sites.insert(5);
+    w.run(ms(8_000));
+    let told = w.last(0);
+    w.run(ms(3_000));
+    // The others are not kept waiting.
+    for h in w.hubs() {
+        let done = w.feed(h).done(0);
+        assert!(done.in_touch >= told, "hub{h}: {done:?}, {told} were told 3 s ago");
+    }
     let mute = w.of_site(0)[2];
     let others: Vec<usize> = (0..w.places.len()).filter(|i| *i != mute).collect();
     w.cuts.borrow_mut().pairs.extend(others.into_iter().map(|to| (mute, to)));
-    let before = w.last(0);
     w.run(ms(8_000));
     let mut in_touch = 0;
     for h in w.hubs() {
@@ -635,6 +646,43 @@
     settles(&mut w, 5_000);
 }
 
+/// One gateway misses purges, and then hears of the gap but can ask nobody: it has to purge by itself.
+fn gap_without_repair(w: &mut World, gateway: usize, purge: impl Fn(&mut World, u64)) {
+    let others: Vec<usize> = (0..w.places.len()).filter(|i| *i != gateway).collect();
+    let rate = std::mem::take(&mut w.rate);
+    w.run(ms(1_500));
+    w.wrong(true);
+    w.cuts.borrow_mut().pairs.extend(others.iter().map(|i| (*i, gateway)));
+    (0..5).for_each(|n| purge(w, n));
+    w.run(ms(1_000));
+    w.cuts.borrow_mut().pairs.extend(others.iter().map(|i| (gateway, *i)));
+    w.cuts.borrow_mut().pairs.retain(|(_, to)| *to != gateway);
+    for n in 0..20 {
+        // What comes after it has stamps of a clock that is behind.
+        let now = w.now_ms();
+        w.purge_at(2, n, now - 600_000);
+        w.run(ms(100));
+    }
+    let lacks: usize = w.places[gateway].track.todo.iter().take(2).map(BTreeSet::len).sum();
+    assert_eq!(lacks, 0, "{} serves what was purged", w.places[gateway].name);
+    assert!(w.feed(gateway).gaps() > 0, "the gap is known still");
+    w.cuts.borrow_mut().pairs.clear();
+    w.rate = rate;
+}
+
+#[test]
+fn a_gap_is_a_purge_in_time_also_where_later_stamps_are_of_before() {
+    let mut w = started(SMALL, 28);
+    w.rate = 10.0;
+    w.run(ms(3_000));
+    let contact = w.contacts()[&3].first().copied().unwrap();
+    let one = w.of_site(3).into_iter().find(|i| *i != contact).unwrap();
+    gap_without_repair(&mut w, one, |w, n| _ = w.purge(1, n));
+    w.heal();
+    w.run(ms(9_000));
+    settles(&mut w, 10_000);
+}
+
 /// As a hub signs bundles, by the seed of its key.
 fn signed(body: &Bundle, seed: [u8; 32]) -> Vec<u8> {
     let bytes = body.encode_to_vec();
@@ -719,6 +767,8 @@
     assert_eq!(after, positions);
     w.hubs().for_each(|h| w.start(h, false));
     w.run(ms(5_000));
+    // A gap in what was claimed is one, and told in time.
+    gap_without_repair(&mut w, to, |w, n| _ = w.purge(1, n));
     (w.rate, w.others) = (20.0, 2.0);
     w.heal();
     w.run(ms(15_000));
@@ -757,8 +807,10 @@
 
 #[test]
 fn a_range_that_no_hub_keeps_any_more_is_a_purge_of_everything() {
-    let mut w = World::with_files(SMALL, 25, |i, file| {
-        if i < SMALL.hubs {
+    // One hub, so that no other's bundles are kept by it.
+    let shape = Shape { hubs: 1, ..SMALL };
+    let mut w = World::with_files(shape, 25, |i, file| {
+        if i < shape.hubs {
             file["control"]["most_kept"] = 1_024.into();
         }
     });
@@ -818,3 +870,78 @@
     // 72 pieces, four a second.
     w.until(ms(30_000), whole);
 }
+
+#[test]
+fn a_hub_answers_at_its_pace_and_only_who_has_shown_where_it_is() {
+    let mut w = started(SMALL, 29);
+    w.rate = 60.0;
+    w.run(ms(3_000));
+    let contact = w.contacts()[&0].first().copied().unwrap();
+    let one = w.of_site(0).into_iter().find(|i| *i != contact).unwrap();
+    let range = Range { stream: 1, first: 1, last: w.last(1), offset: 0 };
+    let fetch = |token| {
+        Said::Fetch(Fetch { ranges: vec![range], site: "site0".to_owned(), token, ..Fetch::default() })
+    };
+    let follow = |token, number| {
+        let (site, gateway) = ("site0".to_owned(), "g0-9".to_owned());
+        Said::Follow(Follow { site, gateway, run: 9, number, token, ..Follow::default() })
+    };
+    let hub = 1;
+    let heard = |w: &mut World, of: &dyn Fn(&Said) -> bool| {
+        w.run(ms(1_000));
+        let all = w.said().into_iter().filter(|(a, b, said)| (*a, *b) == (hub, one) && of(said)).count();
+        w.tape.borrow_mut().kept.clear();
+        all
+    };
+    let bundles = |said: &Said| matches!(said, Said::Found(_) | Said::Live(_));
+    w.tape.borrow_mut().runs = true;
+    (0..50).for_each(|n| w.say(one, hub, fetch(77 + n)));
+    (0..50).for_each(|n| w.say(one, hub, follow(77 + n, n)));
+    assert_eq!(heard(&mut w, &bundles), 0, "bundles to an address that never showed the number");
+    w.say(one, hub, fetch(0));
+    w.run(ms(100));
+    let token = w.said().into_iter().find_map(|(a, b, said)| match said {
+        Said::Challenge(token) if (a, b) == (hub, one) => Some(token),
+        _ => None,
+    });
+    let token = token.unwrap();
+    (0..100).for_each(|_| w.say(one, hub, fetch(token)));
+    let found = heard(&mut w, &bundles);
+    println!("{found} answers to 100 requests in a second");
+    assert!((1..=9).contains(&found), "{found} answers");
+    // One Follow is heard, the same again is not.
+    w.say(one, hub, follow(token, 5));
+    w.run(ms(200));
+    let before = w.feed(hub).counts.refused_requests;
+    (0..10).for_each(|_| w.say(one, hub, follow(token, 5)));
+    w.run(ms(300));
+    assert_eq!(w.feed(hub).counts.refused_requests - before, 10);
+    w.run(ms(2_000));
+    settles(&mut w, 5_000);
+}
+
+#[test]
+fn a_hub_without_list_services_hands_on_what_another_tells() {
+    let mut w = started(SMALL, 30);
+    w.rate = 30.0;
+    w.run(ms(2_000));
+    w.wrong(true);
+    for hub in 0..2 {
+        w.late.clear();
+        w.cuts.borrow_mut().listless.insert(hub);
+        w.run(ms(5_000));
+        println!("hub{hub} without lists: worst {} ms", w.worst());
+        assert!(w.worst() <= 3_500, "{} ms", w.worst());
+        w.late.clear();
+        w.run(ms(10_000));
+        println!("then: worst {} ms", w.worst());
+        // The way from hub to hub on top.
+        assert!(w.worst() <= CALM + 100, "{} ms", w.worst());
+        assert!(w.gateways().all(|i| w.feed(i).position(0) + 60 > w.last(0)), "positions stand still");
+        w.cuts.borrow_mut().listless.clear();
+        w.run(ms(3_000));
+    }
+    w.heal();
+    w.run(ms(9_000));
+    settles(&mut w, 10_000);
+}
