--- a/feed/src/hub.rs
+++ b/feed/src/hub.rs
@@ -246,8 +246,12 @@
             counts.refused_requests += 1;
             return;
         }
+        // Guards against one that has begun anew and takes for nothing what it has not read yet.
+        let reads = |r: &Range| self.composer.sources.get(r.stream as usize).is_some_and(|s| !s.caught);
+        let reads = fetch.late && fetch.ranges.iter().any(reads);
         let said = match self.found(now, &fetch.ranges, fetch.late) {
             Some(bytes) => Said::Found(bytes),
+            None if reads => return,
             None => {
                 counts.lacked += 1;
                 Said::Lacks(true)
