Feed: a site's last report again is no sign of life

Who has the key could send it again and again for a minute: a site that is cut off stayed in touch, was not named, and the watermark of the others stood still. The case failed before and passes.

--- a/feed/src/report.rs
+++ b/feed/src/report.rs
@@ -212,7 +212,10 @@
         if of.number < site.number {
             return Taken::Passed;
         }
-        (site.heard, site.direct, site.number) = (Some(now), Some(now), of.number);
+        // The last one again is no sign of life either.
+        if of.number > site.number {
+            (site.heard, site.direct, site.number) = (Some(now), Some(now), of.number);
+        }
         if report.more > 0 {
             return Taken::Good;
         }
--- a/feed/tests/hard.rs
+++ b/feed/tests/hard.rs
@@ -945,3 +945,38 @@
     w.run(ms(9_000));
     settles(&mut w, 10_000);
 }
+
+#[test]
+fn old_reports_again_do_not_pass_for_a_site_that_is_cut_off() {
+    let mut w = started(SMALL, 31);
+    w.tape.borrow_mut().runs = true;
+    w.rate = 10.0;
+    w.run(ms(4_000));
+    w.tape.borrow_mut().runs = false;
+    let reports: Vec<(usize, Said)> = w
+        .said()
+        .into_iter()
+        .filter(|(_, _, said)| matches!(said, Said::Report(r) if r.site == "site5"))
+        .map(|(_, hub, said)| (hub, said))
+        .collect();
+    // What hubs told one another of it.
+    let words: Vec<(usize, usize, Said)> =
+        w.said().into_iter().filter(|(_, _, said)| matches!(said, Said::Gathered(_))).collect();
+    assert!(reports.len() >= 2);
+    w.wrong(true);
+    w.cuts.borrow_mut().sites.insert(5);
+    let other = w.of_site(0)[0];
+    for n in 0..20 {
+        // The last two, in turn.
+        let (hub, said) = reports[reports.len() - 1 - n % 2].clone();
+        w.say(other, hub, said);
+        words.iter().rev().take(4).for_each(|(from, to, word)| w.say(*from, *to, word.clone()));
+        w.run(ms(500));
+    }
+    for h in w.hubs() {
+        assert!(w.feed(h).missing().iter().any(|m| m.site == "site5" && m.member.is_none()), "hub{h}");
+    }
+    w.heal();
+    w.run(ms(9_000));
+    settles(&mut w, 5_000);
+}
