Scale: the data path's rates go to 18,000, each tried twice before it is called too much

On a shared machine a rate broke where the process waited for a processor; one run carried all rates there were.

Release runs, 37 caches of the zone, 1,100 listed, 150 purges a second, 120 KB: one carried 12,000 txns/s (1,475 MB/s) with 0.69 of a core and 0.21 waited for, the last rate that there was; the next one, load 12 on 8 cores, carried 6,000 (0.45) and lost 7,200 twice with 0.8 to 1.0 s a second waited for. 1,200 txns/s took 0.12 and 0.15 of a core.

--- a/scale/src/ladders/data_path.rs
+++ b/scale/src/ladders/data_path.rs
@@ -358,13 +358,18 @@
     let (warm, lasts) = times(quick);
     let sizes = [
         300.0, 600.0, 1_200.0, 1_800.0, 2_400.0, 3_600.0, 4_800.0, 6_000.0, 7_200.0, 8_400.0, 9_600.0,
-        12_000.0,
+        12_000.0, 15_000.0, 18_000.0,
     ];
     let (mut all, mut past) = (Vec::new(), None);
     for per_s in sizes.into_iter().take(if quick { 2 } else { sizes.len() }) {
         let load = Load { per_s, kb: KB, lasts, warm, seed };
-        let got = play(stand, load)?;
+        let mut got = play(stand, load)?;
         got.tell(&load);
+        // Once more: others on the machine may have had its processors.
+        if !got.is_carried(&load) && !quick {
+            got = play(stand, load)?;
+            got.tell(&load);
+        }
         if !got.is_carried(&load) {
             eprintln!("{per_s} txns/s are not carried: {}", got.limit());
             past = Some((per_s, got));
