Capacity: what breaks first counts sizes, not how bad a fault is

Cause: on a trial's slopes a region's second away and the hubs' loss stood first among sizes. Change: ladders over the degree of a fault stay out of that table; their rows are judged as before.

--- a/scale/src/capacity.rs
+++ b/scale/src/capacity.rs
@@ -227,6 +227,9 @@
     rows.map(|(role, row)| judge(role, row, slopes, target)).collect()
 }
 
+/// What these count is how bad a fault is, not how large the installation.
+const DEGREES: [&str; 4] = ["away_s", "hubs_killed", "lost_part", "restarted_part"];
+
 /// Times the target's size between which breaks are sought, and by which steps.
 const NEAREST: f64 = 0.001;
 const FURTHEST: f64 = 100.0;
@@ -245,7 +248,7 @@
     for role in ROLES {
         for row in role.rows.iter().filter(|r| !r.before) {
             let (Some(budget), Some(readings)) = (row.budget, readings(row, slopes)) else { continue };
-            let Some(first) = readings.first() else { continue };
+            let Some(first) = readings.first().filter(|r| !DEGREES.contains(&r.over)) else { continue };
             let budget = budget(target);
             let at = |times: f64| -> f64 {
                 let one = |r: &Reading| r.fit.at((r.read.at)(target) * times).value * (r.read.times)(target);
--- a/scale/tests/capacity.rs
+++ b/scale/tests/capacity.rs
@@ -89,6 +89,15 @@
     );
 }
 
+#[test]
+fn a_worse_fault_is_no_growth() {
+    let lossy = ladder("feed-lossy.delay.by-lost-part", "lost_part", &[0.01, 0.05, 0.1], |n| 1e5 * n);
+    let slopes = slopes(vec![lossy]);
+    let verdicts = capacity::verdicts(&slopes, &target());
+    assert_eq!(rows(&verdicts, &["feed-lossy.delay.by-lost-part"])[0].state, State::Red);
+    assert!(capacity::breaks(&slopes, &target()).is_empty());
+}
+
 /// The relayed list passes its budget, but it is the feed that stands there now.
 #[test]
 fn what_was_before_is_told_and_has_no_weight() {
