--- a/gateway/tests/fleet.rs
+++ b/gateway/tests/fleet.rs
@@ -216,7 +216,6 @@
     _ = std::fs::remove_dir_all(folder);
 }
 
-/// A member that speaks for itself with the fleet's key, declares all others gone and sends old news again.
 #[test]
 fn a_day_of_two_sites_by_the_feed_with_purges_at_a_rate_keeps_all_rules() {
     let size = Installation { sites: 2, hubs: 2, streams: 2 };
@@ -237,6 +236,7 @@
     }
 }
 
+/// A member that speaks for itself with the fleet's key, declares all others gone and sends old news again.
 #[test]
 fn a_member_that_lies_and_replays_does_no_harm() {
     let _alone = alone();
