--- a/feed/src/compose.rs
+++ b/feed/src/compose.rs
@@ -25,6 +25,8 @@
 const LATE: Span = Span::from_millis(30_000);
 const MARK_EVERY: Span = Span::from_millis(1_000);
 const MOST_MARKS: usize = 40;
+/// So many stale stamps in a row: what lies before is no more of late.
+const MOST_OLD: usize = 32;
 /// Bundles of late, and events of each stream, by whose stamps a bundle without purges has its own: not those of all
 /// times, since one may come from a clock that was far ahead.
 const RECENT: usize = 64;
@@ -467,16 +469,25 @@
         let room = MOST_BUNDLE - SIGNATURE;
         let (mut all, mut issued) = (Vec::new(), 0);
         wanted.sort_by_key(|(_, first, last, _)| last - first);
+        // What is of late is asked of all streams at once: none keeps the others from their turn.
+        let turn = if late { self.number as usize % wanted.len().max(1) } else { 0 };
+        wanted.rotate_left(turn);
         let most = (1..).step_by(8).take_while(|n| length + wants(*n, OLD_BITS) <= room).last().unwrap_or(1);
         for (i, (s, first, last, _)) in wanted.iter().copied().enumerate() {
             let quota = most.saturating_sub(all.len()) / (wanted.len() - i);
             let oldest = first.max(self.sources[s].first);
             let before = if late { self.sources[s].came_before(now.back(LATE)) } else { 0 };
             let (mut low, mut taken) = (last + 1, 0);
-            while low > oldest.max(before + 1) && taken < quota {
+            // A hub that has read all anew does not know when it came: there stamps tell, but not those of a few.
+            let stale = if late { self.usual_stamp(s).saturating_sub(LATE.as_micros() / 1_000) } else { 0 };
+            let (mut old, mut of_late) = (0, !late);
+            let begun = (length, all.len(), bundle.pieces.len(), issued);
+            while low > oldest.max(before + 1) && taken < quota && old < MOST_OLD {
                 let no = low - 1;
                 match self.issued_at(s, no) {
                     Some(stamp) => {
+                        old = if stamp < stale { old + 1 } else { 0 };
+                        of_late |= stamp >= stale;
                         let names: Vec<u64> = self.names_at(s, no).collect();
                         if length + wants(all.len() + names.len(), OLD_BITS) > room {
                             break;
@@ -489,6 +500,8 @@
                         if let Some(piece) = self.piece_at(s, no, 0) {
                             let more = piece.encoded_len() + 3;
                             if length + more + wants(all.len().max(16), OLD_BITS) > room {
+                                // Purges may lie behind large events: those go on their own.
+                                of_late |= old == 0;
                                 break;
                             }
                             length += more;
@@ -499,7 +512,11 @@
                 }
                 low = no;
             }
-            if low <= last {
+            if !of_late {
+                (length, issued) = (begun.0, begun.3);
+                all.truncate(begun.1);
+                bundle.pieces.truncate(begun.2);
+            } else if low <= last {
                 (bundle.firsts[s], bundle.counts[s]) = (low, last + 1 - low);
             }
         }
@@ -511,6 +528,14 @@
         Some(bundle)
     }
 
+    /// The middle one of the latest stamps: clocks that are far ahead are few.
+    fn usual_stamp(&self, s: usize) -> u64 {
+        let kept = self.sources[s].kept.iter().rev().map(|(_, issued)| *issued);
+        let mut latest: Vec<u64> = kept.take(STAMPS).filter(|i| *i != OTHER).take(31).collect();
+        latest.sort_unstable();
+        latest.get(latest.len() / 2).copied().unwrap_or(0)
+    }
+
     fn piece_again(&mut self, s: usize, no: u64, offset: u32) -> Option<Bundle> {
         let source = &self.sources[s];
         let (is_kept, was_kept) = (source.lines.contains_key(&no), no >= source.first);
