--- a/feed/tests/hard.rs
+++ b/feed/tests/hard.rs
@@ -980,3 +980,50 @@
     w.run(ms(9_000));
     settles(&mut w, 5_000);
 }
+
+#[test]
+fn old_bundles_again_do_not_pass_for_a_hub() {
+    let mut w = started(SMALL, 32);
+    w.tape.borrow_mut().runs = true;
+    w.rate = 30.0;
+    w.run(ms(20_000));
+    w.tape.borrow_mut().runs = false;
+    let site = w.of_site(5);
+    let live: Vec<Said> = w
+        .said()
+        .into_iter()
+        .filter(|(_, to, said)| *to == site[0] && matches!(said, Said::Live(_)))
+        .map(|(_, _, said)| said)
+        .collect();
+    w.wrong(true);
+    w.cuts.borrow_mut().sites.insert(5);
+    w.run(ms(1_000));
+    // Who starts anew has not seen them.
+    site.iter().for_each(|&i| w.start(i, true));
+    for n in 0..45 {
+        let old = live[n * live.len() / 45].clone();
+        site[1..].iter().for_each(|&i| w.say(site[0], i, old.clone()));
+        w.say(site[1], site[0], old.clone());
+        w.run(ms(300));
+    }
+    assert!(site.iter().any(|i| w.feed(*i).counts.asked > 0), "nobody misses the hubs");
+    w.heal();
+    w.run(ms(9_000));
+    settles(&mut w, 10_000);
+}
+
+#[test]
+fn what_comes_twice_is_done_and_handed_on_once() {
+    let mut w = started(SMALL, 33);
+    w.rate = 30.0;
+    w.sim.repeat = 1.0;
+    w.run(ms(3_000));
+    let before: Vec<u64> = w.gateways().map(|i| w.places[i].track.purges).collect();
+    w.run(ms(10_000));
+    let after = w.gateways().map(|i| w.places[i].track.purges);
+    let most = after.zip(before).map(|(a, b)| a - b).max().unwrap();
+    println!("{most} purges in 10 s, all datagrams doubled");
+    assert!(most <= 22, "{most} purges of 20 bundles");
+    w.sim.repeat = 0.0;
+    settles(&mut w, 5_000);
+}
