Feed: what is confirmed is said twice, and a report made once more of what came since

Change: a confirmation goes once more 60 ms later; a root reports once more 500 ms after its first report, with what has come since.

--- a/feed/src/report.rs
+++ b/feed/src/report.rs
@@ -30,6 +30,8 @@
 /// Confirmations of one bundle, at the root of its tree.
 pub struct Gather {
     pub due: Time,
+    /// A first report was made of it.
+    pub told: bool,
     pub got: BTreeMap<String, Confirm>,
 }
 
--- a/feed/src/site.rs
+++ b/feed/src/site.rs
@@ -46,6 +46,11 @@
 const LATE: Span = Span::from_millis(30_000);
 const CONFIRM_AFTER: Span = Span::from_millis(150);
 const REPORT_AFTER: Span = Span::from_millis(300);
+/// A confirmation is said once more, and a report made once more of what has come since: one datagram lost, or a bundle had
+/// late by repair, would put the watermark off by a whole round, and among thousands there are some in each.
+const ONCE_MORE: Span = Span::from_millis(60);
+const REPORT_AGAIN: Span = Span::from_millis(500);
+const MOST_ONCE_MORE: usize = 64;
 const MOST_DUE: usize = 16;
 const MOST_UNHANDED: usize = 64;
 /// Bundles in answer to one request, and in a second to one member.
@@ -147,6 +152,8 @@
     repair: Repair,
     late: Option<Late>,
     dues: VecDeque<Due>,
+    /// To be said once more, and when.
+    once_more: VecDeque<(Time, SocketAddr, Said)>,
     gathers: BTreeMap<Named, Gather>,
     asking: Vec<Asking>,
     composer: Composer,
@@ -188,6 +195,7 @@
             repair: Repair::default(),
             late: None,
             dues: VecDeque::new(),
+            once_more: VecDeque::new(),
             gathers: BTreeMap::new(),
             asking: known.iter().map(|_| Asking::default()).collect(),
             composer: Composer::new(0, run, &known, MOST_GATHERED),
@@ -761,7 +769,7 @@
     }
 
     fn gather(&mut self, due: Time, named: Named) {
-        self.gathers.entry(named).or_insert_with(|| Gather { due, got: BTreeMap::new() });
+        self.gathers.entry(named).or_insert_with(|| Gather { due, told: false, got: BTreeMap::new() });
         if self.gathers.len() > MOST_DUE
             && let Some(oldest) = self.gathers.iter().min_by_key(|(_, g)| g.due).map(|(n, _)| *n)
         {
@@ -787,10 +795,13 @@
     }
 
     fn tick_reports(&mut self, now: Time) {
+        while self.once_more.front().is_some_and(|(at, _, _)| *at <= now) {
+            self.said.extend(self.once_more.pop_front().map(|(_, to, said)| (to, said)));
+        }
         while self.dues.front().is_some_and(|d| d.at <= now) {
             let Some(due) = self.dues.pop_front() else { break };
             let confirm = report::confirm(due.named, &due.ends, |s| self.streams.all[s].hard.position());
-            self.said.push_back((due.root, Said::Confirm(confirm)));
+            self.say_twice(now, due.root, Said::Confirm(confirm));
         }
         let over: Vec<Named> = self.gathers.iter().filter(|(_, g)| g.due <= now).map(|(n, _)| *n).collect();
         for named in over {
@@ -804,6 +815,18 @@
             let live: Vec<String> = self.members.keys().cloned().collect();
             let report = gather.report(&self.set, &self.name, named, &ends, &live);
             self.said.push_back((self.set.hubs[hub].address, Said::Report(report)));
+            if !gather.told {
+                (gather.told, gather.due) = (true, now + REPORT_AGAIN);
+                self.gathers.insert(named, gather);
+            }
+        }
+    }
+
+    fn say_twice(&mut self, now: Time, to: SocketAddr, said: Said) {
+        self.once_more.push_back((now + ONCE_MORE, to, said.clone()));
+        self.said.push_back((to, said));
+        if self.once_more.len() > MOST_ONCE_MORE {
+            self.once_more.pop_front();
         }
     }
 
@@ -973,6 +996,7 @@
         self.repair.next.into_iter().chain(self.overdue).for_each(&mut by);
         self.late.iter().for_each(|l| by(l.next));
         self.dues.front().into_iter().for_each(|d| by(d.at));
+        self.once_more.front().into_iter().for_each(|(at, _, _)| by(*at));
         self.gathers.values().for_each(|g| by(g.due));
         self.grace_at.into_iter().for_each(&mut by);
         at.max(now)
@@ -1011,6 +1035,7 @@
             ("feed members", self.members.len()),
             ("feed bundles kept", self.log.held()),
             ("feed confirmations due", self.dues.len()),
+            ("feed said once more", self.once_more.len()),
             ("feed reports gathered", self.gathers.len()),
             ("feed events gathered", self.composer.kept()),
             ("feed budgets", self.budgets.len()),
@@ -1026,6 +1051,7 @@
         self.composer.check_rules()?;
         let bounds = [
             ("confirmations due", self.dues.len(), MOST_DUE),
+            ("to be said once more", self.once_more.len(), MOST_ONCE_MORE),
             ("reports gathered", self.gathers.len(), MOST_DUE),
             ("hubs heard", self.latest.len(), self.set.hubs.len()),
             ("budgets", self.budgets.len(), self.members.len()),
