--- a/rig/src/relay.rs
+++ b/rig/src/relay.rs
@@ -109,11 +109,10 @@
 }
 
 fn over(e: &io::Error) -> bool {
-    // A closed port at the other end is told as a refusal on the next call.
-    !matches!(
-        e.kind(),
-        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut | io::ErrorKind::ConnectionRefused
-    )
+    use io::ErrorKind::{ConnectionRefused, Interrupted, TimedOut, WouldBlock};
+    // A closed port at the other end is told as a refusal on the next call; a process that was stopped and goes on has its
+    // reads interrupted.
+    !matches!(e.kind(), WouldBlock | TimedOut | ConnectionRefused | Interrupted)
 }
 
 impl Relay {
--- a/rig/src/sites.rs
+++ b/rig/src/sites.rs
@@ -124,16 +124,13 @@
     }
 
     fn read(&self, connection: usize, mut stream: TcpStream) {
+        use std::io::ErrorKind::{Interrupted, TimedOut, WouldBlock};
         let (mut held, mut bytes) = (Vec::new(), vec![0; 256 * 1024]);
         while !self.ends.load(Ordering::Relaxed) {
             let n = match stream.read(&mut bytes) {
                 Ok(0) => return,
                 Ok(n) => n,
-                Err(e)
-                    if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) =>
-                {
-                    continue;
-                }
+                Err(e) if matches!(e.kind(), WouldBlock | TimedOut | Interrupted) => continue,
                 Err(_) => return,
             };
             held.extend_from_slice(&bytes[..n]);
