Clients: log and count messages that time out and input that is discarded

Change: counters `client messages overdue` and `client bytes discarded before the last answer`, a debug line for each.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -388,6 +388,15 @@
                 Some(Some(Ok(n))) => n,
                 // An incomplete message timed out: no more input is accepted, but answers to open requests are written.
                 Some(None) if message_due && message_start + MESSAGE_TIMEOUT <= self.clock.now() => {
+                    self.counters.add("client messages overdue");
+                    log::debug!(
+                        "clients: a message is incomplete after {} ms, {} bytes received, the last {} ms ago, \
+                         {} requests open",
+                        (self.clock.now() - message_start).as_micros() / 1_000,
+                        buffer.len(),
+                        (self.clock.now() - client.last_activity.get()).as_micros() / 1_000,
+                        client.open_requests.borrow().len()
+                    );
                     return self.wait_until_answered(stream, client).await;
                 }
                 Some(None)
@@ -454,7 +463,11 @@
             }
             match self.clock.timeout(POLL_INTERVAL, stream.read(&mut chunk)).await {
                 Some(Ok(0) | Err(_)) => return ConnectionEnd::PeerLeft,
-                Some(Ok(n)) => budget = budget.saturating_sub(n),
+                Some(Ok(n)) => {
+                    self.counters.add_many("client bytes discarded before the last answer", n);
+                    log::debug!("clients: {n} bytes discarded, the connection is open for answers");
+                    budget = budget.saturating_sub(n);
+                }
                 None => {}
             }
             future::yield_now().await;
--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -22,7 +22,11 @@
 
 impl Counters {
     pub fn add(&self, name: &'static str) {
-        *self.counts.borrow_mut().entry(name).or_default() += 1;
+        self.add_many(name, 1);
+    }
+
+    pub fn add_many(&self, name: &'static str, n: usize) {
+        *self.counts.borrow_mut().entry(name).or_default() += n as u64;
     }
 
     pub fn record_end(&self, end: ConnectionEnd) {
