Answer requests behind a slowly written one instead of discarding them

Cause: gateway/src/clients.rs, `wait_until_answered`: once a message was 2.5 s old, the reader read and discarded all input for as long as an answer was open, with the connection intact. What ended on it had been taken and was owed an answer. Change: an overdue message closes its connection only once no request is open and a last look finds no input; until then input is decoded. Input is discarded at one place alone, after the shutdown of the write side. This works since every close of an intact connection now goes look, shutdown, with nothing awaited between: a request is read and answered, or it crosses the close.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -318,7 +318,20 @@
         client.closing.set(true);
         if stream.get_ref().shutdown(Shutdown::Write).is_ok() {
             let linger = if client.evicting.get() { CROSSING_WINDOW } else { LINGER_TIMEOUT };
-            self.clock.timeout(linger, drain(stream)).await;
+            self.clock.timeout(linger, self.drain(stream)).await;
+        }
+    }
+
+    /// Reads and discards input up to `MAX_DRAIN_BYTES`.
+    async fn drain(&self, mut stream: &Async<TcpStream>) {
+        let (mut chunk, mut budget) = (vec![0; 16 * 1024], MAX_DRAIN_BYTES);
+        while let Ok(n @ 1..) = stream.read(&mut chunk).await {
+            self.counters.add_many("client bytes discarded after the shutdown", n);
+            budget = budget.saturating_sub(n);
+            if budget == 0 {
+                return;
+            }
+            future::yield_now().await;
         }
     }
 
@@ -371,6 +384,10 @@
             } else {
                 client.last_activity.get() + IDLE_TIMEOUT
             };
+            if !client.is_idle() {
+                // An answer keeps the connection open beyond its timeouts.
+                deadline = deadline.max(self.clock.now() + POLL_INTERVAL);
+            }
             let close_requested = client.close_requested.listen();
             if client.evicting.get() || self.shutdown_state.started.get() {
                 if let Some(end) = self.try_close(stream, client, !buffer.is_empty()) {
@@ -386,18 +403,14 @@
             let n = match future::or(read, close_requested).await {
                 Some(Some(Ok(0) | Err(_))) => return ConnectionEnd::PeerLeft,
                 Some(Some(Ok(n))) => n,
-                // An incomplete message timed out: no more input is accepted, but answers to open requests are written.
                 Some(None) if message_due && message_start + MESSAGE_TIMEOUT <= self.clock.now() => {
-                    self.counters.add("client messages overdue");
-                    log::debug!(
-                        "clients: a message is incomplete after {} ms, {} bytes received, the last {} ms ago, \
-                         {} requests open",
-                        (self.clock.now() - message_start).as_micros() / 1_000,
-                        buffer.len(),
-                        (self.clock.now() - client.last_activity.get()).as_micros() / 1_000,
-                        client.open_requests.borrow().len()
-                    );
-                    return self.wait_until_answered(stream, client).await;
+                    // What follows on an open connection may be a complete request, which has to be answered: input is
+                    // discarded only after the shutdown of the write side.
+                    if let Some(end) = client.is_idle().then(|| check_idle_socket(stream)).flatten() {
+                        self.log_overdue_message(client, message_start, buffer.len());
+                        return end;
+                    }
+                    continue;
                 }
                 Some(None)
                     if !message_due && client.last_activity.get() + IDLE_TIMEOUT <= self.clock.now() =>
@@ -453,26 +466,15 @@
         }
     }
 
-    /// Waits until all answers are written. Input is discarded meanwhile, but a disconnect is noticed.
-    async fn wait_until_answered(&self, mut stream: &Async<TcpStream>, client: &Client) -> ConnectionEnd {
-        let (mut chunk, mut budget) = (vec![0; 16 * 1024], MAX_DRAIN_BYTES);
-        while !client.is_idle() {
-            if budget == 0 {
-                self.clock.sleep(POLL_INTERVAL).await;
-                continue;
-            }
-            match self.clock.timeout(POLL_INTERVAL, stream.read(&mut chunk)).await {
-                Some(Ok(0) | Err(_)) => return ConnectionEnd::PeerLeft,
-                Some(Ok(n)) => {
-                    self.counters.add_many("client bytes discarded before the last answer", n);
-                    log::debug!("clients: {n} bytes discarded, the connection is open for answers");
-                    budget = budget.saturating_sub(n);
-                }
-                None => {}
-            }
-            future::yield_now().await;
-        }
-        ConnectionEnd::PeerSilent
+    fn log_overdue_message(&self, client: &Client, message_start: Time, received_bytes: usize) {
+        self.counters.add("client messages overdue");
+        let now = self.clock.now();
+        log::debug!(
+            "clients: connection closed: a message is incomplete after {} ms, {received_bytes} bytes received, the last \
+             {} ms ago",
+            (now - message_start).as_micros() / 1_000,
+            (now - client.last_activity.get()).as_micros() / 1_000,
+        );
     }
 
     /// Returns `false` if the connection has to be closed.
@@ -579,15 +581,3 @@
         _ => Some(ConnectionEnd::PeerLeft),
     }
 }
-
-/// Reads and discards input up to `MAX_DRAIN_BYTES`.
-async fn drain(mut stream: &Async<TcpStream>) {
-    let (mut chunk, mut budget) = (vec![0; 16 * 1024], MAX_DRAIN_BYTES);
-    while let Ok(n @ 1..) = stream.read(&mut chunk).await {
-        budget = budget.saturating_sub(n);
-        if budget == 0 {
-            return;
-        }
-        future::yield_now().await;
-    }
-}
--- a/gateway/tests/closing.rs
+++ b/gateway/tests/closing.rs
@@ -344,3 +344,30 @@
         );
     });
 }
+
+/// Guards against requests that are read and discarded unanswered while their connection stays open for an earlier answer.
+#[test]
+fn requests_behind_a_slowly_written_one_are_answered_while_another_is_open() {
+    run_with_frontend(9, async |fixture: Fixture| {
+        let mut client = fixture.connect();
+        client.send_request(1);
+        let mut requests = vec![fixture.next_request().await];
+        let slow = encode_request(2, 2);
+        let (last, start) = slow.split_last().unwrap();
+        client.write(start);
+        // Longer than a message may take on a connection without open requests.
+        fixture.clock.sleep(Span::from_millis(3_000)).await;
+        client.write(&[*last]);
+        client.send_request(3);
+        for id in 2..=3 {
+            requests.push(fixture.next_request().await);
+            assert_eq!(requests.last().unwrap().id, id);
+        }
+        for request in &requests {
+            fixture.serve(request, 3).await;
+        }
+        for id in 1..=3 {
+            assert_eq!(client.read(SERVED_OVERHEAD_BYTES + 3).await[..3], [0x94, 0x01, id]);
+        }
+    });
+}
