Wait for a client's message while it keeps arriving, up to 20 s

What callers saw: a client that wrote a request for over 2.5 s, with no other request open, had its connection closed before its last byte, however steadily it wrote. Cause: the time for a message counted from its first byte alone (`read_loop`, gateway/src/clients.rs). Change: `MessageTimer` extends the 2.5 s for a message that keeps arriving (100 bytes a second, no pause of 1 s, 20 s in all). This works since the time is never shorter than before, and silence, half a message and a trickle still end in 3 s. A connection that should close, for room or at a planned restart, waits 2.5 s at most, as before; without that, four tricklers hold up evictions.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -5,6 +5,8 @@
 //! module's to decide are never generated here; a client that stops reading, sends nothing or sends malformed messages
 //! loses only its own connection.
 
+pub mod message_timer;
+
 use crate::Tasks;
 use crate::buffers::{Body, Pool};
 use crate::clock::Clock;
@@ -17,6 +19,7 @@
 use event_listener::Event;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use kelpcart::{Span, Time};
+use message_timer::MessageTimer;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind, IoSlice};
@@ -30,9 +33,6 @@
 const MAX_UNWRITTEN_ANSWERS: usize = 2 * MAX_OPEN_REQUESTS;
 /// Idle timeout of a connection that has sent a request. Well-behaved clients close theirs earlier.
 const IDLE_TIMEOUT: Span = Span::from_millis(5_000);
-/// Time for a complete message, counted from its first byte, or from the connection for the first message. Below the
-/// 3 s within which a client that sends no complete message has to be disconnected.
-const MESSAGE_TIMEOUT: Span = Span::from_millis(2_500);
 /// After the write side is shut down, input is read and discarded for this long: closing a socket with unread input
 /// sends a reset, which may destroy the last answers.
 const LINGER_TIMEOUT: Span = Span::from_millis(300);
@@ -340,9 +340,12 @@
         &self,
         stream: &Async<TcpStream>,
         client: &Client,
-        has_partial_message: bool,
+        partial_message: Option<&MessageTimer>,
     ) -> Option<ConnectionEnd> {
         let now = self.clock.now();
+        let message_arriving = partial_message.is_some_and(|timer| {
+            now < client.last_activity.get() + CROSSING_WINDOW && !timer.is_extended(now)
+        });
         // The first request of a new connection, or the rest of a partial message, may be in flight.
         let first_request_pending = !client.has_sent_request()
             && !client.evicting.get()
@@ -350,10 +353,7 @@
         if !client.is_idle() {
             client.evicting.set(false);
         }
-        if !client.is_idle()
-            || first_request_pending
-            || has_partial_message && now < client.last_activity.get() + CROSSING_WINDOW
-        {
+        if !client.is_idle() || first_request_pending || message_arriving {
             return None;
         }
         let end = check_idle_socket(stream);
@@ -366,8 +366,7 @@
     async fn read_loop(&self, mut stream: &Async<TcpStream>, client: &Rc<Client>) -> ConnectionEnd {
         let mut buffer: Vec<u8> = Vec::new();
         let mut chunk = vec![0; 16 * 1024];
-        // Arrival of the first buffered byte, or of the connection.
-        let mut message_start = self.clock.now();
+        let mut message_timer = MessageTimer::start(self.clock.now());
         loop {
             // Lets other tasks run after each chunk, so that a client sending at full speed does not starve them.
             future::yield_now().await;
@@ -380,7 +379,7 @@
             }
             let message_due = !buffer.is_empty() || !client.has_sent_request();
             let mut deadline = if message_due {
-                message_start + MESSAGE_TIMEOUT
+                message_timer.deadline()
             } else {
                 client.last_activity.get() + IDLE_TIMEOUT
             };
@@ -390,7 +389,8 @@
             }
             let close_requested = client.close_requested.listen();
             if client.evicting.get() || self.shutdown_state.started.get() {
-                if let Some(end) = self.try_close(stream, client, !buffer.is_empty()) {
+                let partial_message = (!buffer.is_empty()).then_some(&message_timer);
+                if let Some(end) = self.try_close(stream, client, partial_message) {
                     return end;
                 }
                 deadline = deadline.min(self.clock.now() + CLOSE_POLL_INTERVAL);
@@ -403,11 +403,11 @@
             let n = match future::or(read, close_requested).await {
                 Some(Some(Ok(0) | Err(_))) => return ConnectionEnd::PeerLeft,
                 Some(Some(Ok(n))) => n,
-                Some(None) if message_due && message_start + MESSAGE_TIMEOUT <= self.clock.now() => {
+                Some(None) if message_due && message_timer.deadline() <= self.clock.now() => {
                     // What follows on an open connection may be a complete request, which has to be answered: input is
                     // discarded only after the shutdown of the write side.
                     if let Some(end) = client.is_idle().then(|| check_idle_socket(stream)).flatten() {
-                        self.log_overdue_message(client, message_start, buffer.len());
+                        self.log_overdue_message(&message_timer);
                         return end;
                     }
                     continue;
@@ -427,7 +427,7 @@
             let at = self.clock.now();
             client.last_activity.set(at);
             if buffer.is_empty() && client.has_sent_request() {
-                message_start = at;
+                message_timer = MessageTimer::start(at);
             }
             buffer.extend_from_slice(&chunk[..n]);
             let mut used = 0;
@@ -458,22 +458,23 @@
             }
             buffer.drain(..used);
             if used > 0 && client.has_sent_request() {
-                message_start = at;
+                message_timer = MessageTimer::start(at);
             }
+            message_timer.record_input(at, buffer.len());
             if buffer.is_empty() {
                 buffer.shrink_to(chunk.len());
             }
         }
     }
 
-    fn log_overdue_message(&self, client: &Client, message_start: Time, received_bytes: usize) {
+    fn log_overdue_message(&self, timer: &MessageTimer) {
         self.counters.add("client messages overdue");
         let now = self.clock.now();
         log::debug!(
-            "clients: connection closed: a message is incomplete after {} ms, {received_bytes} bytes received, the last \
-             {} ms ago",
-            (now - message_start).as_micros() / 1_000,
-            (now - client.last_activity.get()).as_micros() / 1_000,
+            "clients: connection closed: a message is incomplete after {} ms, {} bytes received, the last {} ms ago",
+            timer.age(now).as_micros() / 1_000,
+            timer.received_bytes(),
+            timer.pause(now).as_micros() / 1_000,
         );
     }
 
