Leave out of a message's time what the gateway spends without reading

What callers saw: a client in the middle of a message that had more than 64 unwritten answers, and took them over 2.5 s later, had its connection closed before it could write the rest. Cause: the wait for answers to be written counted towards the time of the message (`read_loop`, gateway/src/clients.rs). Evidence: with the wait counted, the test's connection is closed within 0.6 s of the last answer. Change: `MessageTimer::exclude`. This works since a client can't write what is not read, and the wait is bounded by the 5 s of a client that takes no bytes.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -374,7 +374,9 @@
             while client.unwritten_answers.get() > MAX_UNWRITTEN_ANSWERS {
                 let written = client.written.listen();
                 if client.unwritten_answers.get() > MAX_UNWRITTEN_ANSWERS {
+                    let wait_start = self.clock.now();
                     written.await;
+                    message_timer.exclude(self.clock.now() - wait_start);
                 }
             }
             let message_due = !buffer.is_empty() || !client.has_sent_request();
--- a/gateway/src/clients/message_timer.rs
+++ b/gateway/src/clients/message_timer.rs
@@ -30,6 +30,12 @@
         self.received_bytes = received_bytes;
     }
 
+    /// Excludes a period in which the gateway did not read.
+    pub fn exclude(&mut self, period: Span) {
+        self.started_at += period;
+        self.last_input_at += period;
+    }
+
     /// When the message is overdue, unless more of it arrives before. `MESSAGE_TIMEOUT` is extended for a message that
     /// keeps arriving.
     pub fn deadline(&self) -> Time {
--- a/gateway/tests/closing.rs
+++ b/gateway/tests/closing.rs
@@ -416,3 +416,34 @@
         assert_eq!(fixture.next_request().await.id, 2);
     });
 }
+
+/// Guards against the close of a connection whose client could not write on, since the gateway did not read.
+#[test]
+fn a_message_has_its_time_after_the_gateway_has_read_nothing_for_a_while() {
+    run_with_frontend(9, async |fixture: Fixture| {
+        let mut client = fixture.connect();
+        // Bodies beyond what the kernel buffers for a client that does not read, then more answers than may wait. Each
+        // write ends a request and begins the next one.
+        let mut id = 1;
+        client.write(&encode_request(id, id)[..20]);
+        while fixture.frontend.counters.unwritten_answers.get() <= 64 {
+            client.write(&[&encode_request(id, id)[20..], &encode_request(id + 1, id + 1)[..20]].concat());
+            let request = fixture.next_request().await;
+            if id <= 30 {
+                fixture.serve(&request, 230_000).await;
+            } else {
+                request.responder.reject(request.id, None);
+            }
+            id += 1;
+            fixture.run_all_tasks().await;
+        }
+        fixture.clock.sleep(Span::from_millis(3_000)).await;
+        while fixture.frontend.counters.unwritten_answers.get() > 0 {
+            let mut bytes = vec![0; 64 * 1024];
+            _ = fixture.clock.timeout(Span::from_millis(1), client.stream.read(&mut bytes)).await;
+        }
+        fixture.clock.sleep(Span::from_millis(600)).await;
+        client.write(&encode_request(id, id)[20..]);
+        assert_eq!(fixture.next_request().await.id, u64::from(id));
+    });
+}
--- a/gateway/tests/message_timer.rs
+++ b/gateway/tests/message_timer.rs
@@ -48,6 +48,15 @@
     assert!(stopped > seconds(5.0) && stopped <= seconds(6.0), "{stopped:?}");
 }
 
+#[test]
+fn time_in_which_the_gateway_does_not_read_is_not_counted() {
+    let mut timer = MessageTimer::start(START);
+    timer.record_input(START, 20);
+    let deadline = timer.deadline();
+    timer.exclude(seconds(4.0));
+    assert_eq!(timer.deadline(), deadline + seconds(4.0));
+}
+
 #[test]
 fn no_pattern_of_input_shortens_the_time_of_a_message_or_makes_it_endless() {
     fn holds(input: Vec<(u16, u32)>) -> bool {
