--- a/gateway/src/clients/connection.rs
+++ b/gateway/src/clients/connection.rs
@@ -1,7 +1,7 @@
 //! One client connection: reads and decodes messages, writes answers, and closes in order.
 //!
-//! Invariant: input is decoded until the write side is shut down, and discarded only after that. A complete request that
-//! arrived before the shutdown is therefore answered.
+//! Invariant: on an intact connection, input is decoded until the write side is shut down, and discarded only after that. A
+//! complete request that arrived before the shutdown is therefore answered. Behind malformed input nothing is decoded.
 
 use super::client::{Client, Frame};
 use super::message_timer::MessageTimer;
