--- /dev/null
+++ b/review/stand-ins-2/src/main.rs
@@ -0,0 +1,42 @@
+//! Drivers of the cases: `review-2 CASE ROOT FOLDER RECORD`. Exit code 1: the rule was broken, 0: it held, 2: not run.
+
+mod client;
+mod common;
+mod keyed_cells;
+mod keyed_window;
+mod member;
+mod queued_purge;
+
+use common::{Case, NotRun, Ran};
+use std::process::ExitCode;
+
+fn run() -> Ran<bool> {
+    let args: Vec<String> = std::env::args().collect();
+    let [_, name, root, folder, record] = args.as_slice() else {
+        return common::not_run("usage: review-2 CASE ROOT FOLDER RECORD");
+    };
+    let case = Case::new(root, folder, record)?;
+    match name.as_str() {
+        "keyed-window" => keyed_window::run(&case),
+        "keyed-cells" => keyed_cells::run(&case),
+        "queued-purge" => queued_purge::run(&case),
+        _ => common::not_run("no such case"),
+    }
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(true) => {
+            println!("the rule was broken");
+            ExitCode::from(1)
+        }
+        Ok(false) => {
+            println!("the rule held");
+            ExitCode::SUCCESS
+        }
+        Err(NotRun(why)) => {
+            println!("the case could not run: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/review/stand-ins-2/src/member.rs
@@ -0,0 +1,149 @@
+//! A cache, a parent or the origin: HTTP/1.1 as on the protocol page, one request at a time on a connection.
+
+use crate::common::Ran;
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+/// A request as it came.
+#[derive(Clone, Debug)]
+pub struct Hop {
+    pub connection: u64,
+    pub class: String,
+    pub object: u64,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Hop {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+}
+
+/// What a member does with a request, after whatever time its handler took.
+pub enum Reply {
+    Answer { status: u16, headers: Vec<(&'static str, String)>, body: Vec<u8> },
+    /// These bytes, then further requests are read.
+    Raw(Vec<u8>),
+    /// The connection is reset.
+    Reset,
+}
+
+pub fn ok(body: Vec<u8>, born_ms: u64, result: &str) -> Reply {
+    let headers = vec![
+        ("ETag", format!("{born_ms:016x}")),
+        ("X-Born-Ms", born_ms.to_string()),
+        ("X-Result", result.to_owned()),
+    ];
+    Reply::Answer { status: 200, headers, body }
+}
+
+#[derive(Clone)]
+pub struct Member {
+    pub address: SocketAddr,
+    dead: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+/// Has the close of a stream reset the connection.
+fn reset_on_close(stream: &TcpStream) {
+    #[repr(C)]
+    struct Linger {
+        on: i32,
+        seconds: i32,
+    }
+    unsafe extern "C" {
+        fn setsockopt(fd: i32, level: i32, name: i32, value: *const Linger, len: u32) -> i32;
+    }
+    // SOL_SOCKET and SO_LINGER of Linux, the same on x86-64 and arm64.
+    unsafe { setsockopt(stream.as_raw_fd(), 1, 13, &Linger { on: 1, seconds: 0 }, 8) };
+}
+
+impl Member {
+    pub fn start(handler: impl Fn(&Hop) -> Reply + Send + Sync + 'static) -> Ran<Member> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let member = Member { address: listener.local_addr()?, dead: Arc::default(), streams: Arc::default() };
+        let (own, handler, count) = (member.clone(), Arc::new(handler), AtomicU64::new(0));
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if own.dead.load(Ordering::SeqCst) {
+                    return;
+                }
+                let (own, handler) = (own.clone(), Arc::clone(&handler));
+                let connection = count.fetch_add(1, Ordering::SeqCst);
+                if let Ok(copy) = stream.try_clone() {
+                    own.streams.lock().unwrap().push(copy);
+                }
+                thread::spawn(move || _ = own.serve(connection, stream, &*handler));
+            }
+        });
+        Ok(member)
+    }
+
+    /// The process dies: its connections end, and nothing listens any more.
+    pub fn die(&self) {
+        self.dead.store(true, Ordering::SeqCst);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+        // Wakes the listener's thread, which then drops the listener.
+        _ = TcpStream::connect(self.address);
+    }
+
+    fn serve(&self, connection: u64, mut stream: TcpStream, handler: &dyn Fn(&Hop) -> Reply) -> Option<()> {
+        _ = stream.set_nodelay(true);
+        let (mut buffer, mut chunk) = (Vec::new(), vec![0; 64 * 1024]);
+        loop {
+            let (hop, used) = loop {
+                if let Some(found) = parse(connection, &buffer) {
+                    break found;
+                }
+                match stream.read(&mut chunk) {
+                    Ok(n @ 1..) => buffer.extend(&chunk[..n]),
+                    _ => return None,
+                }
+            };
+            buffer.drain(..used);
+            let reply = handler(&hop);
+            if self.dead.load(Ordering::SeqCst) {
+                return None;
+            }
+            match reply {
+                Reply::Answer { status, headers, body } => {
+                    let mut out = format!("HTTP/1.1 {status} -\r\nContent-Length: {}\r\n", body.len());
+                    headers.iter().for_each(|(name, value)| out.push_str(&format!("{name}: {value}\r\n")));
+                    out.push_str("\r\n");
+                    let mut out = out.into_bytes();
+                    out.extend(body);
+                    stream.write_all(&out).ok()?;
+                }
+                Reply::Raw(bytes) => stream.write_all(&bytes).ok()?,
+                Reply::Reset => {
+                    reset_on_close(&stream);
+                    // The copy that `die` would use has to go as well, or the descriptor stays open.
+                    let address = stream.peer_addr().ok()?;
+                    self.streams.lock().unwrap().retain(|s| s.peer_addr().ok() != Some(address));
+                    return None;
+                }
+            }
+        }
+    }
+}
+
+fn parse(connection: u64, bytes: &[u8]) -> Option<(Hop, usize)> {
+    let end = bytes.windows(4).position(|w| w == b"\r\n\r\n")?;
+    let text = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let mut lines = text.split("\r\n");
+    let mut path = lines.next()?.split(' ').nth(1)?.split('/').skip(2);
+    let (class, object) = (path.next()?.to_owned(), u64::from_str_radix(path.next()?, 16).ok()?);
+    let headers: BTreeMap<String, String> =
+        lines.filter_map(|l| l.split_once(": ")).map(|(n, v)| (n.to_owned(), v.to_owned())).collect();
+    let len: usize = headers.get("Content-Length").and_then(|n| n.parse().ok()).unwrap_or(0);
+    let body = bytes.get(end + 4..end + 4 + len)?.to_vec();
+    Some((Hop { connection, class, object, headers, body }, end + 4 + len))
+}
