--- a/review/stand-ins-2/src/common.rs
+++ b/review/stand-ins-2/src/common.rs
@@ -39,6 +39,8 @@
     pub folder: PathBuf,
     pub trouble: bool,
     record: Arc<Mutex<File>>,
+    /// The gateways' log lines, each behind the gateway's name.
+    log: Arc<Mutex<Vec<String>>>,
     start: Instant,
 }
 
@@ -46,7 +48,7 @@
     pub fn new(root: &str, folder: &str, record: &str) -> Ran<Case> {
         let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
         let record = Arc::new(Mutex::new(File::create(record)?));
-        let case = Case { root: root.into(), folder: folder.into(), trouble, record, start: Instant::now() };
+        let case = Case { root: root.into(), folder: folder.into(), trouble, record, log: Arc::default(), start: Instant::now() };
         case.note(&format!("the disruption is {}", if trouble { "played" } else { "left out" }));
         Ok(case)
     }
@@ -60,6 +62,24 @@
         _ = writeln!(self.record.lock().unwrap(), "{:>6} ms  {text}", self.ms());
     }
 
+    /// How many lines a gateway has logged that hold this text.
+    pub fn logged(&self, name: &str, text: &str) -> usize {
+        let log = self.log.lock().unwrap();
+        log.iter().filter(|l| l.starts_with(&format!("{name}: ")) && l.contains(text)).count()
+    }
+
+    /// Waits until a condition holds; `false` if it does not in time.
+    pub fn wait(&self, ms: u64, condition: impl Fn() -> bool) -> bool {
+        let until = self.ms() + ms;
+        while !condition() {
+            if self.ms() >= until {
+                return false;
+            }
+            sleep_ms(20);
+        }
+        true
+    }
+
     pub fn say(&self, text: &str) {
         self.note(text);
         println!("{text}");
@@ -107,7 +127,9 @@
         if let Some(log) = child.stderr.take() {
             thread::spawn(move || {
                 for line in BufReader::new(log).lines().map_while(Result::ok) {
-                    case.note(&format!("{own}: {line}"));
+                    let line = format!("{own}: {line}");
+                    case.note(&line);
+                    case.log.lock().unwrap().push(line);
                 }
             });
         }
@@ -147,6 +169,17 @@
         sleep_ms(100);
     }
 
+    /// Ends it by SIGTERM and waits until it has ended.
+    pub fn stop(mut self) {
+        self.signal("TERM");
+        for _ in 0..500 {
+            if self.ended() {
+                return;
+            }
+            sleep_ms(20);
+        }
+    }
+
     pub fn signal(&self, name: &str) {
         _ = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
     }
@@ -196,20 +229,22 @@
     pub classes: &'a str,
     pub write: &'a str,
     pub bypass: bool,
+    /// How many gateways there are in the zone.
+    pub gateways: usize,
 }
 
 impl Config<'_> {
     pub fn json(&self) -> String {
         let listed: Vec<String> = self.listed.iter().map(|l| l.json("up")).collect();
         let zones: Vec<String> = self.zones.iter().map(|z| format!("\"{z}\"")).collect();
-        let crew: Vec<&str> =
-            (0..self.zones.len()).map(|i| if i == self.locality { "1" } else { "0" }).collect();
+        let crew: Vec<String> =
+            (0..self.zones.len()).map(|i| if i == self.locality { self.gateways.to_string() } else { "0".into() }).collect();
         format!(
             r#"{{"name":"{name}","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
 "limits":{{"cores":1.0,"memory_mb":128,"sockets":1024}},"bulletin":"{bulletin}",
 "flow_bytes_per_s":310000,"link_bytes_per_s":12400000,
 "known":{{"no":1,"items":[{{"no":1,"roster":{{"index":1,"snapshot":true,"endpoints":[{listed}]}}}}]}},
-"settings":{{"Instances":1,"Me":0,"Locality":{locality},"Zones":[{zones}],"Shapes":["box","parent","origin"],
+"settings":{{"Instances":{gateways},"Me":0,"Locality":{locality},"Zones":[{zones}],"Shapes":["box","parent","origin"],
 "Weights":"nominal","Discovery":"push","TickUs":1000,"Classes":[{classes}],
 "FamilyInfo":{{"CrewByZone":[{crew}],"ParentKind":1,"OriginKind":2,"BypassAllowed":{bypass},"CanJoin":false,
 "Neighbours":"off","ClientKbPerS":5000.0,"LifetimeByClassUs":[0,0,0],"UsableAfterUs":[0,0,0],"PassOn":[{write}],
@@ -227,6 +262,7 @@
             classes = self.classes,
             crew = crew.join(","),
             bypass = self.bypass,
+            gateways = self.gateways,
             write = self.write,
         )
     }
@@ -284,25 +320,40 @@
     }
 }
 
-/// The files of links between two sites, near to far. Returns the near and the far file.
-pub fn link_files(keys: &Path, far_udp: SocketAddr, roles: &str) -> (String, String) {
-    let keys_of = |site: &str| {
-        let path = |end: &str| keys.join(end).display().to_string();
-        format!(
-            r#"{{"certificate":"{}","key":"{}","roots":"{}"}}"#,
-            path(&format!("{site}.pem")),
-            path(&format!("{site}.key")),
-            path("roots.pem")
-        )
+const IMPORTANCE: &str = r#"{"book":9,"rates":5,"media":2}"#;
+
+fn keys_of(keys: &Path, site: &str) -> String {
+    let path = |end: &str| keys.join(end).display().to_string();
+    format!(
+        r#"{{"certificate":"{}","key":"{}","roots":"{}"}}"#,
+        path(&format!("{site}.pem")),
+        path(&format!("{site}.key")),
+        path("roots.pem")
+    )
+}
+
+/// The file of links of a near gateway to far ones, by name and address. `roles`: what the far ones are here.
+pub fn near_links(keys: &Path, far: &[(&str, SocketAddr)], roles: &str) -> String {
+    let peer = |(name, address): &(&str, SocketAddr)| {
+        format!(r#"{{"name":"{name}","site":"far","address":"{address}","as":[{roles}],"size":64.0}}"#)
     };
-    let importance = r#"{"book":9,"rates":5,"media":2}"#;
-    let near = format!(
-        r#"{{"site":"near","gateway":"near-1","peers":[{{"name":"far-1","site":"far","address":"{far_udp}","as":[{roles}],"size":64.0}}],"keys":{},"importance":{importance}}}"#,
-        keys_of("near")
-    );
-    let far = format!(
-        r#"{{"site":"far","gateway":"far-1","listen":"{far_udp}","accept":["near"],"keys":{},"importance":{importance}}}"#,
-        keys_of("far")
-    );
-    (near, far)
+    let peers: Vec<String> = far.iter().map(peer).collect();
+    format!(
+        r#"{{"site":"near","gateway":"near-1","peers":[{}],"keys":{},"importance":{IMPORTANCE}}}"#,
+        peers.join(","),
+        keys_of(keys, "near")
+    )
+}
+
+/// The file of links of a far gateway.
+pub fn far_links(keys: &Path, name: &str, listen: SocketAddr) -> String {
+    format!(
+        r#"{{"site":"far","gateway":"{name}","listen":"{listen}","accept":["near"],"keys":{},"importance":{IMPORTANCE}}}"#,
+        keys_of(keys, "far")
+    )
+}
+
+/// The files of links between a near and a far gateway.
+pub fn link_files(keys: &Path, far_udp: SocketAddr, roles: &str) -> (String, String) {
+    (near_links(keys, &[("far-1", far_udp)], roles), far_links(keys, "far-1", far_udp))
 }
--- a/review/stand-ins-2/src/keyed_window.rs
+++ b/review/stand-ins-2/src/keyed_window.rs
@@ -72,6 +72,7 @@
         classes: CLASSES,
         write: "false,false,true",
         bypass: true,
+        gateways: 1,
     };
     let far = case.gateway("far-1", &config("far-1", far_bulletin.address, &list, 0).json(), &[("KELPCART_SITES", &far_links)])?;
     let near = case.gateway("near-1", &config("near-1", near_bulletin.address, &[], 1).json(), &[("KELPCART_SITES", &near_links)])?;
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod keyed_window;
 mod member;
 mod queued_purge;
+mod stale_lease;
 
 use common::{Case, NotRun, Ran};
 use std::process::ExitCode;
@@ -20,6 +21,7 @@
         "keyed-window" => keyed_window::run(&case),
         "keyed-cells" => keyed_cells::run(&case),
         "queued-purge" => queued_purge::run(&case),
+        "stale-lease" => stale_lease::run(&case),
         _ => common::not_run("no such case"),
     }
 }
--- a/review/stand-ins-2/src/member.rs
+++ b/review/stand-ins-2/src/member.rs
@@ -48,6 +48,8 @@
     pub address: SocketAddr,
     dead: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
+    /// Connections that are open now.
+    open: Arc<AtomicU64>,
 }
 
 /// Has the close of a stream reset the connection.
@@ -67,7 +69,7 @@
 impl Member {
     pub fn start(handler: impl Fn(&Hop) -> Reply + Send + Sync + 'static) -> Ran<Member> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let member = Member { address: listener.local_addr()?, dead: Arc::default(), streams: Arc::default() };
+        let member = Member { address: listener.local_addr()?, dead: Arc::default(), streams: Arc::default(), open: Arc::default() };
         let (own, handler, count) = (member.clone(), Arc::new(handler), AtomicU64::new(0));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -79,12 +81,20 @@
                 if let Ok(copy) = stream.try_clone() {
                     own.streams.lock().unwrap().push(copy);
                 }
-                thread::spawn(move || _ = own.serve(connection, stream, &*handler));
+                own.open.fetch_add(1, Ordering::SeqCst);
+                thread::spawn(move || {
+                    _ = own.serve(connection, stream, &*handler);
+                    own.open.fetch_sub(1, Ordering::SeqCst);
+                });
             }
         });
         Ok(member)
     }
 
+    pub fn open_connections(&self) -> u64 {
+        self.open.load(Ordering::SeqCst)
+    }
+
     /// The process dies: its connections end, and nothing listens any more.
     pub fn die(&self) {
         self.dead.store(true, Ordering::SeqCst);
