--- a/review/stand-ins-2/src/client.rs
+++ b/review/stand-ins-2/src/client.rs
@@ -20,7 +20,7 @@
 enum Value {
     Nil,
     Bool(bool),
-    Int(u64),
+    Int,
     Bytes(Vec<u8>),
     Array(Vec<Value>),
     Map(Vec<(Value, Value)>),
@@ -40,13 +40,14 @@
         *at += n;
         Some(Value::Bytes(value))
     };
-    let array = |n: usize, at: &mut usize| (0..n).map(|_| decode(bytes, at)).collect::<Option<_>>().map(Value::Array);
+    let array =
+        |n: usize, at: &mut usize| (0..n).map(|_| decode(bytes, at)).collect::<Option<_>>().map(Value::Array);
     let map = |n: usize, at: &mut usize| {
         let pair = |_| Some((decode(bytes, at)?, decode(bytes, at)?));
         (0..n).map(pair).collect::<Option<_>>().map(Value::Map)
     };
     match tag {
-        0..=0x7f => Some(Value::Int(tag.into())),
+        0..=0x7f => Some(Value::Int),
         0x80..=0x8f => map(usize::from(tag & 15), at),
         0x90..=0x9f => array(usize::from(tag & 15), at),
         0xa0..=0xbf => take(usize::from(tag & 31), at),
@@ -54,7 +55,7 @@
         0xc4 | 0xd9 => number(1, at).and_then(|n| take(n as usize, at)),
         0xc5 | 0xda => number(2, at).and_then(|n| take(n as usize, at)),
         0xc6 | 0xdb => number(4, at).and_then(|n| take(n as usize, at)),
-        0xcc..=0xcf => number(1 << (tag - 0xcc), at).map(Value::Int),
+        0xcc..=0xcf => number(1 << (tag - 0xcc), at).map(|_| Value::Int),
         0xdc => number(2, at).and_then(|n| array(n as usize, at)),
         0xde => number(2, at).and_then(|n| map(n as usize, at)),
         _ => Some(Value::Nil),
@@ -104,13 +105,17 @@
 
 /// Whether a gateway answers `check` with true.
 pub fn check(address: SocketAddr) -> bool {
-    let Ok(mut stream) = TcpStream::connect(address) else { return false };
+    let Ok(mut stream) = TcpStream::connect(address) else {
+        return false;
+    };
     // [0, 1, "check", [{}]]
     let request = [&[0x94, 0x00, 0x01, 0xa5][..], b"check", &[0x91, 0x80]].concat();
     if stream.write_all(&request).is_err() {
         return false;
     }
-    let Ok(Value::Array(parts)) = read(&mut stream, Instant::now() + Duration::from_secs(2)) else { return false };
+    let Ok(Value::Array(parts)) = read(&mut stream, Instant::now() + Duration::from_secs(2)) else {
+        return false;
+    };
     matches!(parts.get(3), Some(Value::Array(result)) if matches!(result.first(), Some(Value::Bool(true))))
 }
 
@@ -127,7 +132,9 @@
 
 /// Sends a request on a connection of its own and waits for the answer.
 pub fn ask(address: SocketAddr, request: &Request) -> Answer {
-    let Ok(mut stream) = TcpStream::connect(address) else { return Answer::Closed };
+    let Ok(mut stream) = TcpStream::connect(address) else {
+        return Answer::Closed;
+    };
     _ = stream.set_nodelay(true);
     let (req, subject) = (format!("{:016x}", request.req), format!("{:016x}", request.object));
     let (timeout, set, need) =
--- a/review/stand-ins-2/src/common.rs
+++ b/review/stand-ins-2/src/common.rs
@@ -39,8 +39,6 @@
     pub folder: PathBuf,
     pub trouble: bool,
     record: Arc<Mutex<File>>,
-    /// The gateways' log lines, each behind the gateway's name.
-    log: Arc<Mutex<Vec<String>>>,
     start: Instant,
 }
 
@@ -48,7 +46,7 @@
     pub fn new(root: &str, folder: &str, record: &str) -> Ran<Case> {
         let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
         let record = Arc::new(Mutex::new(File::create(record)?));
-        let case = Case { root: root.into(), folder: folder.into(), trouble, record, log: Arc::default(), start: Instant::now() };
+        let case = Case { root: root.into(), folder: folder.into(), trouble, record, start: Instant::now() };
         case.note(&format!("the disruption is {}", if trouble { "played" } else { "left out" }));
         Ok(case)
     }
@@ -62,24 +60,6 @@
         _ = writeln!(self.record.lock().unwrap(), "{:>6} ms  {text}", self.ms());
     }
 
-    /// How many lines a gateway has logged that hold this text.
-    pub fn logged(&self, name: &str, text: &str) -> usize {
-        let log = self.log.lock().unwrap();
-        log.iter().filter(|l| l.starts_with(&format!("{name}: ")) && l.contains(text)).count()
-    }
-
-    /// Waits until a condition holds; `false` if it does not in time.
-    pub fn wait(&self, ms: u64, condition: impl Fn() -> bool) -> bool {
-        let until = self.ms() + ms;
-        while !condition() {
-            if self.ms() >= until {
-                return false;
-            }
-            sleep_ms(20);
-        }
-        true
-    }
-
     pub fn say(&self, text: &str) {
         self.note(text);
         println!("{text}");
@@ -98,7 +78,8 @@
 
     fn deploy_command(&self) -> Ran<String> {
         let text = fs::read_to_string(self.root.join("deploy/balancer.toml"))?;
-        let line = text.lines().find(|l| l.starts_with("run ")).ok_or(NotRun("no run in the deploy file".into()))?;
+        let line =
+            text.lines().find(|l| l.starts_with("run ")).ok_or(NotRun("no run in the deploy file".into()))?;
         Ok(line.split('"').nth(1).unwrap_or_default().to_owned())
     }
 
@@ -127,13 +108,11 @@
         if let Some(log) = child.stderr.take() {
             thread::spawn(move || {
                 for line in BufReader::new(log).lines().map_while(Result::ok) {
-                    let line = format!("{own}: {line}");
-                    case.note(&line);
-                    case.log.lock().unwrap().push(line);
+                    case.note(&format!("{own}: {line}"));
                 }
             });
         }
-        let mut gateway = Gateway { name: name.to_owned(), address, child };
+        let mut gateway = Gateway { address, child };
         for _ in 0..400 {
             if gateway.ended() {
                 return not_run(format!("{name} ended at its start"));
@@ -149,16 +128,11 @@
 
 /// A gateway process; killed when the value is dropped.
 pub struct Gateway {
-    pub name: String,
     pub address: SocketAddr,
     child: Child,
 }
 
 impl Gateway {
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
     pub fn ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
@@ -169,17 +143,6 @@
         sleep_ms(100);
     }
 
-    /// Ends it by SIGTERM and waits until it has ended.
-    pub fn stop(mut self) {
-        self.signal("TERM");
-        for _ in 0..500 {
-            if self.ended() {
-                return;
-            }
-            sleep_ms(20);
-        }
-    }
-
     pub fn signal(&self, name: &str) {
         _ = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
     }
@@ -237,8 +200,9 @@
     pub fn json(&self) -> String {
         let listed: Vec<String> = self.listed.iter().map(|l| l.json("up")).collect();
         let zones: Vec<String> = self.zones.iter().map(|z| format!("\"{z}\"")).collect();
-        let crew: Vec<String> =
-            (0..self.zones.len()).map(|i| if i == self.locality { self.gateways.to_string() } else { "0".into() }).collect();
+        let crew: Vec<String> = (0..self.zones.len())
+            .map(|i| if i == self.locality { self.gateways.to_string() } else { "0".into() })
+            .collect();
         format!(
             r#"{{"name":"{name}","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
 "limits":{{"cores":1.0,"memory_mb":128,"sockets":1024}},"bulletin":"{bulletin}",
--- a/review/stand-ins-2/src/keyed_cells.rs
+++ b/review/stand-ins-2/src/keyed_cells.rs
@@ -41,7 +41,10 @@
                 if first && !key.is_empty() {
                     runs.lock().unwrap().entry(key.clone()).or_default().push((cell, own.ms()));
                 }
-                own.note(&format!("{label}, cell {cell}: key {key} {}", if first { "runs" } else { "is known" }));
+                own.note(&format!(
+                    "{label}, cell {cell}: key {key} {}",
+                    if first { "runs" } else { "is known" }
+                ));
                 sleep_ms(SERVICE_MS / 2);
                 ok(b"done".to_vec(), crate::common::unix_ms(), "via_origin")
             })?;
@@ -50,11 +53,18 @@
         }
     }
     let origin = Member::start(|_| ok(b"done".to_vec(), crate::common::unix_ms(), "hit"))?;
-    list.push(Listed { name: "store".into(), address: origin.address, zone: "hub", kind: "origin", group: CELLS });
+    list.push(Listed {
+        name: "store".into(),
+        address: origin.address,
+        zone: "hub",
+        kind: "origin",
+        group: CELLS,
+    });
     let keys = case.keys(&["near", "far"])?;
     let (near_bulletin, far_bulletin, far_udp) = (Bulletin::start()?, Bulletin::start()?, free_udp()?);
     let (near_links, far_links) = link_files(&keys, far_udp, r#""parent","origin""#);
-    let (near_links, far_links) = (case.write("near.sites.json", &near_links)?, case.write("far.sites.json", &far_links)?);
+    let (near_links, far_links) =
+        (case.write("near.sites.json", &near_links)?, case.write("far.sites.json", &far_links)?);
     let config = |name, bulletin, listed, locality| Config {
         name,
         bulletin,
@@ -66,8 +76,16 @@
         bypass: false,
         gateways: 1,
     };
-    let far = case.gateway("far-1", &config("far-1", far_bulletin.address, &list, 0).json(), &[("KELPCART_SITES", &far_links)])?;
-    let near = case.gateway("near-1", &config("near-1", near_bulletin.address, &[], 1).json(), &[("KELPCART_SITES", &near_links)])?;
+    let far = case.gateway(
+        "far-1",
+        &config("far-1", far_bulletin.address, &list, 0).json(),
+        &[("KELPCART_SITES", &far_links)],
+    )?;
+    let near = case.gateway(
+        "near-1",
+        &config("near-1", near_bulletin.address, &[], 1).json(),
+        &[("KELPCART_SITES", &near_links)],
+    )?;
     sleep_ms(1_000);
     let mut books = Vec::new();
     for i in 0..BOOKS {
@@ -114,7 +132,9 @@
     let mut broken = false;
     for (key, places) in runs.iter().filter(|(_, places)| places.iter().any(|p| p.0 != places[0].0)) {
         broken = true;
-        case.say(&format!("key {key} ran in more than one cell: (cell, ms) {places:?}; the client asked once"));
+        case.say(&format!(
+            "key {key} ran in more than one cell: (cell, ms) {places:?}; the client asked once"
+        ));
     }
     Ok(broken)
 }
--- a/review/stand-ins-2/src/keyed_window.rs
+++ b/review/stand-ins-2/src/keyed_window.rs
@@ -61,8 +61,10 @@
     let keys = case.keys(&["near", "far"])?;
     let (near_bulletin, far_bulletin, far_udp) = (Bulletin::start()?, Bulletin::start()?, free_udp()?);
     let (near_links, far_links) = link_files(&keys, far_udp, r#""parent","origin""#);
-    let (near_links, far_links) = (case.write("near.sites.json", &near_links)?, case.write("far.sites.json", &far_links)?);
-    let list = [Listed { name: "store".into(), address: origin.address, zone: "hub", kind: "origin", group: 0 }];
+    let (near_links, far_links) =
+        (case.write("near.sites.json", &near_links)?, case.write("far.sites.json", &far_links)?);
+    let list =
+        [Listed { name: "store".into(), address: origin.address, zone: "hub", kind: "origin", group: 0 }];
     let config = |name, bulletin, listed, locality| Config {
         name,
         bulletin,
@@ -74,8 +76,16 @@
         bypass: true,
         gateways: 1,
     };
-    let far = case.gateway("far-1", &config("far-1", far_bulletin.address, &list, 0).json(), &[("KELPCART_SITES", &far_links)])?;
-    let near = case.gateway("near-1", &config("near-1", near_bulletin.address, &[], 1).json(), &[("KELPCART_SITES", &near_links)])?;
+    let far = case.gateway(
+        "far-1",
+        &config("far-1", far_bulletin.address, &list, 0).json(),
+        &[("KELPCART_SITES", &far_links)],
+    )?;
+    let near = case.gateway(
+        "near-1",
+        &config("near-1", near_bulletin.address, &[], 1).json(),
+        &[("KELPCART_SITES", &near_links)],
+    )?;
     sleep_ms(1_000);
     let mut books = Vec::new();
     for i in 0..BOOKS {
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod keyed_window;
 mod member;
 mod queued_purge;
+mod second_copy;
 mod stale_lease;
 
 use common::{Case, NotRun, Ran};
@@ -13,6 +14,11 @@
 
 fn run() -> Ran<bool> {
     let args: Vec<String> = std::env::args().collect();
+    if let [_, name, seed, copies] = args.as_slice()
+        && name == "cache"
+    {
+        return second_copy::cache(seed.parse()?, copies == "second-copies").map(|()| false);
+    }
     let [_, name, root, folder, record] = args.as_slice() else {
         return common::not_run("usage: review-2 CASE ROOT FOLDER RECORD");
     };
@@ -21,6 +27,7 @@
         "keyed-window" => keyed_window::run(&case),
         "keyed-cells" => keyed_cells::run(&case),
         "queued-purge" => queued_purge::run(&case),
+        "second-copy" => second_copy::run(&case),
         "stale-lease" => stale_lease::run(&case),
         _ => common::not_run("no such case"),
     }
--- a/review/stand-ins-2/src/queued_purge.rs
+++ b/review/stand-ins-2/src/queued_purge.rs
@@ -72,7 +72,8 @@
                 let born = unix_ms();
                 return ok(body(hop.object, born), born, "via_origin");
             }
-            let limit: Option<u64> = hop.header("X-Max-Age-Ms").and_then(|t| t.parse().ok()).filter(|n| *n > 0);
+            let limit: Option<u64> =
+                hop.header("X-Max-Age-Ms").and_then(|t| t.parse().ok()).filter(|n| *n > 0);
             let mut born = state.renewed.lock().unwrap().get(&hop.object).copied().unwrap_or(first_born);
             let fresh = limit.is_none_or(|limit| came.saturating_sub(born) <= limit);
             if !fresh {
@@ -80,7 +81,10 @@
                 born = unix_ms();
                 state.renewed.lock().unwrap().insert(hop.object, born);
             }
-            own.note(&format!("{name}: read {trace:016x} of {:x}, age limit {limit:?}, copy born at {born}", hop.object));
+            own.note(&format!(
+                "{name}: read {trace:016x} of {:x}, age limit {limit:?}, copy born at {born}",
+                hop.object
+            ));
             state.given.lock().unwrap().push(Given { object: hop.object, trace, at_ms: came, born_ms: born });
             sleep_ms(10);
             ok(body(hop.object, born), born, if fresh { "hit" } else { "via_origin" })
@@ -89,11 +93,18 @@
     }
     let origin = Member::start(|hop| ok(body(hop.object, unix_ms()), unix_ms(), "hit"))?;
     list.push(Listed { name: "mid".into(), address: origin.address, zone: "hub", kind: "parent", group: 0 });
-    list.push(Listed { name: "store".into(), address: origin.address, zone: "hub", kind: "origin", group: 0 });
+    list.push(Listed {
+        name: "store".into(),
+        address: origin.address,
+        zone: "hub",
+        kind: "origin",
+        group: 0,
+    });
     let keys = case.keys(&["near", "far"])?;
     let (near_bulletin, far_bulletin, far_udp) = (Bulletin::start()?, Bulletin::start()?, free_udp()?);
     let (near_links, far_links) = link_files(&keys, far_udp, r#""parent","origin""#);
-    let (near_links, far_links) = (case.write("near.sites.json", &near_links)?, case.write("far.sites.json", &far_links)?);
+    let (near_links, far_links) =
+        (case.write("near.sites.json", &near_links)?, case.write("far.sites.json", &far_links)?);
     let config = |name, bulletin, listed, locality| Config {
         name,
         bulletin,
@@ -105,8 +116,16 @@
         bypass: true,
         gateways: 1,
     };
-    let far = case.gateway("far-1", &config("far-1", far_bulletin.address, &list, 0).json(), &[("KELPCART_SITES", &far_links)])?;
-    let near = case.gateway("near-1", &config("near-1", near_bulletin.address, &[], 1).json(), &[("KELPCART_SITES", &near_links)])?;
+    let far = case.gateway(
+        "far-1",
+        &config("far-1", far_bulletin.address, &list, 0).json(),
+        &[("KELPCART_SITES", &far_links)],
+    )?;
+    let near = case.gateway(
+        "near-1",
+        &config("near-1", near_bulletin.address, &[], 1).json(),
+        &[("KELPCART_SITES", &near_links)],
+    )?;
     sleep_ms(1_000);
     let start = case.ms();
     let tallies: Arc<Mutex<BTreeMap<&'static str, u32>>> = Arc::default();
@@ -121,7 +140,11 @@
         }
         let slow = case.trouble && (SLOW_FROM_MS..SLOW_FROM_MS + SLOW_FOR_MS).contains(&at);
         if far_state.slow.swap(slow, Ordering::Relaxed) != slow {
-            case.note(if slow { "the far store is slow from now on" } else { "the far store is as fast as before" });
+            case.note(if slow {
+                "the far store is slow from now on"
+            } else {
+                "the far store is as fast as before"
+            });
         }
         let read = |object: u64, req: u64| {
             let (case, address, tallies) = (case.clone(), near.address, Arc::clone(&tallies));
@@ -180,7 +203,9 @@
     }
     let mut broken = false;
     for given in far_state.given.lock().unwrap().iter() {
-        let Some(&told) = purges.get(&given.object) else { continue };
+        let Some(&told) = purges.get(&given.object) else {
+            continue;
+        };
         let after = given.at_ms.saturating_sub(told);
         if given.born_ms < told && after > 100 {
             case.note(&format!("read {:016x}: old copy, {after} ms after the purge was told", given.trace));
--- a/review/stand-ins-2/src/stale_lease.rs
+++ b/review/stand-ins-2/src/stale_lease.rs
@@ -46,7 +46,9 @@
             thread::spawn(move || {
                 let mut bytes = [0; 64 * 1024];
                 while let Ok((n, source)) = switch.sockets[to].recv_from(&mut bytes) {
-                    let Some(from) = switch.listen.iter().position(|l| *l == source) else { continue };
+                    let Some(from) = switch.listen.iter().position(|l| *l == source) else {
+                        continue;
+                    };
                     if !(switch.cut.load(Ordering::Relaxed) && (from == 0) != (to == 0)) {
                         _ = switch.sockets[from].send_to(&bytes[..n], switch.listen[to]);
                     }
@@ -69,7 +71,13 @@
     let store = Member::start(|hop| ok(hop.object.to_be_bytes().to_vec(), unix_ms(), "hit"))?;
     let mut list: Vec<Listed> = Vec::new();
     for (i, cache) in caches.iter().enumerate() {
-        list.push(Listed { name: format!("box-{i}"), address: cache.address, zone: "branch", kind: "box", group: 0 });
+        list.push(Listed {
+            name: format!("box-{i}"),
+            address: cache.address,
+            zone: "branch",
+            kind: "box",
+            group: 0,
+        });
     }
     list.push(Listed { name: "mid".into(), address: store.address, zone: "hub", kind: "parent", group: 0 });
     list.push(Listed { name: "store".into(), address: store.address, zone: "hub", kind: "origin", group: 0 });
@@ -106,7 +114,9 @@
     let served: Arc<Vec<AtomicU32>> = Arc::new((0..GATEWAYS).map(|_| AtomicU32::new(0)).collect());
     // At first the clients are at the first gateway; after a while as many more at the others.
     let mut clients = Vec::new();
-    for (gateway, count, from) in [(0, 24, 0), (1, 8, CUT_AT_MS + 500), (2, 8, CUT_AT_MS + 500), (3, 8, CUT_AT_MS + 500)] {
+    for (gateway, count, from) in
+        [(0, 24, 0), (1, 8, CUT_AT_MS + 500), (2, 8, CUT_AT_MS + 500), (3, 8, CUT_AT_MS + 500)]
+    {
         for client in 0..count {
             let (case, address) = (case.clone(), gateways[gateway].address);
             let (ended, served) = (Arc::clone(&ended), Arc::clone(&served));
@@ -178,7 +188,10 @@
                 longest = (at - began, began);
             }
         }
-        case.say(&format!("box-{cache}: {most} connections at most, {} ms over the budget from {} ms on", longest.0, longest.1));
+        case.say(&format!(
+            "box-{cache}: {most} connections at most, {} ms over the budget from {} ms on",
+            longest.0, longest.1
+        ));
         broken |= longest.0 > LEASE_MS;
     }
     Ok(broken)
