--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds what the scripts of the cases 6 to 10 start beside the build of the deploy file: the project's rig, for the test
+# Builds what the scripts of the cases of REPORT-2.md start beside the build of the deploy file: the project's rig, for the test
 # certificates of links, and the stand-ins with the drivers of the cases.
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/review/stand-ins-2/src/common.rs
+++ b/review/stand-ins-2/src/common.rs
@@ -91,16 +91,32 @@
 
     /// Starts a gateway by the command of the deploy file and waits until it answers `check` with true.
     pub fn gateway(&self, name: &str, config: &str, files: &[(&str, &Path)]) -> Ran<Gateway> {
-        let address = free_tcp()?;
         let config = self.write(&format!("{name}.config.json"), config)?;
+        let mut all = vec![("NODE_CONFIG", config.as_path())];
+        all.extend(files);
+        let mut gateway = self.process(name, &all)?;
+        for _ in 0..400 {
+            if gateway.ended() {
+                return not_run(format!("{name} ended at its start"));
+            }
+            if crate::client::check(gateway.address) {
+                return Ok(gateway);
+            }
+            sleep_ms(25);
+        }
+        not_run(format!("{name} was not ready in 10 s"))
+    }
+
+    /// Starts the program by the command of the deploy file, with files named in its environment.
+    pub fn process(&self, name: &str, files: &[(&str, &Path)]) -> Ran<Gateway> {
+        let address = free_tcp()?;
         let mut command = Command::new("/bin/sh");
         command.arg("-c").arg(self.deploy_command()?).current_dir(&self.root);
-        for name in ["KELPCART_SITES", "KELPCART_COPIES", "KELPCART_FLEET"] {
+        for name in ["NODE_CONFIG", "KELPCART_SITES", "KELPCART_COPIES", "KELPCART_FLEET"] {
             command.env_remove(name);
         }
         let level = std::env::var("KELPCART_LOG").unwrap_or_else(|_| "info".into());
-        command.env("NODE_NAME", name).env("NODE_CONFIG", config).env("NODE_LISTEN", address.to_string());
-        command.env("KELPCART_LOG", level);
+        command.env("NODE_NAME", name).env("NODE_LISTEN", address.to_string()).env("KELPCART_LOG", level);
         command.envs(files.iter().map(|(name, path)| (name, path.as_os_str())));
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.spawn()?;
@@ -112,17 +128,7 @@
                 }
             });
         }
-        let mut gateway = Gateway { address, child };
-        for _ in 0..400 {
-            if gateway.ended() {
-                return not_run(format!("{name} ended at its start"));
-            }
-            if crate::client::check(address) {
-                return Ok(gateway);
-            }
-            sleep_ms(25);
-        }
-        not_run(format!("{name} was not ready in 10 s"))
+        Ok(Gateway { address, child })
     }
 }
 
@@ -254,6 +260,13 @@
         Ok(bulletin)
     }
 
+    /// Puts event 1 in, the list of the configuration, for those that ask for all events.
+    pub fn list(&self, listed: &[Listed]) {
+        let listed: Vec<String> = listed.iter().map(|l| l.json("up")).collect();
+        let body = format!(r#""roster":{{"index":1,"snapshot":true,"endpoints":[{}]}}"#, listed.join(","));
+        self.events.lock().unwrap().push((1, format!("{{\"no\":1,{body}}}\n")));
+    }
+
     /// Tells an event from now on; `body` is what follows the number.
     pub fn tell(&self, body: &str) -> u64 {
         let mut events = self.events.lock().unwrap();
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -2,10 +2,9 @@
 
 mod client;
 mod common;
+mod feed_restart;
 mod keyed_cells;
-mod keyed_window;
 mod member;
-mod queued_purge;
 mod second_copy;
 mod stale_lease;
 
@@ -24,9 +23,8 @@
     };
     let case = Case::new(root, folder, record)?;
     match name.as_str() {
-        "keyed-window" => keyed_window::run(&case),
+        "feed-restart" => feed_restart::run(&case),
         "keyed-cells" => keyed_cells::run(&case),
-        "queued-purge" => queued_purge::run(&case),
         "second-copy" => second_copy::run(&case),
         "stale-lease" => stale_lease::run(&case),
         _ => common::not_run("no such case"),
--- a/review/stand-ins-2/src/member.rs
+++ b/review/stand-ins-2/src/member.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -33,8 +32,6 @@
     Raw(Vec<u8>),
     /// Each piece after so many milliseconds; the connection then ends, or stays.
     Pieces(Vec<(u64, Vec<u8>)>, bool),
-    /// The connection is reset.
-    Reset,
 }
 
 impl Reply {
@@ -70,20 +67,6 @@
     open: Arc<AtomicU64>,
 }
 
-/// Has the close of a stream reset the connection.
-fn reset_on_close(stream: &TcpStream) {
-    #[repr(C)]
-    struct Linger {
-        on: i32,
-        seconds: i32,
-    }
-    unsafe extern "C" {
-        fn setsockopt(fd: i32, level: i32, name: i32, value: *const Linger, len: u32) -> i32;
-    }
-    // SOL_SOCKET and SO_LINGER of Linux, the same on x86-64 and arm64.
-    unsafe { setsockopt(stream.as_raw_fd(), 1, 13, &Linger { on: 1, seconds: 0 }, 8) };
-}
-
 impl Member {
     pub fn start(handler: impl Fn(&Hop) -> Reply + Send + Sync + 'static) -> Ran<Member> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -106,7 +89,7 @@
                 }
                 own.open.fetch_add(1, Ordering::SeqCst);
                 thread::spawn(move || {
-                    _ = own.serve(stream, &*handler, || _ = own.streams.lock().unwrap().remove(&connection));
+                    _ = own.serve(stream, &*handler);
                     own.streams.lock().unwrap().remove(&connection);
                     own.open.fetch_sub(1, Ordering::SeqCst);
                 });
@@ -129,8 +112,7 @@
         _ = TcpStream::connect(self.address);
     }
 
-    /// `forget` drops the copy of the stream that `die` would use.
-    fn serve(&self, mut stream: TcpStream, handler: &dyn Fn(&Hop) -> Reply, forget: impl Fn()) -> Option<()> {
+    fn serve(&self, mut stream: TcpStream, handler: &dyn Fn(&Hop) -> Reply) -> Option<()> {
         _ = stream.set_nodelay(true);
         let (mut buffer, mut chunk) = (Vec::new(), vec![0; 64 * 1024]);
         loop {
@@ -160,11 +142,6 @@
                         return None;
                     }
                 }
-                Reply::Reset => {
-                    reset_on_close(&stream);
-                    forget();
-                    return None;
-                }
             }
         }
     }
