--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -11,7 +11,7 @@
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 # At the time-out the driver and its gateways, which are of its process group, are ended.
-timeout -k 3 112 "$program" stale-lease "$root" "$folder" "$here/record.txt"
+timeout -k 3 112 "$program" lost-reload "$root" "$folder" "$here/record.txt"
 result=$?
 [ "$result" -le 2 ] || result=2
 exit "$result"
--- a/review/stand-ins-2/src/client.rs
+++ b/review/stand-ins-2/src/client.rs
@@ -1,4 +1,4 @@
-//! A client: MessagePack-RPC over TCP, a connection for each request.
+//! A client: MessagePack-RPC over TCP.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -132,45 +132,60 @@
 
 /// Sends a request on a connection of its own and waits for the answer.
 pub fn ask(address: SocketAddr, request: &Request) -> Answer {
-    let Ok(mut stream) = TcpStream::connect(address) else {
-        return Answer::Closed;
-    };
-    _ = stream.set_nodelay(true);
-    let (req, subject) = (format!("{:016x}", request.req), format!("{:016x}", request.object));
-    let (timeout, set, need) =
-        (request.timeout_ms.to_string(), request.group.to_string(), request.need_kb.to_string());
-    let mut fields = vec![
-        ("req", req.as_str()),
-        ("timeout", timeout.as_str()),
-        ("subject", subject.as_str()),
-        ("slice", "0"),
-        ("set", set.as_str()),
-        ("need", need.as_str()),
-    ];
-    fields.extend(request.key.map(|key| ("opkey", key)));
-    if stream.write_all(&encode(1, request.class, &fields, request.body)).is_err() {
-        return Answer::Closed;
+    Session::open(address).map_or(Answer::Closed, |mut session| session.ask(request))
+}
+
+/// A connection that carries one request after the other.
+pub struct Session {
+    stream: TcpStream,
+    last_id: u32,
+}
+
+impl Session {
+    pub fn open(address: SocketAddr) -> Option<Session> {
+        let stream = TcpStream::connect(address).ok()?;
+        _ = stream.set_nodelay(true);
+        Some(Session { stream, last_id: 0 })
     }
-    let until = Instant::now() + Duration::from_millis(request.timeout_ms + 500);
-    let parts = match read(&mut stream, until) {
-        Ok(Value::Array(parts)) => parts,
-        Ok(_) => return Answer::Failed("unreadable".into()),
-        Err(end) => return end,
-    };
-    match (parts.get(2), parts.get(3)) {
-        (Some(Value::Nil), Some(Value::Array(result))) => {
-            let current = matches!(result.get(1), Some(Value::Map(fields)) if !fields.is_empty());
-            match result.first() {
-                Some(Value::Bytes(body)) => Answer::Served(body.clone(), current),
-                _ => Answer::Failed("unreadable".into()),
-            }
+
+    pub fn ask(&mut self, request: &Request) -> Answer {
+        let (req, subject) = (format!("{:016x}", request.req), format!("{:016x}", request.object));
+        let (timeout, set, need) =
+            (request.timeout_ms.to_string(), request.group.to_string(), request.need_kb.to_string());
+        let mut fields = vec![
+            ("req", req.as_str()),
+            ("timeout", timeout.as_str()),
+            ("subject", subject.as_str()),
+            ("slice", "0"),
+            ("set", set.as_str()),
+            ("need", need.as_str()),
+        ];
+        fields.extend(request.key.map(|key| ("opkey", key)));
+        self.last_id += 1;
+        if self.stream.write_all(&encode(self.last_id, request.class, &fields, request.body)).is_err() {
+            return Answer::Closed;
         }
-        (Some(Value::Array(error)), _) => match error.first() {
-            Some(Value::Bytes(name)) if name == b"Backoff" => Answer::Refused,
-            Some(Value::Bytes(name)) => Answer::Failed(String::from_utf8_lossy(name).into_owned()),
+        let until = Instant::now() + Duration::from_millis(request.timeout_ms + 500);
+        let parts = match read(&mut self.stream, until) {
+            Ok(Value::Array(parts)) => parts,
+            Ok(_) => return Answer::Failed("unreadable".into()),
+            Err(end) => return end,
+        };
+        match (parts.get(2), parts.get(3)) {
+            (Some(Value::Nil), Some(Value::Array(result))) => {
+                let current = matches!(result.get(1), Some(Value::Map(fields)) if !fields.is_empty());
+                match result.first() {
+                    Some(Value::Bytes(body)) => Answer::Served(body.clone(), current),
+                    _ => Answer::Failed("unreadable".into()),
+                }
+            }
+            (Some(Value::Array(error)), _) => match error.first() {
+                Some(Value::Bytes(name)) if name == b"Backoff" => Answer::Refused,
+                Some(Value::Bytes(name)) => Answer::Failed(String::from_utf8_lossy(name).into_owned()),
+                _ => Answer::Failed("unreadable".into()),
+            },
             _ => Answer::Failed("unreadable".into()),
-        },
-        _ => Answer::Failed("unreadable".into()),
+        }
     }
 }
 
--- a/review/stand-ins-2/src/common.rs
+++ b/review/stand-ins-2/src/common.rs
@@ -91,10 +91,21 @@
 
     /// Starts a gateway by the command of the deploy file and waits until it answers `check` with true.
     pub fn gateway(&self, name: &str, config: &str, files: &[(&str, &Path)]) -> Ran<Gateway> {
+        self.limited_gateway(name, config, files, None)
+    }
+
+    /// The same with a limit of descriptors, as the platform sets it for the gateway's process.
+    pub fn limited_gateway(
+        &self,
+        name: &str,
+        config: &str,
+        files: &[(&str, &Path)],
+        descriptors: Option<u32>,
+    ) -> Ran<Gateway> {
         let config = self.write(&format!("{name}.config.json"), config)?;
         let mut all = vec![("NODE_CONFIG", config.as_path())];
         all.extend(files);
-        let mut gateway = self.process(name, &all)?;
+        let mut gateway = self.process(name, &all, descriptors)?;
         for _ in 0..400 {
             if gateway.ended() {
                 return not_run(format!("{name} ended at its start"));
@@ -108,10 +119,11 @@
     }
 
     /// Starts the program by the command of the deploy file, with files named in its environment.
-    pub fn process(&self, name: &str, files: &[(&str, &Path)]) -> Ran<Gateway> {
+    pub fn process(&self, name: &str, files: &[(&str, &Path)], descriptors: Option<u32>) -> Ran<Gateway> {
         let address = free_tcp()?;
         let mut command = Command::new("/bin/sh");
-        command.arg("-c").arg(self.deploy_command()?).current_dir(&self.root);
+        let limit = descriptors.map(|n| format!("ulimit -n {n}; ")).unwrap_or_default();
+        command.arg("-c").arg(format!("{limit}{}", self.deploy_command()?)).current_dir(&self.root);
         for name in ["NODE_CONFIG", "KELPCART_SITES", "KELPCART_COPIES", "KELPCART_FLEET"] {
             command.env_remove(name);
         }
@@ -139,6 +151,10 @@
 }
 
 impl Gateway {
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
@@ -243,16 +259,37 @@
 pub struct Bulletin {
     pub address: SocketAddr,
     events: Arc<Mutex<Vec<(u64, String)>>>,
+    /// When it was given up for another address.
+    retired: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Bulletin {
     /// Event 1 is in the configuration.
     pub fn start() -> Ran<Bulletin> {
+        Bulletin::with(Arc::default())
+    }
+
+    /// The same bulletin at another address; the numbers go on. The old one takes no new connection, tells nothing more
+    /// and closes the open ones after 1.5 s, from `retire` on.
+    pub fn moved(&self) -> Ran<Bulletin> {
+        Bulletin::with(Arc::clone(&self.events))
+    }
+
+    pub fn retire(&self) {
+        *self.retired.lock().unwrap() = Some(Instant::now());
+        // Wakes the listener's thread, which then drops the listener.
+        _ = TcpStream::connect(self.address);
+    }
+
+    fn with(events: Arc<Mutex<Vec<(u64, String)>>>) -> Ran<Bulletin> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let bulletin = Bulletin { address: listener.local_addr()?, events: Arc::default() };
+        let bulletin = Bulletin { address: listener.local_addr()?, events, retired: Arc::default() };
         let own = bulletin.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if own.retired.lock().unwrap().is_some() {
+                    return;
+                }
                 let own = own.clone();
                 thread::spawn(move || own.serve(stream));
             }
@@ -282,6 +319,11 @@
         let mut sent: u64 = line.trim().strip_prefix("after ")?.parse().ok()?;
         let mut beat = Instant::now();
         loop {
+            let retired = *self.retired.lock().unwrap();
+            if let Some(since) = retired {
+                thread::sleep(Duration::from_millis(1_500).saturating_sub(since.elapsed()));
+                return None;
+            }
             let due: Vec<(u64, String)> =
                 self.events.lock().unwrap().iter().filter(|e| e.0 > sent).cloned().collect();
             for (number, event) in due {
--- a/review/stand-ins-2/src/feed_restart.rs
+++ b/review/stand-ins-2/src/feed_restart.rs
@@ -95,7 +95,7 @@
         feed("control", &control)
     );
     let hub = case.write("control-1.fleet.json", &hub)?;
-    let mut control = case.process("control-1", &[("KELPCART_FLEET", &hub)])?;
+    let mut control = case.process("control-1", &[("KELPCART_FLEET", &hub)], None)?;
     sleep_ms(1_500);
     if control.ended() {
         return not_run("the hub ended at its start");
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod feed_restart;
 mod keyed_cells;
+mod lost_reload;
 mod member;
 mod second_copy;
 mod stale_lease;
@@ -25,6 +26,7 @@
     match name.as_str() {
         "feed-restart" => feed_restart::run(&case),
         "keyed-cells" => keyed_cells::run(&case),
+        "lost-reload" => lost_reload::run(&case),
         "second-copy" => second_copy::run(&case),
         "stale-lease" => stale_lease::run(&case),
         _ => common::not_run("no such case"),
