--- a/review/stand-ins-2/src/keyed_cells.rs
+++ b/review/stand-ins-2/src/keyed_cells.rs
@@ -5,14 +5,15 @@
 use crate::common::{Bulletin, Case, Config, Listed, Ran, free_udp, link_files, not_run, sleep_ms};
 use crate::member::{Member, ok};
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
 const CELLS: u32 = 3;
 const PER_CELL: u32 = 2;
 /// Time that a book takes at a cache; it runs in the middle of it.
-const SERVICE_MS: u64 = 60;
-const BOOKS: usize = 400;
+const SERVICE_MS: u64 = 80;
+const BOOKS: usize = 600;
 /// The caches of the cell restart within this time of one another.
 const APART_MS: u64 = 40;
 
@@ -34,10 +35,16 @@
             let (own, runs, known) = (case.clone(), Arc::clone(&runs), Arc::clone(&known));
             let name = format!("box-{cell}{i}");
             let label = name.clone();
+            let dead: Arc<AtomicBool> = Arc::default();
+            let has_died = Arc::clone(&dead);
             let member = Member::start(move |hop| {
                 let key = hop.header("X-Op-Key").unwrap_or_default().to_owned();
                 let first = known.lock().unwrap().insert(key.clone(), own.ms()).is_none();
                 sleep_ms(SERVICE_MS / 2);
+                // A process that has died runs nothing more.
+                if has_died.load(Ordering::SeqCst) {
+                    return ok(Vec::new(), crate::common::unix_ms(), "via_origin");
+                }
                 if first && !key.is_empty() {
                     runs.lock().unwrap().entry(key.clone()).or_default().push((cell, own.ms()));
                 }
@@ -49,7 +56,7 @@
                 ok(b"done".to_vec(), crate::common::unix_ms(), "via_origin")
             })?;
             list.push(Listed { name, address: member.address, zone: "hub", kind: "box", group: cell });
-            members.push((cell, member));
+            members.push((cell, member, dead));
         }
     }
     let origin = Member::start(|_| ok(b"done".to_vec(), crate::common::unix_ms(), "hit"))?;
@@ -90,11 +97,13 @@
     let mut books = Vec::new();
     for i in 0..BOOKS {
         if case.trouble && i == BOOKS / 2 {
-            let struck: Vec<Member> = members.iter().filter(|m| m.0 == 0).map(|m| m.1.clone()).collect();
+            let struck: Vec<(Member, Arc<AtomicBool>)> =
+                members.iter().filter(|m| m.0 == 0).map(|m| (m.1.clone(), Arc::clone(&m.2))).collect();
             let case = case.clone();
             thread::spawn(move || {
-                for member in struck {
+                for (member, dead) in struck {
                     case.note("a cache of cell 0 dies");
+                    dead.store(true, Ordering::SeqCst);
                     member.die();
                     sleep_ms(APART_MS);
                 }
@@ -118,7 +127,7 @@
             case.note(&format!("client: book {req:016x}: {}", brief(&answer)));
             matches!(answer, crate::client::Answer::Served(..))
         }));
-        sleep_ms(7);
+        sleep_ms(5);
     }
     let served = books.into_iter().filter_map(|b| b.join().ok()).filter(|s| *s).count();
     sleep_ms(500);
