--- a/review/stand-ins-2/src/lost_reload.rs
+++ b/review/stand-ins-2/src/lost_reload.rs
@@ -92,10 +92,21 @@
     list.push(Listed { name: "store".into(), address: store.address, zone: "hub", kind: "origin", group: 0 });
     let old = Bulletin::start()?;
     let new = old.moved()?;
-    // A link to another site that is not up at present; all that is read here is of the gateway's own site.
+    // Links with another site, both ways, with a ledger on a disk; the other site is not up, and all that is read here is of
+    // the gateway's own site.
     let keys = case.keys(&["near", "far"])?;
-    let links =
-        case.write("near.sites.json", &near_links(&keys, &[("far-1", free_udp()?)], r#""origin""#))?;
+    let links = near_links(&keys, &[("far-1", free_udp()?)], r#""origin""#);
+    let (listen, ledger) = (free_udp()?, case.folder.join("ledger"));
+    let both =
+        format!(r#"{{"listen":"{listen}","accept":["far"],"ledger":{{"file":"{}"}},"#, ledger.display());
+    let links = case.write("near.sites.json", &links.replacen('{', &both, 1))?;
+    // A fleet for budgets in common, of which nobody else is there; each gateway follows the bulletin by itself.
+    let fleet_address = free_udp()?;
+    let fleet = format!(
+        r#"{{"fleet":"branch","gateway":"near-1","listen":"{fleet_address}","seeds":["{fleet_address}"],"keys":[{{"id":1,"secret":"{}"}}],"members":{{"expected":4}},"relays":{{"on":false}},"budgets":{{"connections":80}}}}"#,
+        "5a".repeat(32)
+    );
+    let fleet = case.write("near.fleet.json", &fleet)?;
     let config = |bulletin: SocketAddr| {
         let config = Config {
             name: "near-1",
@@ -113,7 +124,7 @@
     let mut gateway = case.limited_gateway(
         "near-1",
         &config(old.address),
-        &[("KELPCART_SITES", &links)],
+        &[("KELPCART_SITES", &links), ("KELPCART_FLEET", &fleet)],
         Some(DESCRIPTORS),
     )?;
     let (start, ended) = (case.ms(), Arc::new(AtomicBool::new(false)));
