--- a/review/stand-ins-2/src/second_copy.rs
+++ b/review/stand-ins-2/src/second_copy.rs
@@ -20,7 +20,7 @@
 const SECOND_EVERY: u64 = 5;
 const SECOND_AFTER_MS: std::ops::Range<u64> = 3..10;
 const CLIENTS: u64 = 24;
-const SECONDS: u64 = 75;
+const SECONDS: u64 = 95;
 
 const CLASSES: &str = r#"
 {"Name":"media","Repeat":"pure","DedupScope":"all","MemorySpanUs":0,"SloUs":500000,"AimStretch":1.6,"DeadlineUs":6000000},
