--- a/review/stand-ins-2/src/feed_restart.rs
+++ b/review/stand-ins-2/src/feed_restart.rs
@@ -164,7 +164,7 @@
                     let due: Vec<u64> = {
                         let (all, mut taken) = (world.lock().unwrap(), taken.lock().unwrap());
                         let before =
-                            all.purged.iter().filter(|(_, at)| **at + 200 < ready && **at + 3_500 > ready);
+                            all.purged.iter().filter(|(_, at)| **at + 1_000 < ready && **at + 3_500 > ready);
                         let free: Vec<u64> = before
                             .map(|(o, _)| *o)
                             .filter(|o| !taken.contains(o))
