A keyed txn that may have run at another site is not sent over a link again

Evidence: a_keyed_txn_that_may_have_run_at_another_site_does_not_cross_the_link_again fails without the change (the far origins get 4 requests in place of 1), so does keyed_txns_are_not_repeated_in_a_cell_that_is_not_known_to_be_the_first_one with the members' present cells compared.

--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -185,9 +185,9 @@
     let entry = entry.as_object().ok_or("an entry is not an object")?;
     Ok(Member {
         id: Arc::from(text(entry, "Cache")?),
-        zone: optional(entry, "Campus", int)?.unwrap_or(0) as usize,
+        zone: Some(optional(entry, "Campus", int)?.unwrap_or(0) as usize),
         kind: optional(entry, "Type", int)?.unwrap_or(0) as usize,
-        cell: optional(entry, "Group", int)?.unwrap_or(0),
+        cell: optional(entry, "Group", int)?,
         state: state(entry, "Availability")?,
         capacity: optional(entry, "Share", number)?.unwrap_or(0.0),
         started: optional(entry, "StartedAtUs", int)?.filter(|&at| at > 0).map(Time::from_micros),
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -139,17 +139,17 @@
 
 fn parse_listed_member(entry: &Value, names: &Names) -> ParseResult<ListedMember> {
     let entry = entry.as_object().ok_or("an entry of endpoints is not an object")?;
-    // An unknown name maps to the index after the last known one, so that it never counts as a known zone or kind.
     let index_of = |name: &str, of: &[String]| {
         let value = entry.get(name).and_then(Value::as_str);
-        value.and_then(|t| of.iter().position(|n| n == t)).unwrap_or(of.len())
+        value.and_then(|t| of.iter().position(|n| n == t))
     };
     let started = optional(entry, "since_ms", int)?.filter(|&ms| ms > 0);
     let member = Member {
         id: Arc::from(text(entry, "name")?),
         zone: index_of("zone", &names.zones),
-        kind: index_of("type", &names.kinds),
-        cell: optional(entry, "group", int)?.unwrap_or(0),
+        // An unknown kind maps to the index after the last known one, so that it never counts as a known kind.
+        kind: index_of("type", &names.kinds).unwrap_or(names.kinds.len()),
+        cell: optional(entry, "group", int)?,
         state: state(entry, "status")?,
         capacity: optional(entry, "weight", number)?.unwrap_or(0.0),
         started: started.map(|ms| Time::from_micros(ms.saturating_mul(1_000))),
--- a/gateway/src/feed.rs
+++ b/gateway/src/feed.rs
@@ -83,9 +83,9 @@
 fn gone(id: &MemberId) -> ListedMember {
     let member = Member {
         id: id.clone(),
-        zone: 0,
+        zone: None,
         kind: 0,
-        cell: 0,
+        cell: None,
         state: MemberState::Gone,
         capacity: 0.0,
         started: None,
--- a/gateway/src/sites.rs
+++ b/gateway/src/sites.rs
@@ -172,10 +172,9 @@
             links.insert(Arc::clone(&id), link);
             let member = Member {
                 id,
-                // A zone that no local member has.
-                zone: config.names.zones.len(),
+                zone: None,
                 kind,
-                cell: 0,
+                cell: None,
                 state: MemberState::Up,
                 capacity: peer.size,
                 started: None,
--- a/gateway/tests/sites.rs
+++ b/gateway/tests/sites.rs
@@ -3,6 +3,7 @@
 //! all limits are long, and each step waits for a log line or counter.
 
 mod common;
+mod stand_ins;
 
 use common::{Client, PATIENCE, len, program, wait_for};
 use kelpcart_rig::caches::{CacheEndpoint, Latencies, Site, copy_created_ms};
@@ -13,6 +14,7 @@
 use kelpcart_rig::link_emulator::LinkConditions;
 use kelpcart_rig::relay::Relay;
 use serde_json::{Value, json};
+use stand_ins::{Reply, StubCache};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -26,6 +28,8 @@
     acceptor_bulletin: DiscoveryServer,
     authority: Authority,
     listen: SocketAddr,
+    /// Makes bookings keyed txns with this dedup scope; `None`: they are unrepeatable.
+    keyed_scope: Option<&'static str>,
 }
 
 impl Drop for TestSites {
@@ -54,6 +58,7 @@
             authority,
             listen: free_udp_address().unwrap(),
             folder,
+            keyed_scope: None,
         }
     }
 
@@ -65,6 +70,11 @@
         for class in all["settings"]["Classes"].as_array_mut().unwrap() {
             (class["SloUs"], class["DeadlineUs"]) = (json!(20_000_000), json!(24_000_000));
         }
+        if let Some(scope) = self.keyed_scope {
+            let book = &mut all["settings"]["Classes"][2];
+            (book["Repeat"], book["DedupScope"]) = (json!("token"), json!(scope));
+            book["MemorySpanUs"] = json!(24_000_000);
+        }
         all
     }
 
@@ -83,7 +93,22 @@
         let mut all = json!({"listen": self.listen.to_string(), "accept": ["near"]});
         all.as_object_mut().unwrap().extend(rest.as_object().unwrap().clone());
         let config = self.config("far-1", &self.acceptor_bulletin, &self.places);
-        Gateway::start(program(), &self.folder, &config, Some(&self.site_settings("far", all))).unwrap()
+        self.start_acceptor(&config, all)
+    }
+
+    fn start_acceptor(&self, config: &Value, settings: Value) -> Gateway {
+        Gateway::start(program(), &self.folder, config, Some(&self.site_settings("far", settings))).unwrap()
+    }
+
+    /// An acceptor whose bookings run at either of two origins, which are in different zones and cells.
+    fn acceptor_with_origins(&self, origins: [SocketAddr; 2]) -> Gateway {
+        let endpoint = |(i, address)| CacheEndpoint { name: format!("origin-{i}"), kind: "origin", address };
+        let endpoints: Vec<CacheEndpoint> = origins.into_iter().enumerate().map(endpoint).collect();
+        let mut config = self.config("far-1", &self.acceptor_bulletin, &endpoints);
+        config["settings"]["Zones"] = json!(["z", "y"]);
+        let second = &mut config["known"]["items"][0]["roster"]["endpoints"][1];
+        (second["zone"], second["group"]) = (json!("y"), json!(1));
+        self.start_acceptor(&config, json!({"listen": self.listen.to_string(), "accept": ["near"]}))
     }
 
     fn durable_acceptor(&self) -> Gateway {
@@ -199,6 +224,33 @@
     }
 }
 
+/// Guards against a keyed txn that runs twice: the zone and the cell in which another site ran it are not known here, so a
+/// second hop over the link is never within its dedup scope.
+#[test]
+fn a_keyed_txn_that_may_have_run_at_another_site_does_not_cross_the_link_again() {
+    for scope in ["zone", "cell"] {
+        let mut sites = TestSites::new(&format!("keyed-{scope}"));
+        sites.keyed_scope = Some(scope);
+        let origins = [(); 2].map(|()| StubCache::start(|_| Reply::SendAndClose(Vec::new())));
+        let _acceptor = sites.acceptor_with_origins([origins[0].address, origins[1].address]);
+        let relay = sites.relay();
+        let initiator = sites.initiator(&relay);
+        wait_for(&initiator, "(far-1) is up", 1);
+        let mut client = Client::of(&initiator);
+        // A rejected txn has not run: the link may not be trusted yet.
+        let began = Instant::now();
+        let status = loop {
+            client.ask("book", 77);
+            let status = client.answer().status;
+            if status != Status::Rejected || began.elapsed() > PATIENCE {
+                break status;
+            }
+        };
+        let runs: usize = origins.iter().map(StubCache::take_request_count).sum();
+        assert_eq!((status, runs), (Status::Failed, 1), "scope: {scope}");
+    }
+}
+
 #[test]
 fn a_durable_ledger_keeps_the_outcome_of_a_booking_after_a_kill() {
     let sites = TestSites::new("disk");
--- a/routes/src/fleet.rs
+++ b/routes/src/fleet.rs
@@ -33,13 +33,13 @@
     }
 
     pub fn matches(&self, selector: &MemberSelector, member: &Member, failure: Option<FailureMode>) -> bool {
-        let name_matches = |named: &Option<String>, all: &[String], index: usize| {
-            named.as_ref().is_none_or(|n| all.iter().position(|a| a == n) == Some(index))
+        let name_matches = |named: &Option<String>, all: &[String], index: Option<usize>| {
+            named.as_ref().is_none_or(|n| index.is_some() && all.iter().position(|a| a == n) == index)
         };
         selector.names.as_ref().is_none_or(|names| names.contains(&*member.id))
-            && name_matches(&selector.kind, &self.names.kinds, member.kind)
+            && name_matches(&selector.kind, &self.names.kinds, Some(member.kind))
             && name_matches(&selector.zone, &self.names.zones, member.zone)
-            && selector.cell.is_none_or(|cell| cell == member.cell)
+            && selector.cell.is_none_or(|cell| member.cell == Some(cell))
             && selector.trouble.is_none_or(|t| failure == Some(t))
     }
 
--- a/routes/src/measure.rs
+++ b/routes/src/measure.rs
@@ -31,9 +31,9 @@
         let (id, state, started) = (Arc::from(name), MemberState::Up, None::<Time>);
         Member {
             id,
-            zone: i % zones,
+            zone: Some(i % zones),
             kind,
-            cell: (i % 7) as u64,
+            cell: Some((i % 7) as u64),
             state,
             capacity: 4.0,
             started,
--- a/scale/src/benchmarks/module.rs
+++ b/scale/src/benchmarks/module.rs
@@ -164,7 +164,7 @@
 
 pub fn member(id: String, kind: usize, zone: usize, size: f64) -> Member {
     let (id, state) = (Arc::from(id), MemberState::Up);
-    Member { id, zone, kind, cell: 0, state, capacity: size, started: None, remote: false }
+    Member { id, zone: Some(zone), kind, cell: Some(0), state, capacity: size, started: None, remote: false }
 }
 
 #[derive(Clone, Debug, Default)]
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -115,10 +115,12 @@
 #[derive(Clone, Debug)]
 pub struct Member {
     pub id: MemberId,
-    pub zone: usize,
+    /// `None` where it is unknown, as for a gateway of another site.
+    pub zone: Option<usize>,
     /// Cache, parent or origin, by `Settings::parent_kind` and `Settings::origin_kind`.
     pub kind: usize,
-    pub cell: u64,
+    /// The members of a cell share the idempotency keys that they have seen. `None` where it is unknown.
+    pub cell: Option<u64>,
     pub state: MemberState,
     /// In concurrent transfers at `Settings::client_rate`, where capacities are known.
     pub capacity: f64,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -294,7 +294,7 @@
         {
             self.state.listed_by_role[record.role as usize].push(i);
         }
-        let in_zone = |i: &&usize| self.state.members[**i].info.zone == self.settings.zone;
+        let in_zone = |i: &&usize| self.state.members[**i].info.zone == Some(self.settings.zone);
         self.state.zone_caches =
             self.state.listed_by_role[Role::Edge as usize].iter().filter(in_zone).copied().collect();
         for i in added {
@@ -513,8 +513,10 @@
         } else if outcome.status != HopStatus::Overtaken {
             open.avoid.push(failed_member);
         }
-        if !outcome.status.proves_not_run() && open.may_have_run.is_none_or(|(_, at)| hop.sent_at < at) {
-            open.may_have_run = Some((hop.member, hop.sent_at));
+        let is_first = open.may_have_run.is_none_or(|first| hop.sent_at < first.sent_at);
+        if !outcome.status.proves_not_run() && is_first {
+            let Hop { member, zone, cell, sent_at, .. } = hop;
+            open.may_have_run = Some(Destination { member, zone, cell, sent_at });
         }
         if open.hops_in_flight == 0 {
             self.state.ready.push_back(outcome.txn);
@@ -695,7 +697,7 @@
         let common = signals.filter(|_| self.listed_count(Role::Parent) > 1.0).unwrap_or_default();
         for (peak, role) in self.state.peak_warm_rate.iter_mut().zip([Role::Edge, Role::Parent]) {
             let in_zone =
-                |record: &MemberRecord| role == Role::Parent || record.info.zone == self.settings.zone;
+                |record: &MemberRecord| role == Role::Parent || record.info.zone == Some(self.settings.zone);
             let counts = |record: &&MemberRecord| {
                 record.role == role && record.info.state == MemberState::Up && in_zone(record)
             };
@@ -901,23 +903,29 @@
 
     /// A keyed txn that may have run stays with the caches that drop its repeat, within their dedup window.
     fn within_dedup_scope(&self, open: &OpenTxn, now: Time, i: usize) -> bool {
-        let Some((first, at)) = open.may_have_run else { return true };
-        let (rule, members) = (&self.settings.rules[open.txn.rule], &self.state.members);
-        let (a, b) = (&members[first].info, &members[i].info);
+        let Some(first) = open.may_have_run else { return true };
+        let rule = &self.settings.rules[open.txn.rule];
         match rule.effect {
             Effect::Repeatable => true,
             Effect::Unrepeatable => false,
             Effect::Keyed => {
-                now - at < rule.dedup_window
-                    && match rule.dedup_scope {
-                        DedupScope::All => true,
-                        DedupScope::Zone => a.zone == b.zone,
-                        DedupScope::Cell => a.cell == b.cell,
-                    }
+                now - first.sent_at < rule.dedup_window && self.drops_repeats_of(first, i, rule.dedup_scope)
             }
         }
     }
 
+    /// Whether member `i` drops the repeat of a keyed txn that may have run at `first`. An unknown zone or cell equals
+    /// none, itself included: a remote gateway may send the repeat to another member of its site.
+    fn drops_repeats_of(&self, first: Destination, i: usize, scope: DedupScope) -> bool {
+        let info = &self.state.members[i].info;
+        match scope {
+            DedupScope::All => true,
+            _ if first.member == i && !info.remote => true,
+            DedupScope::Zone => first.zone.is_some() && first.zone == info.zone,
+            DedupScope::Cell => first.cell.is_some() && first.cell == info.cell,
+        }
+    }
+
     /// The oldest acceptable copy for a txn's first hop; `None`: the remap rule's max age.
     pub(crate) fn max_age_for(&self, now: Time, txn: &Txn) -> Option<Span> {
         let rule = self.settings.rules.get(txn.rule)?;
@@ -987,11 +995,13 @@
         }
         let overdue_at = now + sla * OVERDUE_SLA_FRACTION;
         // Over a link the round trip dominates the duration, which then says nothing of the transfer rate.
-        let remote = self.state.members[member].info.remote;
+        let &Member { remote, zone, cell, .. } = &self.state.members[member].info;
         let (sent_at, cancelled, size_known) = (now, false, open.txn.size.is_some() && !remote);
         let hop = Hop {
             size_known,
             member,
+            zone,
+            cell,
             source,
             sent_at,
             overdue_at,
@@ -1008,7 +1018,7 @@
         let deadline = open.deadline;
         // A hop of a keyed txn may wait, e.g. for a connection, until members no longer recognise its repeat.
         let start_by = match open.may_have_run {
-            Some((_, at)) if rule.effect == Effect::Keyed => deadline.min(at + rule.dedup_window),
+            Some(first) if rule.effect == Effect::Keyed => deadline.min(first.sent_at + rule.dedup_window),
             _ => deadline,
         };
         self.state.open_txns.insert(id, open);
--- a/src/state.rs
+++ b/src/state.rs
@@ -128,12 +128,25 @@
     }
 }
 
+/// Where and when a hop was sent, as the member was listed then.
+#[derive(Clone, Copy)]
+pub struct Destination {
+    pub member: usize,
+    /// `None` where it is unknown.
+    pub zone: Option<usize>,
+    /// `None` where it is unknown.
+    pub cell: Option<u64>,
+    pub sent_at: Time,
+}
+
 /// A hop in flight.
 #[derive(Clone)]
 pub struct Hop {
     pub member: usize,
     pub source: Option<usize>,
     pub sent_at: Time,
+    pub zone: Option<usize>,
+    pub cell: Option<u64>,
     pub overdue_at: Time,
     pub sla: Span,
     /// Transfer time of the txn, in seconds.
@@ -163,8 +176,8 @@
     /// The parent was asked only for a copy that it has and had none.
     pub parent_lacked: bool,
     pub origin_failed: bool,
-    /// The member and time of the first hop that may have run.
-    pub may_have_run: Option<(usize, Time)>,
+    /// The first hop that may have run.
+    pub may_have_run: Option<Destination>,
 }
 
 impl OpenTxn {
@@ -289,7 +302,8 @@
     /// not grow with the number of ids ever seen.
     pub fn insert_member(&mut self, record: MemberRecord) -> usize {
         let referenced = |i: usize| {
-            let by_txn = |o: &OpenTxn| o.avoid.contains(&i) || o.may_have_run.is_some_and(|(m, _)| m == i);
+            let by_txn =
+                |o: &OpenTxn| o.avoid.contains(&i) || o.may_have_run.is_some_and(|hop| hop.member == i);
             let by_hop = |h: &Hop| h.member == i || h.source == Some(i);
             self.open_txns.values().any(by_txn) || self.hops.values().any(by_hop)
         };
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -232,6 +232,28 @@
     }
 }
 
+/// Guards against a second run outside the dedup scope: a cache's entry that is removed, or that names no cell, must not pass
+/// for one of the cell of another cache.
+#[test]
+fn keyed_txns_are_not_repeated_in_a_cell_that_is_not_known_to_be_the_first_one() {
+    let in_cell = |id: &str, cell| Member { cell, ..member(id, EDGE) };
+    for (first, listed_later) in [(None, None), (Some(1), Some(2)), (Some(1), None)] {
+        let cell_rule = RemapRule { dedup_scope: DedupScope::Cell, ..rule(Effect::Keyed) };
+        let set = Settings { rules: vec![cell_rule], bypass_allowed: false, ..settings() };
+        let mut world = World::new(set);
+        let gone = ["e3", "e4"].map(|id| Member { state: MemberState::Gone, ..member(id, EDGE) });
+        let two = ["e1", "e2"].map(|id| in_cell(id, first));
+        world.gateway.update_members(at(0), false, gone.into_iter().chain(two).collect());
+        let (sent_to, _) = destination(&world.submit(at(0), txn(1, 0, 1))[0]);
+        let state = MemberState::Gone;
+        let removed = Member { state, ..in_cell(&sent_to, listed_later) };
+        let other = if sent_to == "e1" { "e2" } else { "e1" };
+        world.gateway.update_members(at(5), false, vec![removed, in_cell(other, listed_later)]);
+        let next = world.end_hop(at(10), 1, HopStatus::Errored, None);
+        assert_eq!(next, [Decision::Abort { txn: 1 }], "{first:?} {listed_later:?}");
+    }
+}
+
 #[test]
 fn draining_and_gone_members_get_no_new_hops() {
     let mut world = World::new(settings());
@@ -607,7 +629,7 @@
 
 /// Only remote gateways, two for reads and two for writes, as at a site without caches of its own.
 fn remote_site() -> World {
-    let remote = |id, kind| Member { remote: true, zone: 9, ..member(id, kind) };
+    let remote = |id, kind| Member { remote: true, zone: None, cell: None, ..member(id, kind) };
     let mut world = World::new(Settings { bypass_allowed: false, ..settings() });
     let list =
         vec![remote("f1", PARENT), remote("f2", PARENT), remote("f1/o", ORIGIN), remote("f2/o", ORIGIN)];
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -70,7 +70,8 @@
 
 pub fn member(id: &str, kind: usize) -> Member {
     let state = MemberState::Up;
-    Member { id: Arc::from(id), zone: 0, kind, cell: 0, state, capacity: 8.0, started: None, remote: false }
+    let (zone, cell) = (Some(0), Some(0));
+    Member { id: Arc::from(id), zone, kind, cell, state, capacity: 8.0, started: None, remote: false }
 }
 
 pub fn fleet() -> Vec<Member> {
