A reload finds a descriptor, and is repeated if it does not

Cause: 16 descriptors were reserved for everything but clients and hops, and optional parts (links, a ledger, a fleet) need more; at small limits clients alone could take the reserve. The handler of SIGHUP read the file once and only logged a failure.

Change: what is open once all parts have started is counted and reserved, with the connections and files that come later; the process's own limit is heeded. A reload without a descriptor is repeated until every file is read. Sharing out and reloading have modules of their own.

A gateway without optional files has 146 hop connections at 256, 147 before.

--- a/gateway/src/caches.rs
+++ b/gateway/src/caches.rs
@@ -10,6 +10,7 @@
 use crate::config::ListedMember;
 use crate::connection_end::ConnectionEnd;
 use crate::counters::{CountGuard, Counters};
+use crate::descriptors;
 use crate::dispatch_api::{HopRequest, HopResult, Permit, SharedLimits};
 use crate::http;
 use async_io::Async;
@@ -58,7 +59,7 @@
     pub connect_timeout: Span,
     /// Caches close idle connections after this time.
     pub idle_timeout: Span,
-    /// Limit on open connections, idle ones included; each takes one descriptor.
+    /// Limit on open connections, idle ones included; each takes one descriptor. `set_max_connections` replaces it.
     pub max_connections: usize,
 }
 
@@ -67,6 +68,7 @@
     pool: Rc<Pool>,
     counters: Rc<Counters>,
     limits: ConnectionLimits,
+    max_connections: Cell<usize>,
     endpoints: RefCell<BTreeMap<MemberId, Endpoint>>,
     idle: RefCell<BTreeMap<MemberId, Vec<IdleConnection>>>,
     /// Notified when a hop has ended and its descriptor may be free.
@@ -92,6 +94,7 @@
             clock,
             pool,
             counters,
+            max_connections: Cell::new(limits.max_connections),
             limits,
             endpoints,
             idle,
@@ -100,6 +103,11 @@
         })
     }
 
+    /// Replaces the limit on open connections.
+    pub fn set_max_connections(&self, limit: usize) {
+        self.max_connections.set(limit);
+    }
+
     /// From now on connections and fills need a permit.
     pub fn set_shared_limits(&self, limits: Rc<dyn SharedLimits>) {
         // Only the first call has an effect.
@@ -385,10 +393,10 @@
     /// Waits for a free descriptor, as part of the connect timeout. If the hop failed at once instead, a txn would exhaust
     /// all its caches in a moment whenever the limit is reached.
     async fn wait_for_descriptor(&self) {
-        while self.counters.hop_connections.get() >= self.limits.max_connections {
+        while self.counters.hop_connections.get() >= self.max_connections.get() {
             self.close_oldest_idle();
             let connection_freed = self.connection_freed.listen();
-            if self.counters.hop_connections.get() >= self.limits.max_connections {
+            if self.counters.hop_connections.get() >= self.max_connections.get() {
                 connection_freed.await;
             }
         }
@@ -404,9 +412,8 @@
 }
 
 fn connect_error(e: io::Error) -> ConnectionEnd {
-    // 23 is ENFILE and 24 is EMFILE, which have no `ErrorKind` of their own.
-    match (e.kind(), e.raw_os_error()) {
-        (ErrorKind::AddrNotAvailable, _) | (_, Some(23 | 24)) => ConnectionEnd::NoSocket,
-        _ => ConnectionEnd::Refused,
+    if e.kind() == ErrorKind::AddrNotAvailable || descriptors::is_exhaustion(&e) {
+        return ConnectionEnd::NoSocket;
     }
+    ConnectionEnd::Refused
 }
--- a/gateway/src/feed.rs
+++ b/gateway/src/feed.rs
@@ -194,6 +194,11 @@
         Ok(Some(feed))
     }
 
+    /// The most connections to list services at the same time.
+    pub fn max_connections(&self) -> usize {
+        self.streams.len()
+    }
+
     /// Connects to the list services whenever the core wants it. `own`: address and address updates of the own stream,
     /// if they come from the configuration.
     pub fn subscribe(self: &Rc<Self>, tasks: Tasks, mut own: Option<(SocketAddr, Receiver<SocketAddr>)>) {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod connection_end;
 pub mod counters;
+pub mod descriptors;
 pub mod discovery;
 pub mod dispatch_api;
 pub mod dispatcher;
@@ -14,6 +15,7 @@
 pub mod fleet;
 pub mod http;
 pub mod logger;
+pub mod reload;
 pub mod rpc;
 pub mod sites;
 
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -16,11 +16,13 @@
 use kelpcart_gateway::clock::Clock;
 use kelpcart_gateway::config::{self, Config};
 use kelpcart_gateway::counters::Counters;
+use kelpcart_gateway::descriptors;
 use kelpcart_gateway::discovery::{DiscoveryClient, DispatcherSubscriber};
 use kelpcart_gateway::dispatch_api::{Event, ResponderKeys};
 use kelpcart_gateway::dispatcher::Dispatcher;
 use kelpcart_gateway::feed;
 use kelpcart_gateway::fleet::{DiscoverySubscriber, Fleet, Resources as FleetResources};
+use kelpcart_gateway::reload::{Reloader, Retry, read, read_text};
 use kelpcart_gateway::sites::{LinkContext, SiteLinks};
 use kelpcart_gateway::{Tasks, logger};
 use std::env;
@@ -28,10 +30,6 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-/// Descriptors reserved for the listener, the discovery connection, signals and the standard streams; neither clients nor
-/// hops may use them.
-const RESERVED_DESCRIPTORS: usize = 16;
-
 fn main() -> ExitCode {
     logger::start();
     match start() {
@@ -44,13 +42,15 @@
 }
 
 fn start() -> Result<(), String> {
+    let inherited_descriptors = descriptors::open_count();
     // Installed first: the default action of a signal that arrives while the configuration is read would end the process.
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup]);
     let signals = signals.map_err(|e| format!("cannot install signal handlers: {e}"))?;
     let tasks: Tasks = Box::leak(Box::new(LocalExecutor::new()));
     let variable = |name: &str| env::var(name).ok();
     if let Some(path) = variable("KELPCART_FLEET") {
-        let read_fleet_file = || read(&path, |text| FleetFile::read(text).map_err(|e| e.to_string()));
+        let parse = |text: &str| FleetFile::read(text).map_err(|e| e.to_string());
+        let read_fleet_file = || read(&path, parse).map_err(String::from);
         let first = read_fleet_file()?;
         // A control machine serves no txns, whatever else is configured for it.
         if first.feed.as_ref().is_some_and(|f| f.control.is_some()) {
@@ -73,7 +73,7 @@
                 .into(),
         );
     }
-    async_io::block_on(tasks.run(run(tasks, &path, files, config, listener, signals)))
+    async_io::block_on(tasks.run(run(tasks, path, files, config, listener, signals, inherited_descriptors)))
 }
 
 /// Paths of the optional configuration files, from the environment.
@@ -83,30 +83,36 @@
     copies: Option<String>,
 }
 
-fn read<T>(path: &str, parse: impl FnOnce(&str) -> Result<T, String>) -> Result<T, String> {
-    let text = std::fs::read_to_string(path).map_err(|e| e.to_string());
-    text.and_then(|text| parse(&text)).map_err(|e| format!("{path}: {e}"))
+/// How many descriptors clients and hops may use, now that all parts have started.
+fn share_descriptors(
+    configured: usize,
+    inherited: Option<usize>,
+    discovery_connections: usize,
+) -> descriptors::Shares {
+    // Where the system does not tell what is open, the least reserve applies.
+    let (inherited, open) = inherited.zip(descriptors::open_count()).unwrap_or_default();
+    let usage = descriptors::Usage { inherited, open, discovery_connections };
+    let shares = descriptors::Shares::new(configured, descriptors::process_limit(), usage);
+    log::debug!("descriptors: {configured} configured, {usage:?}, {shares:?}");
+    shares
 }
 
 async fn run(
     tasks: Tasks,
-    path: &str,
+    path: String,
     files: Files,
     config: Config,
     listener: Async<TcpListener>,
     mut signals: Signals,
+    inherited_descriptors: Option<usize>,
 ) -> Result<(), String> {
     let (clock, counters) = (Clock::start(), Rc::new(Counters::default()));
     let (dispatcher, events) = async_channel::unbounded();
-    // Clients get a third of the descriptors, and a margin for connections that are still closing.
-    let max_clients = config.descriptor_limit / 3 + RESERVED_DESCRIPTORS / 2;
-    let max_hop_connections =
-        config.descriptor_limit.saturating_sub(max_clients + RESERVED_DESCRIPTORS).max(1);
     let pool = Pool::new(config.memory_limit / 2);
     let limits = ConnectionLimits {
         connect_timeout: config.settings.connect_timeout,
         idle_timeout: config.idle_timeout,
-        max_connections: max_hop_connections,
+        max_connections: 1,
     };
     let caches = Caches::new(clock, Rc::clone(&pool), Rc::clone(&counters), limits);
     caches.spawn_idle_sweep(tasks);
@@ -120,8 +126,7 @@
         dispatcher: dispatcher.clone(),
         keys: keys.clone(),
     };
-    let unparsed = |text: &str| Ok(text.to_owned());
-    let copies = files.copies.as_ref().map(|path| read(path, unparsed)).transpose()?;
+    let copies = files.copies.as_deref().map(read_text).transpose()?;
     let start_sites =
         |path: &String| read(path, |text| SiteLinks::start(link_context, text, copies.as_deref(), &config));
     let between = files.sites.as_ref().map(start_sites).transpose()?;
@@ -133,10 +138,13 @@
         caches: Rc::clone(&caches),
     };
     let start_fleet = |fleet_path: &String| {
-        let initial_events = read(path, config::read_initial_events)?;
+        let initial_events = read(&path, config::read_initial_events)?;
         read(fleet_path, |text| Fleet::start(fleet_means, text, &config, &initial_events))
     };
     let fleet = files.fleet.as_ref().map(start_fleet).transpose()?;
+    let feed_connections = fleet.as_ref().and_then(|f| f.feed.as_ref()).map_or(0, |f| f.max_connections());
+    let shares = share_descriptors(config.descriptor_limit, inherited_descriptors, feed_connections.max(1));
+    caches.set_max_connections(shares.hops);
     let address = config.discovery_address;
     match (&fleet, fleet.as_ref().and_then(|f| f.feed.as_ref())) {
         (_, Some(feed)) => feed.subscribe(tasks, Some((address, address_changes))),
@@ -176,16 +184,25 @@
         counters: Rc::clone(&counters),
         pool: Rc::clone(&pool),
         dispatcher: dispatcher.clone(),
-        max_clients,
+        max_clients: shares.clients,
         connected: Rc::default(),
         keys,
         shutdown_state: Rc::default(),
     };
     tasks.spawn(frontend.clone().accept(listener)).detach();
     let mut dispatcher_task =
-        Dispatcher::new(config, clock, tasks, caches, counters, (dispatcher.clone(), events));
+        Dispatcher::new(config, clock, tasks, caches, Rc::clone(&counters), (dispatcher.clone(), events));
     dispatcher_task.add_service(Rc::new(frontend));
-    let rekey_target = between.as_ref().map(|(between, _)| Rc::clone(between));
+    let mut reloader = Reloader {
+        clock,
+        counters,
+        config_path: path,
+        address_changed,
+        links: between.as_ref().map(|(links, _)| Rc::clone(links)),
+        copies_path: files.copies,
+        fleet: fleet.clone().zip(files.fleet),
+        retry: Retry::default(),
+    };
     if let Some((between, members)) = between {
         dispatcher_task.add_transport(between, members);
     }
@@ -193,22 +210,15 @@
         dispatcher_task.add_service(fleet.clone());
     }
     let signal_handler = async {
-        while let Some(signal) = signals.next().await {
+        loop {
+            let retry_due = async {
+                reloader.retry_due().await;
+                Some(Ok(Signal::Hup))
+            };
+            let Some(signal) = future::or(signals.next(), retry_due).await else { break };
             match signal {
                 Ok(Signal::Usr1) => _ = dispatcher.send(Event::DumpCounters).await,
-                Ok(Signal::Hup) => {
-                    match read(path, config::read_discovery_address) {
-                        Ok(address) => _ = address_changed.try_send(address),
-                        Err(reason) => log::warn!(
-                            "reload failed: {reason}; the discovery service's address stays where it was"
-                        ),
-                    }
-                    let copies = files.copies.as_ref().map(|path| read(path, unparsed));
-                    rekey_target.iter().for_each(|between| between.reload(copies.clone()));
-                    if let Some((fleet, path)) = fleet.as_ref().zip(files.fleet.as_ref()) {
-                        fleet.rekey(read(path, unparsed));
-                    }
-                }
+                Ok(Signal::Hup) => reloader.reload(),
                 Ok(_) => _ = dispatcher.send(Event::Shutdown).await,
                 Err(e) => log::warn!("cannot read a signal, ignored: {e}"),
             }
--- a/gateway/src/sites.rs
+++ b/gateway/src/sites.rs
@@ -12,6 +12,7 @@
 use crate::clock::Clock;
 use crate::config::{Config, ListedMember};
 use crate::counters::{CountGuard, Counters};
+use crate::descriptors;
 use crate::dispatch_api::{Event, HopFuture, HopRequest, ResponderKeys, Service, Transport};
 use acceptor::AcceptorDriver;
 use async_channel::{Receiver, Sender};
@@ -19,7 +20,7 @@
 use initiator::InitiatorDriver;
 use kelpcart::interface::{Member, MemberId, MemberState};
 use kelpcart::{Span, Time};
-use kelpcart_sites::quic::{self, Endpoint, SendStream};
+use kelpcart_sites::quic::{self, Endpoint, KeyError, SendStream};
 use kelpcart_sites::settings::{Role, Sites};
 use rand::Rng;
 use std::cell::RefCell;
@@ -131,25 +132,29 @@
     }
 
     /// Reloads certificates and keys, and applies the replication settings. Established connections
-    /// continue; if files can't be used, the previous ones stay in effect.
-    pub fn reload(&self, copies: Option<Result<String, String>>) {
-        self.reload_keys();
+    /// continue; if files can't be used, the previous ones stay in effect. `false`: the keys could not be read
+    /// for want of a descriptor.
+    pub fn reload(&self, copies: Option<Result<String, String>>) -> bool {
+        let keys_read = self.reload_keys();
         if let Some((copies, text)) = self.copies.as_ref().zip(copies) {
             copies.reread(text);
         }
+        keys_read
     }
 
-    fn reload_keys(&self) {
+    fn reload_keys(&self) -> bool {
         match quic::Keys::read(&self.settings.keys, self.settings.congestion) {
             Ok(keys) => {
                 self.endpoint.set_keys(&keys, self.settings.listen.is_some());
                 *self.keys.borrow_mut() = keys;
                 self.context.counters.add("link keys read again");
                 log::info!("new links use the reloaded keys");
+                true
             }
             Err(reason) => {
                 self.context.counters.add("link keys that can't be used");
                 log::warn!("{reason}; links keep the previous keys");
+                !matches!(reason, KeyError::Read { error, .. } if descriptors::is_exhaustion(&error))
             }
         }
     }
--- a/gateway/tests/stand_ins/mod.rs
+++ b/gateway/tests/stand_ins/mod.rs
@@ -248,16 +248,24 @@
 
     /// Limits the process's descriptors to the number in the configuration.
     pub fn start_limited(config: &Value) -> Gateway {
+        Gateway::start_limited_with(config, &[])
+    }
+
+    /// The same with further environment variables.
+    pub fn start_limited_with(config: &Value, variables: &[(&str, &str)]) -> Gateway {
         let mut command = Command::new("sh");
         let limit = format!("ulimit -n {}; exec \"$0\"", config["limits"]["sockets"]);
-        command.args(["-c", &limit, env!("CARGO_BIN_EXE_kelpcart")]);
+        command.args(["-c", &limit, env!("CARGO_BIN_EXE_kelpcart")]).envs(variables.iter().copied());
         Gateway::from_child(spawn_by(command, config))
     }
 
     fn from_child((mut child, config): (Child, String)) -> Gateway {
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
-        log.read_line(&mut line).unwrap();
+        while !line.contains(" listens on ") {
+            line.clear();
+            assert!(log.read_line(&mut line).unwrap() > 0, "the gateway ended before it listened");
+        }
         let address = line.trim().rsplit(' ').next().unwrap().parse().unwrap();
         Gateway { child, config, address, log }
     }
--- a/sites/src/quic.rs
+++ b/sites/src/quic.rs
@@ -45,6 +45,8 @@
 pub enum KeyError {
     #[error("{path}: {reason}")]
     File { path: PathBuf, reason: String },
+    #[error("{path}: I/O error: {error}")]
+    Read { path: PathBuf, error: std::io::Error },
     #[error("the certificate, its key and the roots do not match: {0}")]
     Mismatch(String),
 }
@@ -66,9 +68,9 @@
 
 impl Keys {
     pub fn read(files: &KeyFiles, congestion: Congestion) -> Result<Keys, KeyError> {
-        let file = |path: &PathBuf, e: rustls::pki_types::pem::Error| KeyError::File {
-            path: path.clone(),
-            reason: e.to_string(),
+        let file = |path: &PathBuf, e: rustls::pki_types::pem::Error| match e {
+            rustls::pki_types::pem::Error::Io(error) => KeyError::Read { path: path.clone(), error },
+            e => KeyError::File { path: path.clone(), reason: e.to_string() },
         };
         let certificates = |path: &PathBuf| -> Result<Vec<CertificateDer<'static>>, KeyError> {
             let certs = CertificateDer::pem_file_iter(path).map_err(|e| file(path, e))?;
