--- a/gateway/src/descriptors.rs
+++ b/gateway/src/descriptors.rs
@@ -8,8 +8,8 @@
 
 /// Standard input, output and error, which count as this process's own.
 const STANDARD_STREAMS: usize = 3;
-/// Files that are open for a moment: one that is read on a reload, and a log file and its folder that are written.
-const TRANSIENT_FILES: usize = 3;
+/// A file that is read on a reload, and one for what is not foreseen.
+const SPARE_DESCRIPTORS: usize = 2;
 /// Least number of reserved descriptors.
 const MIN_RESERVED: usize = 16;
 /// Client connections beyond a third of the limit, for those that are still closing.
@@ -40,8 +40,8 @@
     pub inherited: usize,
     /// Open descriptors once all parts have started, inherited ones included.
     pub open: usize,
-    /// Connections to discovery services, which are made later.
-    pub discovery_connections: usize,
+    /// What is opened later: connections to discovery services, files that are written.
+    pub opened_later: usize,
 }
 
 /// How many descriptors clients and hops may use.
@@ -58,7 +58,7 @@
         let allowed = process_limit.map_or(usize::MAX, |limit| limit.saturating_sub(foreign));
         let limit = configured.min(allowed);
         let own = usage.open.saturating_sub(foreign);
-        let reserved = (own + usage.discovery_connections + TRANSIENT_FILES).max(MIN_RESERVED);
+        let reserved = (own + usage.opened_later + SPARE_DESCRIPTORS).max(MIN_RESERVED);
         let available = limit.saturating_sub(reserved);
         let clients = (limit / 3 + CLOSING_CLIENTS).min(available.saturating_sub(1)).max(1);
         Shares { clients, hops: available.saturating_sub(clients).max(1) }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -30,6 +30,9 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
+/// A new file of the outcome log and its folder, while the file before is still open.
+const OUTCOME_LOG_FILES: usize = 2;
+
 fn main() -> ExitCode {
     logger::start();
     match start() {
@@ -87,11 +90,11 @@
 fn share_descriptors(
     configured: usize,
     inherited: Option<usize>,
-    discovery_connections: usize,
+    opened_later: usize,
 ) -> descriptors::Shares {
     // Where the system does not tell what is open, the least reserve applies.
     let (inherited, open) = inherited.zip(descriptors::open_count()).unwrap_or_default();
-    let usage = descriptors::Usage { inherited, open, discovery_connections };
+    let usage = descriptors::Usage { inherited, open, opened_later };
     let shares = descriptors::Shares::new(configured, descriptors::process_limit(), usage);
     log::debug!("descriptors: {configured} configured, {usage:?}, {shares:?}");
     shares
@@ -143,7 +146,9 @@
     };
     let fleet = files.fleet.as_ref().map(start_fleet).transpose()?;
     let feed_connections = fleet.as_ref().and_then(|f| f.feed.as_ref()).map_or(0, |f| f.max_connections());
-    let shares = share_descriptors(config.descriptor_limit, inherited_descriptors, feed_connections.max(1));
+    let outcome_log_files = if files.copies.is_some() { OUTCOME_LOG_FILES } else { 0 };
+    let opened_later = feed_connections.max(1) + outcome_log_files;
+    let shares = share_descriptors(config.descriptor_limit, inherited_descriptors, opened_later);
     caches.set_max_connections(shares.hops);
     let address = config.discovery_address;
     match (&fleet, fleet.as_ref().and_then(|f| f.feed.as_ref())) {
