Open txns are bounded by the memory limit, and a waiting hop takes 4 KB, not 55

What callers saw: processes that passed their memory limit. 340 clients with 32 open requests each at a silent cache took 609 MB of 32 MB, at 1,024 descriptors.

Cause: a hop's future held the buffer of the response's head from its start, and every wrapper held the future once more; and only the number of open txns and the bytes of their bodies were bounded.

Change: the buffer is allocated when the response begins, futures of hops are boxed, and txns are counted with 4 KB and their request; over a sixth of the limit they are rejected.

Evidence: many_open_requests_stay_within_the_memory_limit failed before (609 MB).

--- a/gateway/src/caches.rs
+++ b/gateway/src/caches.rs
@@ -185,7 +185,8 @@
         let progress =
             Progress { timeout_end: Cell::new(ConnectionEnd::LateUnsent), local_wait: Cell::default() };
         let _notify = NotifyOnDrop(&self.connection_freed);
-        let run = self.clock.timeout_at(hop.deadline, self.execute(&hop, &progress));
+        // Boxed, since each wrapper around a future would hold its size twice, for every hop that waits.
+        let run = self.clock.timeout_at(hop.deadline, Box::pin(self.execute(&hop, &progress)));
         // No first byte may be written after `start_by`.
         let too_late = async {
             self.clock.sleep_until(hop.start_by).await;
@@ -286,7 +287,9 @@
             log::debug!("caches: response discarded and connection closed: {what}");
             ConnectionEnd::Damaged
         };
-        let mut buffer = [0; http::MAX_HEAD_BYTES];
+        // Allocated only once there is something to read: most hops wait for that longer than for anything else.
+        connection.stream.readable().await.map_err(|_| ConnectionEnd::Cut)?;
+        let mut buffer = vec![0; http::MAX_HEAD_BYTES];
         let mut n = 0;
         let (head, used) = loop {
             let read = connection.stream.read(&mut buffer[n..]).await.map_err(|_| ConnectionEnd::Cut)?;
@@ -307,6 +310,7 @@
         let mut body = body.ok_or(ConnectionEnd::Damaged)?;
         // Bytes after a complete response do not invalidate it, but the connection is not reused.
         let has_trailing_bytes = body.copy_from(&buffer[used..n]) < n - used;
+        drop(buffer);
         while !body.is_full() {
             let read = connection.stream.read(body.unfilled()).await.map_err(|_| ConnectionEnd::Cut)?;
             if read == 0 {
--- a/gateway/src/dispatch_api.rs
+++ b/gateway/src/dispatch_api.rs
@@ -40,6 +40,19 @@
     pub via: Vec<String>,
 }
 
+impl Request {
+    /// The bytes that its texts and its body take on the heap.
+    pub fn heap_bytes(&self) -> usize {
+        let optional = |text: &Option<String>| text.as_ref().map_or(0, String::capacity);
+        self.request_id.capacity()
+            + self.object_name.capacity()
+            + optional(&self.client_etag)
+            + optional(&self.idempotency_key)
+            + self.body.capacity()
+            + self.via.iter().map(String::capacity).sum::<usize>()
+    }
+}
+
 /// Receives the final answers of a frontend's requests. At most one method is called per message id.
 pub trait Responder {
     /// Unique among all responders of the process.
--- a/gateway/src/dispatcher.rs
+++ b/gateway/src/dispatcher.rs
@@ -10,7 +10,7 @@
 use crate::config::{Config, DiscoveryEvent, ListedMember};
 use crate::connection_end::ConnectionEnd;
 use crate::counters::Counters;
-use crate::dispatch_api::{Event, HopRequest, HopResult, Request, Responder, Service, Transport};
+use crate::dispatch_api::{Event, HopFuture, HopRequest, HopResult, Request, Responder, Service, Transport};
 use crate::http;
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
@@ -34,6 +34,16 @@
 /// A client that disconnects or cancels this close to a hop's deadline counts as having waited for it: the hop timed out.
 const TIMEOUT_TOLERANCE: Span = Span::from_millis(20);
 
+/// Divisor of the memory limit: the part of it that open txns may take, their hops and bodies included.
+const MEMORY_SHARE: usize = 6;
+/// Memory of one open txn beside its request: its entries in the tables here and in the module, and its hop.
+const TXN_OVERHEAD_BYTES: usize = 4 * 1024;
+
+/// The memory that a txn takes while it is open.
+fn txn_bytes(request: &Request) -> usize {
+    TXN_OVERHEAD_BYTES + request.heap_bytes()
+}
+
 /// The attributes of a remap rule that the dispatcher needs.
 #[derive(Clone)]
 struct Rule {
@@ -89,9 +99,9 @@
     client_rate_kb_per_s: f64,
     max_hops: u32,
     max_open_txns: usize,
-    /// Body bytes of all open writes, at most `max_held_write_bytes`.
-    held_write_bytes: usize,
-    max_held_write_bytes: usize,
+    /// Memory that all open txns take, at most `max_txn_bytes`.
+    txn_bytes: usize,
+    max_txn_bytes: usize,
     max_time_limit: Span,
     shutdown_at: Option<Time>,
 }
@@ -118,8 +128,8 @@
             client_rate_kb_per_s: settings.client_rate,
             max_hops: settings.max_hops,
             max_open_txns: config.max_open_txns,
-            held_write_bytes: 0,
-            max_held_write_bytes: config.memory_limit / 8,
+            txn_bytes: 0,
+            max_txn_bytes: config.memory_limit / MEMORY_SHARE,
             max_time_limit: config.max_time_limit,
             gateway: Gateway::new(settings, config.seed, clock.now()),
             clock,
@@ -225,7 +235,7 @@
             ("txns by message", self.by_message.len()),
             ("txns by id", self.by_request_number.len()),
             ("hops out", self.active_hops.len()),
-            ("bytes of writes", self.held_write_bytes),
+            ("bytes of txns", self.txn_bytes),
         ];
         let services = self.services.iter().flat_map(|service| service.table_sizes());
         let all = own.into_iter().chain(self.caches.table_sizes()).chain(services);
@@ -297,7 +307,7 @@
         }
         // Limits of this process. No hop was started, so the client may safely retry.
         if self.open_txns.len() >= self.max_open_txns
-            || self.held_write_bytes + request.body.len() > self.max_held_write_bytes
+            || self.txn_bytes + txn_bytes(&request) > self.max_txn_bytes
         {
             self.counters.add("requests over the open bound");
             return responder.reject(message_id, None);
@@ -315,7 +325,7 @@
             .map_or(0.0, |kb| kb / self.client_rate_kb_per_s);
         let (sla, size_factor) = self.rules[rule].sla;
         let sla_deadline = received_at + sla + Span::from_secs_f64(transfer_s * size_factor);
-        self.held_write_bytes += request.body.len();
+        self.txn_bytes += txn_bytes(&request);
         self.by_message.insert((responder.key(), message_id), txn);
         self.by_request_number.insert((request.request_number, txn));
         self.open_txns.insert(
@@ -339,7 +349,7 @@
         let open = self.open_txns.remove(&txn)?;
         self.by_message.remove(&(open.responder.key(), open.message_id));
         self.by_request_number.remove(&(open.request.request_number, txn));
-        self.held_write_bytes -= open.request.body.len();
+        self.txn_bytes -= txn_bytes(&open.request);
         Some(open)
     }
 
@@ -492,7 +502,7 @@
                     }
                     None => {
                         let caches = Rc::clone(&self.caches);
-                        self.spawn_hop(txn, hop, async move { caches.run_hop(hop_request).await })
+                        self.spawn_hop(txn, hop, Box::pin(async move { caches.run_hop(hop_request).await }))
                     }
                 });
         }
@@ -500,12 +510,7 @@
             .insert((txn, hop), ActiveHop { member, source, started, task, ordered_at: now, deadline });
     }
 
-    fn spawn_hop(
-        &self,
-        txn: TxnId,
-        hop: u32,
-        running: impl Future<Output = HopResult> + 'static,
-    ) -> Task<()> {
+    fn spawn_hop(&self, txn: TxnId, hop: u32, running: HopFuture) -> Task<()> {
         let queue = self.queue.0.clone();
         self.tasks.spawn(async move {
             let result = running.await;
