Unfinished requests of all clients share one budget of memory

What callers saw: processes that passed their memory limit while hundreds of clients wrote slowly or stopped half way. 340 clients took 36.3 MB (stopped) and 42.0 MB (1,200 bytes each 40 ms) of 32 MB, at 1,024 descriptors.

Cause: input was bounded for each connection alone, at 64 KB in a vector that doubles, and each held a read buffer of 16 KB for life; bodies had half the limit besides.

Change: one read buffer for all; 2 KB of input each, beyond that a whole frame from a shared budget. Who holds one and sends nothing for 0.2 s is closed for one that waits. Bodies, txns and input share what the limit leaves beside 8 MB.

Evidence: half_written_large_requests_stay_within_the_memory_limit and slowly_written_large_requests_stay_within_the_memory_limit failed before.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -7,6 +7,7 @@
 
 mod client;
 mod connection;
+mod input;
 pub mod message_timer;
 
 pub use client::Client;
@@ -16,11 +17,14 @@
 use crate::clock::Clock;
 use crate::counters::{CountGuard, Counters};
 use crate::dispatch_api::{Event as DispatchEvent, ResponderKeys, Service};
+use crate::memory::Budget;
+use crate::rpc::MAX_FRAME_BYTES;
 use async_channel::Sender;
 use async_io::Async;
 use connection::Connection;
 use event_listener::Event;
 use futures_lite::future;
+use input::READ_CHUNK_BYTES;
 use kelpcart::Span;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -34,6 +38,9 @@
 /// Most idle clients that are evicted at the same time. Each holds its descriptor until its close is complete.
 const MAX_CONCURRENT_EVICTIONS: usize = 4;
 
+/// A client that sends nothing for this long in the middle of a message loses its connection if others wait for its memory.
+const STALLED_INPUT: Span = Span::from_millis(200);
+
 /// State shared by the tasks of all client connections.
 #[derive(Clone)]
 pub struct Frontend {
@@ -41,6 +48,7 @@
     pub clock: Clock,
     pub counters: Rc<Counters>,
     pub pool: Rc<Pool>,
+    pub buffers: Rc<InputBuffers>,
     pub dispatcher: Sender<DispatchEvent>,
     pub max_clients: usize,
     pub connected: Rc<RefCell<BTreeMap<u64, Rc<Client>>>>,
@@ -48,6 +56,23 @@
     pub shutdown_state: Rc<ShutdownState>,
 }
 
+/// The memory that all connections share for input.
+pub struct InputBuffers {
+    /// For input beyond what each connection may buffer anyway.
+    budget: Rc<Budget>,
+    /// What is read passes through here, so that a connection that waits holds no buffer.
+    scratch: RefCell<Box<[u8]>>,
+}
+
+impl InputBuffers {
+    /// `bytes`: for input of more than a small message, of all connections together; at least one message fits.
+    pub fn new(bytes: usize) -> Rc<InputBuffers> {
+        let budget = Budget::new(bytes.max(MAX_FRAME_BYTES));
+        let scratch = RefCell::new(vec![0; READ_CHUNK_BYTES].into_boxed_slice());
+        Rc::new(InputBuffers { budget, scratch })
+    }
+}
+
 /// Progress of the frontend's shutdown.
 #[derive(Default)]
 pub struct ShutdownState {
@@ -72,7 +97,10 @@
     }
 
     fn table_sizes(&self) -> Vec<(&'static str, usize)> {
-        vec![("clients connected", self.connected.borrow().len())]
+        vec![
+            ("clients connected", self.connected.borrow().len()),
+            ("bytes of client input", self.buffers.budget.used_bytes()),
+        ]
     }
 }
 
@@ -137,6 +165,22 @@
         }
     }
 
+    /// Closes the client that has sent nothing for the longest time in the middle of a message, if that is too long, so
+    /// that its memory becomes free.
+    fn evict_stalled_writer(&self) {
+        let connected = self.connected.borrow();
+        let stalled_since = self.clock.now().saturating_sub(STALLED_INPUT);
+        let is_stalled = |c: &&Rc<Client>| {
+            c.holds_input_memory.get() && c.is_idle() && c.last_activity.get() <= stalled_since
+        };
+        let stalled = connected.values().filter(is_stalled).filter(|c| c.is_writable() && !c.evicting.get());
+        if let Some(client) = stalled.min_by_key(|c| c.last_activity.get()) {
+            self.counters.add("stalled writers closed for memory");
+            client.evicting.set(true);
+            client.close_requested.notify(1);
+        }
+    }
+
     async fn serve_connection(&self, stream: Async<TcpStream>) {
         // A failure only adds latency.
         _ = stream.get_ref().set_nodelay(true);
--- a/gateway/src/clients/client.rs
+++ b/gateway/src/clients/client.rs
@@ -36,6 +36,8 @@
     pub(super) last_activity: Cell<Time>,
     /// Selected to be closed in favour of a new connection, unless input arrives first.
     pub(super) evicting: Cell<bool>,
+    /// The connection holds a part of the memory that all connections share for input.
+    pub(super) holds_input_memory: Cell<bool>,
     /// Wakes the reader for an eviction or a shutdown.
     pub(super) close_requested: Event,
     /// The write side has been shut down, or is about to be.
@@ -55,6 +57,7 @@
             connected_at,
             last_activity: Cell::new(connected_at),
             evicting: Cell::new(false),
+            holds_input_memory: Cell::new(false),
             close_requested: Event::new(),
             closing: Cell::new(false),
             counters,
--- a/gateway/src/clients/connection.rs
+++ b/gateway/src/clients/connection.rs
@@ -4,6 +4,7 @@
 //! complete request that arrived before the shutdown is therefore answered. Behind malformed input nothing is decoded.
 
 use super::client::{Client, Frame};
+use super::input::Input;
 use super::message_timer::MessageTimer;
 use super::{CROSSING_WINDOW, Frontend};
 use crate::buffers::Body;
@@ -14,9 +15,9 @@
 use async_channel::Receiver;
 use async_io::Async;
 use event_listener::EventListener;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use futures_lite::{AsyncWriteExt, future};
 use kelpcart::{Span, Time};
-use std::io::{self, ErrorKind, IoSlice};
+use std::io::{self, ErrorKind, IoSlice, Read};
 use std::net::{Shutdown, TcpStream};
 use std::pin::pin;
 use std::rc::Rc;
@@ -25,8 +26,6 @@
 const MAX_OPEN_REQUESTS: usize = 32;
 /// No more is read from a connection while more answers than this wait to be written to it.
 const MAX_UNWRITTEN_ANSWERS: usize = 2 * MAX_OPEN_REQUESTS;
-/// Most bytes that are read at once.
-const READ_CHUNK_BYTES: usize = 16 * 1024;
 /// Idle timeout of a connection that has sent a request. Well-behaved clients close theirs earlier.
 const IDLE_TIMEOUT: Span = Span::from_millis(5_000);
 /// After the write side is shut down, input is read and discarded for this long: closing a socket with unread input
@@ -40,6 +39,8 @@
 const STALL_TIMEOUT: Span = Span::from_millis(5_000);
 /// The same while other bodies wait for buffers, which a stalled reader holds.
 const STALL_TIMEOUT_LOW_MEMORY: Span = Span::from_millis(500);
+/// Interval at which a connection without memory for more input tries again, beside each release.
+const MEMORY_POLL_INTERVAL: Span = Span::from_millis(50);
 /// Interval at which a stalled write, or a client that waits for its last answers, is checked.
 const POLL_INTERVAL: Span = Span::from_millis(250);
 
@@ -49,15 +50,11 @@
     pub client: Rc<Client>,
 }
 
-/// Input that is not decoded yet, and how long the rest of it is waited for.
-struct Input {
-    buffer: Vec<u8>,
-    timer: MessageTimer,
-}
-
 /// What ended a wait for input.
 enum ReadEvent {
     Received(usize),
+    /// Memory for more input may be free.
+    Retry,
     PeerLeft,
     TimedOut,
     /// The connection should close, to make room or for a shutdown.
@@ -108,9 +105,9 @@
 
     /// Reads and discards input up to `MAX_DRAIN_BYTES`.
     async fn drain(&self) {
-        let mut stream = self.stream;
-        let (mut chunk, mut budget) = (vec![0; READ_CHUNK_BYTES], MAX_DRAIN_BYTES);
-        while let Ok(n @ 1..) = stream.read(&mut chunk).await {
+        let mut budget = MAX_DRAIN_BYTES;
+        let read = |mut stream: &TcpStream| stream.read(&mut self.frontend.buffers.scratch.borrow_mut());
+        while let Ok(n @ 1..) = self.stream.read_with(read).await {
             self.frontend.counters.add_many("client bytes discarded after the shutdown", n);
             budget = budget.saturating_sub(n);
             if budget == 0 {
@@ -121,8 +118,7 @@
     }
 
     async fn read_loop(&self) -> ConnectionEnd {
-        let mut input = Input { buffer: Vec::new(), timer: MessageTimer::start(self.clock().now()) };
-        let mut chunk = vec![0; READ_CHUNK_BYTES];
+        let mut input = Input::new(&self.frontend.buffers.budget, self.clock().now());
         loop {
             // Lets other tasks run after each chunk, so that a client sending at full speed does not starve them.
             future::yield_now().await;
@@ -135,12 +131,19 @@
                 }
                 deadline = deadline.min(self.clock().now() + CLOSE_POLL_INTERVAL);
             }
-            let received = match self.read(&mut chunk, deadline, close_requested).await {
-                ReadEvent::Received(n) => self.handle_input(&mut input, &chunk[..n]).await,
+            let event = if input.make_room() {
+                self.read(&mut input, deadline, close_requested).await
+            } else {
+                self.wait_for_memory(&mut input, close_requested).await
+            };
+            let received = match event {
+                ReadEvent::Received(n) => self.handle_input(&mut input, n).await,
+                ReadEvent::Retry => Ok(()),
                 ReadEvent::PeerLeft => Err(ConnectionEnd::PeerLeft),
                 ReadEvent::TimedOut => self.check_timeouts(&input).map_or(Ok(()), Err),
                 ReadEvent::CloseRequested => Ok(()),
             };
+            self.client.holds_input_memory.set(input.is_reserved());
             if let Err(end) = received {
                 return end;
             }
@@ -162,7 +165,7 @@
 
     /// Whether a message is due: the rest of a partial one, or the first one of the connection.
     fn is_message_due(&self, input: &Input) -> bool {
-        !input.buffer.is_empty() || !self.client.has_sent_request()
+        !input.is_empty() || !self.client.has_sent_request()
     }
 
     /// When to check the timeouts if no input arrives before.
@@ -179,10 +182,30 @@
         deadline.max(self.clock().now() + POLL_INTERVAL)
     }
 
-    async fn read(&self, chunk: &mut [u8], deadline: Time, close_requested: EventListener) -> ReadEvent {
-        let mut stream = self.stream;
+    /// Waits until memory for more input may be free. The client's message does not age meanwhile.
+    async fn wait_for_memory(&self, input: &mut Input, close_requested: EventListener) -> ReadEvent {
+        self.frontend.evict_stalled_writer();
+        let (wait_start, freed) = (self.clock().now(), self.frontend.buffers.budget.freed());
+        let freed = async {
+            // Without effect on what follows: either way there may be memory now.
+            _ = self.clock().timeout(MEMORY_POLL_INTERVAL, freed).await;
+            ReadEvent::Retry
+        };
+        let close_requested = async {
+            close_requested.await;
+            ReadEvent::CloseRequested
+        };
+        let event = future::or(freed, close_requested).await;
+        input.timer.exclude(self.clock().now() - wait_start);
+        event
+    }
+
+    async fn read(&self, input: &mut Input, deadline: Time, close_requested: EventListener) -> ReadEvent {
+        let receive =
+            |stream: &TcpStream| input.receive(stream, &mut self.frontend.buffers.scratch.borrow_mut());
+        let receive = self.stream.read_with(receive);
         let read = async {
-            match self.clock().timeout_at(deadline, stream.read(chunk)).await {
+            match self.clock().timeout_at(deadline, receive).await {
                 Some(Ok(0) | Err(_)) => ReadEvent::PeerLeft,
                 Some(Ok(n)) => ReadEvent::Received(n),
                 None => ReadEvent::TimedOut,
@@ -255,7 +278,7 @@
         let first_request = !client.has_sent_request()
             && !client.evicting.get()
             && now < client.connected_at + CROSSING_WINDOW;
-        let rest_of_message = !input.buffer.is_empty()
+        let rest_of_message = !input.is_empty()
             && !input.timer.is_extended(now)
             && now < client.last_activity.get() + CROSSING_WINDOW;
         first_request || rest_of_message
@@ -270,17 +293,17 @@
         }
     }
 
-    /// Decodes and handles all messages that are complete with `bytes`. An error is how the connection has to end.
-    async fn handle_input(&self, input: &mut Input, bytes: &[u8]) -> Result<(), ConnectionEnd> {
+    /// Decodes and handles all messages that are complete with the last `received` bytes. An error is how the connection
+    /// has to end.
+    async fn handle_input(&self, input: &mut Input, received: usize) -> Result<(), ConnectionEnd> {
         let now = self.clock().now();
         self.client.last_activity.set(now);
-        if input.buffer.is_empty() && self.client.has_sent_request() {
+        if input.bytes().len() == received && self.client.has_sent_request() {
             input.timer = MessageTimer::start(now);
         }
-        input.buffer.extend_from_slice(bytes);
         let mut used = 0;
-        while used < input.buffer.len() {
-            used += match rpc::decode_message(&input.buffer[used..]) {
+        while used < input.bytes().len() {
+            used += match rpc::decode_message(&input.bytes()[used..]) {
                 Ok(None) => break,
                 Ok(Some((message, len))) => {
                     self.handle_message(message, now).await?;
@@ -292,14 +315,11 @@
                 }
             };
         }
-        input.buffer.drain(..used);
+        input.consume(used);
         if used > 0 && self.client.has_sent_request() {
             input.timer = MessageTimer::start(now);
         }
-        input.timer.record_input(now, input.buffer.len());
-        if input.buffer.is_empty() {
-            input.buffer.shrink_to(READ_CHUNK_BYTES);
-        }
+        input.timer.record_input(now, input.bytes().len());
         Ok(())
     }
 
--- a/gateway/src/dispatcher.rs
+++ b/gateway/src/dispatcher.rs
@@ -11,7 +11,7 @@
 use crate::connection_end::ConnectionEnd;
 use crate::counters::Counters;
 use crate::dispatch_api::{Event, HopFuture, HopRequest, HopResult, Request, Responder, Service, Transport};
-use crate::http;
+use crate::{http, memory};
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use kelpcart::hash_prefix::{group_hash, object_hash};
@@ -34,8 +34,6 @@
 /// A client that disconnects or cancels this close to a hop's deadline counts as having waited for it: the hop timed out.
 const TIMEOUT_TOLERANCE: Span = Span::from_millis(20);
 
-/// Divisor of the memory limit: the part of it that open txns may take, their hops and bodies included.
-const MEMORY_SHARE: usize = 6;
 /// Memory of one open txn beside its request: its entries in the tables here and in the module, and its hop.
 const TXN_OVERHEAD_BYTES: usize = 4 * 1024;
 
@@ -129,7 +127,7 @@
             max_hops: settings.max_hops,
             max_open_txns: config.max_open_txns,
             txn_bytes: 0,
-            max_txn_bytes: config.memory_limit / MEMORY_SHARE,
+            max_txn_bytes: memory::Shares::new(config.memory_limit).txns,
             max_time_limit: config.max_time_limit,
             gateway: Gateway::new(settings, config.seed, clock.now()),
             clock,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fleet;
 pub mod http;
 pub mod logger;
+pub mod memory;
 pub mod reload;
 pub mod rpc;
 pub mod sites;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -12,7 +12,7 @@
 use kelpcart_fleet::settings::Fleet as FleetFile;
 use kelpcart_gateway::buffers::Pool;
 use kelpcart_gateway::caches::{Caches, ConnectionLimits};
-use kelpcart_gateway::clients::Frontend;
+use kelpcart_gateway::clients::{Frontend, InputBuffers};
 use kelpcart_gateway::clock::Clock;
 use kelpcart_gateway::config::{self, Config};
 use kelpcart_gateway::counters::Counters;
@@ -24,7 +24,7 @@
 use kelpcart_gateway::fleet::{DiscoverySubscriber, Fleet, Resources as FleetResources};
 use kelpcart_gateway::reload::{Reloader, Retry, read, read_text};
 use kelpcart_gateway::sites::{LinkContext, SiteLinks};
-use kelpcart_gateway::{Tasks, logger};
+use kelpcart_gateway::{Tasks, logger, memory};
 use std::env;
 use std::net::TcpListener;
 use std::process::ExitCode;
@@ -111,7 +111,8 @@
 ) -> Result<(), String> {
     let (clock, counters) = (Clock::start(), Rc::new(Counters::default()));
     let (dispatcher, events) = async_channel::unbounded();
-    let pool = Pool::new(config.memory_limit / 2);
+    let memory = memory::Shares::new(config.memory_limit);
+    let pool = Pool::new(memory.bodies);
     let limits = ConnectionLimits {
         connect_timeout: config.settings.connect_timeout,
         idle_timeout: config.idle_timeout,
@@ -188,6 +189,7 @@
         clock,
         counters: Rc::clone(&counters),
         pool: Rc::clone(&pool),
+        buffers: InputBuffers::new(memory.input),
         dispatcher: dispatcher.clone(),
         max_clients: shares.clients,
         connected: Rc::default(),
--- a/gateway/tests/closing.rs
+++ b/gateway/tests/closing.rs
@@ -9,7 +9,7 @@
 use kelpcart::Span;
 use kelpcart_gateway::Tasks;
 use kelpcart_gateway::buffers::Pool;
-use kelpcart_gateway::clients::Frontend;
+use kelpcart_gateway::clients::{Frontend, InputBuffers};
 use kelpcart_gateway::clock::Clock;
 use kelpcart_gateway::counters::Counters;
 use kelpcart_gateway::dispatch_api::{Event, Request, Responder, ResponderKeys, Service};
@@ -157,6 +157,7 @@
         clock,
         counters: Rc::<Counters>::default(),
         pool: Rc::clone(&pool),
+        buffers: InputBuffers::new(64 << 20),
         dispatcher,
         max_clients,
         connected: Rc::default(),
--- a/gateway/tests/memory.rs
+++ b/gateway/tests/memory.rs
@@ -5,6 +5,8 @@
 
 use serde_json::json;
 use stand_ins::*;
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -35,6 +37,31 @@
     assert!(peak <= MEMORY_MB << 20, "{:.1} MB of {MEMORY_MB} MB", peak as f64 / f64::from(1 << 20));
 }
 
+/// A write of 48,000 bytes.
+fn large_write() -> Vec<u8> {
+    let mut out = vec![0x94, 0x00, 0x01];
+    push_str(&mut out, "commit");
+    out.extend([0x92, 0x85]);
+    let fields =
+        [("req", "00000000000000aa"), ("timeout", "9000"), ("subject", "00000000000000bb"), ("slice", "0")];
+    for (name, value) in fields.into_iter().chain([("set", "1")]) {
+        push_str(&mut out, name);
+        push_str(&mut out, value);
+    }
+    out.push(0xc5);
+    out.extend(48_000_u16.to_be_bytes());
+    out.resize(out.len() + 48_000, b'y');
+    out
+}
+
+/// A connection that neither blocks nor fails the test when the gateway stops reading or closes it.
+fn connect(gateway: &Gateway) -> TcpStream {
+    let stream = TcpStream::connect(gateway.address).unwrap();
+    stream.set_nonblocking(true).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream
+}
+
 /// Guards against requests that wait for a connection to a cache and take tens of KB each.
 #[test]
 fn many_open_requests_stay_within_the_memory_limit() {
@@ -49,3 +76,39 @@
     sleep(LOAD_TIME);
     assert_within_limit(&gateway);
 }
+
+/// Guards against buffers of unfinished requests that are bounded for each connection alone.
+#[test]
+fn half_written_large_requests_stay_within_the_memory_limit() {
+    let edge = StubCache::start(|_| ok_response(b"x"));
+    let gateway = start(&edge);
+    let write = large_write();
+    for part in [write.len() - 1, 60 * 1024] {
+        let part = &[&write[..write.len() - 1], &[0; 16 * 1024]].concat()[..part];
+        let clients: Vec<TcpStream> = (0..CLIENTS).map(|_| connect(&gateway)).collect();
+        for mut client in &clients {
+            _ = client.write(part);
+        }
+        sleep(LOAD_TIME);
+        assert_within_limit(&gateway);
+    }
+    let mut client = Client::connect(&gateway);
+    assert!(client.is_ready());
+}
+
+/// Guards against the same with clients that go on writing.
+#[test]
+fn slowly_written_large_requests_stay_within_the_memory_limit() {
+    let edge = StubCache::start(|_| ok_response(b"x"));
+    let gateway = start(&edge);
+    let write = large_write();
+    let clients: Vec<TcpStream> = (0..CLIENTS).map(|_| connect(&gateway)).collect();
+    for piece in write.chunks(1_200) {
+        for mut client in &clients {
+            _ = client.write(piece);
+        }
+        sleep(Duration::from_millis(40));
+    }
+    sleep(LOAD_TIME);
+    assert_within_limit(&gateway);
+}
