Requests of clients that left are dropped; a write that may have run is not taken again

What callers saw: requests of a client that had closed its connection were sent to caches afterwards, and a write ran twice when its id came again. By reports; reproduced by tests, not seen in service.

Cause: a client's leave was learned from the end of the stream, behind all that it had written before; and nothing was kept of a txn once its client had left.

Change: the socket is asked whether its peer has closed it before each turn's messages are handed on, and each 50 ms while the connection is not read on. Txns that must not run twice are remembered by id and object once they may have run, in a bounded table.

Evidence: requests_of_a_client_that_has_left_are_not_passed_on and a_write_that_may_have_run_does_not_run_again_when_its_id_comes_back failed before (the origin got the write a second time). All tests of the package pass.

--- a/gateway/src/clients/connection.rs
+++ b/gateway/src/clients/connection.rs
@@ -16,6 +16,7 @@
 use event_listener::EventListener;
 use futures_lite::{AsyncWriteExt, future};
 use kelpcart::{Span, Time};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::io::{self, ErrorKind, IoSlice, Read};
 use std::net::{Shutdown, TcpStream};
 use std::pin::pin;
@@ -42,8 +43,8 @@
 const STALL_TIMEOUT: Span = Span::from_millis(5_000);
 /// The same while other bodies wait for buffers, which a stalled reader holds.
 const STALL_TIMEOUT_LOW_MEMORY: Span = Span::from_millis(500);
-/// Interval at which a connection without memory for more input tries again, beside each release.
-const MEMORY_POLL_INTERVAL: Span = Span::from_millis(50);
+/// Interval at which a connection that is not read on is looked at: its client may have left.
+const PAUSE_POLL_INTERVAL: Span = Span::from_millis(50);
 /// Interval at which a stalled write, or a client that waits for its last answers, is checked.
 const POLL_INTERVAL: Span = Span::from_millis(250);
 
@@ -125,7 +126,9 @@
         loop {
             // Lets other tasks run after each chunk, so that a client sending at full speed does not starve them.
             future::yield_now().await;
-            self.wait_for_unwritten_answers(&mut input.timer).await;
+            if let Err(end) = self.wait_for_unwritten_answers(&mut input.timer).await {
+                return end;
+            }
             let close_requested = self.client.close_requested.listen();
             let mut deadline = self.read_deadline(&input);
             if self.should_close() {
@@ -141,7 +144,7 @@
             };
             let received = match event {
                 ReadEvent::Received(n) => self.handle_input(&mut input, n).await,
-                ReadEvent::Retry => Ok(()),
+                ReadEvent::Retry => self.check_peer(),
                 ReadEvent::PeerLeft => Err(ConnectionEnd::PeerLeft),
                 ReadEvent::TimedOut => self.check_timeouts(&input).map_or(Ok(()), Err),
                 ReadEvent::CloseRequested => Ok(()),
@@ -153,17 +156,20 @@
         }
     }
 
-    /// Backpressure: bounds the memory held by a client that sends requests and reads no answers.
-    async fn wait_for_unwritten_answers(&self, timer: &mut MessageTimer) {
+    /// Backpressure: bounds the memory held by a client that sends requests and reads no answers. Fails if it leaves.
+    async fn wait_for_unwritten_answers(&self, timer: &mut MessageTimer) -> Result<(), ConnectionEnd> {
         let client = &self.client;
         while client.unwritten_answers.get() > MAX_UNWRITTEN_ANSWERS {
             let written = client.written.listen();
             if client.unwritten_answers.get() > MAX_UNWRITTEN_ANSWERS {
                 let wait_start = self.clock().now();
-                written.await;
+                // Without effect on what follows: the number is looked at either way.
+                _ = self.clock().timeout(PAUSE_POLL_INTERVAL, written).await;
                 timer.exclude(self.clock().now() - wait_start);
+                self.check_peer()?;
             }
         }
+        Ok(())
     }
 
     /// Whether a message is due: the rest of a partial one, or the first one of the connection.
@@ -191,7 +197,7 @@
         let (wait_start, freed) = (self.clock().now(), self.frontend.buffers.budget.freed());
         let freed = async {
             // Without effect on what follows: either way there may be memory now.
-            _ = self.clock().timeout(MEMORY_POLL_INTERVAL, freed).await;
+            _ = self.clock().timeout(PAUSE_POLL_INTERVAL, freed).await;
             ReadEvent::Retry
         };
         let close_requested = async {
@@ -287,6 +293,20 @@
         first_request || rest_of_message
     }
 
+    /// Fails if the client has closed the connection, although input that came before may be unread: requests of a client
+    /// that has left are not passed on.
+    fn check_peer(&self) -> Result<(), ConnectionEnd> {
+        let mut watched = [PollFd::new(self.stream.get_ref(), PollFlags::RDHUP)];
+        // If the system can't tell, the end of the stream does.
+        let known = poll(&mut watched, Some(&Timespec::default()));
+        let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        if known.is_ok() && watched[0].revents().intersects(closed) {
+            self.frontend.counters.add("clients that left before their input was read");
+            return Err(ConnectionEnd::PeerLeft);
+        }
+        Ok(())
+    }
+
     /// How an idle connection ends; `None` if input is pending, so that the connection is in use.
     fn check_idle_socket(&self) -> Option<ConnectionEnd> {
         match self.stream.get_ref().peek(&mut [0]) {
@@ -304,12 +324,14 @@
         if input.bytes().len() == received && self.client.has_sent_request() {
             input.timer = MessageTimer::start(now);
         }
+        self.check_peer()?;
         let (mut used, mut handled) = (0, 0);
         while used < input.bytes().len() {
             if handled == MESSAGES_PER_TURN {
                 handled = 0;
                 future::yield_now().await;
-                self.wait_for_unwritten_answers(&mut input.timer).await;
+                self.wait_for_unwritten_answers(&mut input.timer).await?;
+                self.check_peer()?;
             }
             handled += 1;
             used += match rpc::decode_message(&input.bytes()[used..]) {
--- a/gateway/src/dispatcher.rs
+++ b/gateway/src/dispatcher.rs
@@ -11,6 +11,7 @@
 use crate::connection_end::ConnectionEnd;
 use crate::counters::Counters;
 use crate::dispatch_api::{Event, HopFuture, HopRequest, HopResult, Request, Responder, Service, Transport};
+use crate::run_history::{RunHistory, TxnIdentity};
 use crate::{http, memory};
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
@@ -48,6 +49,8 @@
     name: Rc<str>,
     is_write: bool,
     unrepeatable: bool,
+    /// A second run would do harm, and not every member drops it.
+    runs_once: bool,
     /// The SLA time, and the multiple of the txn's transfer time that is added to it.
     sla: (Span, f64),
 }
@@ -60,6 +63,18 @@
     sla_deadline: Time,
     deadline: Time,
     hop_count: u32,
+    /// A hop has ended without proof that the txn did not run.
+    may_have_run: bool,
+}
+
+impl OpenTxn {
+    fn identity(&self) -> TxnIdentity {
+        identity(&self.request)
+    }
+}
+
+fn identity(request: &Request) -> TxnIdentity {
+    TxnIdentity { request_number: request.request_number, object: request.object }
 }
 
 struct ActiveHop {
@@ -91,6 +106,8 @@
     /// Open txns by the request id that the client chose.
     by_request_number: BTreeSet<(u64, TxnId)>,
     active_hops: BTreeMap<(TxnId, u32), ActiveHop>,
+    /// Txns that may have run and must not run again.
+    run_history: RunHistory,
     last_txn_id: TxnId,
     rules: Vec<Rule>,
     /// Transfer rate to one client; zero if it is not configured.
@@ -118,6 +135,11 @@
             name: Rc::from(name.as_str()),
             is_write: r.is_write,
             unrepeatable: r.effect != Effect::Repeatable,
+            runs_once: match r.effect {
+                Effect::Repeatable => false,
+                Effect::Keyed => r.dedup_scope != DedupScope::All,
+                Effect::Unrepeatable => true,
+            },
             sla: (r.sla, r.sla_size_factor),
         };
         let rules = config.names.rules.iter().zip(&settings.rules).map(rule);
@@ -143,6 +165,7 @@
             by_message: BTreeMap::new(),
             by_request_number: BTreeSet::new(),
             active_hops: BTreeMap::new(),
+            run_history: RunHistory::default(),
             last_txn_id: 0,
             shutdown_at: None,
         };
@@ -234,6 +257,7 @@
             ("txns by id", self.by_request_number.len()),
             ("hops out", self.active_hops.len()),
             ("bytes of txns", self.txn_bytes),
+            ("ids that may have run", self.run_history.len()),
         ];
         let services = self.services.iter().flat_map(|service| service.table_sizes());
         let all = own.into_iter().chain(self.caches.table_sizes()).chain(services);
@@ -297,12 +321,21 @@
         // Caches must never see two objects under one request id, nor a read with a body, which they would not consume.
         let same_id =
             self.by_request_number.range((request.request_number, 0)..=(request.request_number, TxnId::MAX));
-        let names_other_object =
-            same_id.map(|(_, txn)| &self.open_txns[txn].request).any(|open| open.object != request.object);
+        let open_objects = same_id.map(|(_, txn)| self.open_txns[txn].request.object);
+        let (same_object, other_objects): (Vec<u64>, Vec<u64>) =
+            open_objects.partition(|open| *open == request.object);
+        let names_other_object = !other_objects.is_empty();
         if names_other_object || !is_write && !request.body.is_empty() {
             self.counters.add("requests at odds with their method or id");
             return responder.invalid(message_id);
         }
+        let now = self.clock.now();
+        if self.rules[rule].runs_once
+            && (!same_object.is_empty() || self.run_history.contains(now, identity(&request)))
+        {
+            self.counters.add("requests that may have run before");
+            return responder.abort(message_id);
+        }
         // Limits of this process. No hop was started, so the client may safely retry.
         if self.open_txns.len() >= self.max_open_txns
             || self.txn_bytes + txn_bytes(&request) > self.max_txn_bytes
@@ -311,7 +344,7 @@
             return responder.reject(message_id, None);
         }
         self.last_txn_id += 1;
-        let (txn, now) = (self.last_txn_id, self.clock.now());
+        let txn = self.last_txn_id;
         // Capped by the settings: a longer timeout would only keep the entry in the tables.
         let deadline = received_at + Span::from_millis(request.timeout_ms.into()).min(self.max_time_limit);
         let (object, group, part, size) =
@@ -336,6 +369,7 @@
                 sla_deadline,
                 deadline,
                 hop_count: 0,
+                may_have_run: false,
             },
         );
         self.gateway
@@ -345,6 +379,11 @@
     /// Removes a txn from all tables. Afterwards it can't be answered again.
     fn remove_txn(&mut self, txn: TxnId) -> Option<OpenTxn> {
         let open = self.open_txns.remove(&txn)?;
+        let mut active = self.active_hops.range((txn, 0)..=(txn, u32::MAX));
+        let may_have_run = open.may_have_run || active.any(|(_, hop)| hop.started.get());
+        if may_have_run && self.rules[open.rule].runs_once {
+            self.run_history.record(self.clock.now(), open.identity());
+        }
         self.by_message.remove(&(open.responder.key(), open.message_id));
         self.by_request_number.remove(&(open.request.request_number, txn));
         self.txn_bytes -= txn_bytes(&open.request);
@@ -399,6 +438,11 @@
         let Some(active) = self.active_hops.remove(&(txn, hop)) else { return };
         let Some(status) = result.end.hop_status() else { return };
         let now = self.clock.now();
+        if !status.proves_not_run()
+            && let Some(open) = self.open_txns.get_mut(&txn)
+        {
+            open.may_have_run = true;
+        }
         if status == HopStatus::Completed
             && let Some(open) = self.remove_txn(txn)
         {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod memory;
 pub mod reload;
 pub mod rpc;
+pub mod run_history;
 pub mod sites;
 
 use async_executor::LocalExecutor;
--- a/gateway/tests/closing.rs
+++ b/gateway/tests/closing.rs
@@ -448,3 +448,22 @@
         assert_eq!(fixture.next_request().await.id, u64::from(id));
     });
 }
+
+/// Guards against work for nobody: requests that were written before the client left, and are read after it, are not passed on.
+#[test]
+fn requests_of_a_client_that_has_left_are_not_passed_on() {
+    for count in [1, 100] {
+        run_with_frontend(3, async move |fixture| {
+            let client = fixture.idle_client().await;
+            (2..2 + count).for_each(|id| client.send_request(id));
+            client.disconnect();
+            let left = async {
+                while !fixture.frontend.connected.borrow().is_empty() {
+                    fixture.clock.sleep(Span::from_millis(1)).await;
+                }
+            };
+            fixture.clock.timeout(TEST_TIMEOUT, left).await.expect("the client is seen to leave");
+            assert!(fixture.nothing_forwarded(), "{count} requests");
+        });
+    }
+}
--- a/gateway/tests/crossings.rs
+++ b/gateway/tests/crossings.rs
@@ -349,3 +349,53 @@
     while gateway.gauges()["hops out"] > 0 {}
     assert!(client.is_closed());
 }
+
+/// Guards against a second run: a write whose client left while it may run, or is still open, comes again under the same id.
+#[test]
+fn a_write_that_may_have_run_does_not_run_again_when_its_id_comes_back() {
+    for has_left in [true, false] {
+        let origin = StubCache::start(|_| Reply::Silent);
+        let members = [Member("e1", "box", unused_address()), Member("o", "origin", origin.address)];
+        let mut gateway = Gateway::start(&config(&members, unused_address(), 64));
+        let mut first = Client::connect(&gateway);
+        first.send_request("commit", 1, 15_000, b"x");
+        origin.next_request();
+        let mut second = Client::connect(&gateway);
+        second.request_id = first.request_id.clone();
+        if has_left {
+            drop(first);
+            while gateway.gauges()["txns open"] > 0 {}
+        }
+        second.resend_request("commit", 1, 15_000, b"x");
+        assert_eq!(second.read_answer().error.as_deref(), Some("Lost"), "left: {has_left}");
+        assert_eq!(origin.take_request_count(), 0);
+    }
+}
+
+/// What certainly did not run, or may run twice, is taken again under the same id.
+#[test]
+fn a_write_that_did_not_run_and_a_read_are_taken_again_under_their_ids() {
+    let origin = StubCache::start(|_| Reply::Silent);
+    let members = [Member("e1", "box", origin.address), Member("o", "origin", unused_address())];
+    let mut gateway = Gateway::start(&config(&members, unused_address(), 64));
+    for (method, body) in [("commit", &b"x"[..]), ("segment", b"")] {
+        let mut first = Client::connect(&gateway);
+        first.send_request(method, 1, 15_000, body);
+        if method == "commit" {
+            // Its origin can't be reached.
+            assert_eq!(first.read_answer().error.as_deref(), Some("Backoff"));
+        } else {
+            origin.next_request();
+        }
+        let mut second = Client::connect(&gateway);
+        second.request_id = first.request_id.clone();
+        drop(first);
+        while gateway.gauges()["txns open"] > 0 {}
+        second.resend_request(method, 1, 700, body);
+        if method == "commit" {
+            assert_eq!(second.read_answer().error.as_deref(), Some("Backoff"));
+        } else {
+            origin.next_request();
+        }
+    }
+}
