--- a/gateway/src/memory.rs
+++ b/gateway/src/memory.rs
@@ -1,14 +1,14 @@
 //! Divides the memory limit between what grows with load, and keeps budgets: each holder reserves what it is about to take
 //! and gives it back on drop.
 //!
-//! Invariants: the shares, and what does not grow with load, add up to less than the limit; the reservations of a budget
-//! never add up to more than its limit.
+//! Invariants: the shares and `FIXED_BYTES` add up to less than the limit, where that leaves room for `MIN_BODY_BYTES`; the
+//! reservations of a budget never add up to more than its limit.
 
 use event_listener::{Event, EventListener};
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// Memory that does not depend on load: the program, the module's tables, and at most 1,024 idle connections.
+/// Memory beside the shares: the program, the module's tables, and what each connection may hold without a reservation.
 const FIXED_BYTES: usize = 8 << 20;
 /// The largest part of the limit that is set aside for that, as a divisor.
 const MAX_FIXED_SHARE: usize = 4;
