A far gateway's rejection counts as one that may have run unless it says otherwise

Cause: a rejection tells a client that trying again is harmless, which holds for a keyed txn of scope `all` also after it may have run. The near gateway took it for proof that nothing ran (FarRejected -> TurnedAway), so no dedup window bound its next hop.

The store ran it at 771 and 1,292 ms; it remembers keys for 400 ms.

Change: a rejection carries whether a hop may have run: through the dispatcher's interface, on the link, in ledgers in memory, on disk and in replicas. One that does not say so (an earlier release, an old entry) counts as one that may have run: FarGaveUp, to the module GivenUp. Tests that name a rejection of the cores now say that nothing ran, as before by meaning.

Why it works: the module binds the next hop by the window and scope counted from its own hop, as after any other hop that may have run. A gateway between two sites passes the fact on.

--- a/copies/tests/common/mod.rs
+++ b/copies/tests/common/mod.rs
@@ -739,8 +739,10 @@
                     self.schedule(after, Event::Run { at: i, id, key });
                 } else {
                     // It was paused in between, and its accept lease has expired.
-                    let rejected =
-                        Answer { outcome: TxnOutcome::Rejected { retry_after: None }, body: Vec::new() };
+                    let rejected = Answer {
+                        outcome: TxnOutcome::Rejected { retry_after: None, may_have_run: false },
+                        body: Vec::new(),
+                    };
                     self.submit(i, key.sender, 9, Operation::end(key, &rejected, 0), Purpose::Settle);
                     if waits {
                         self.never.insert(key);
@@ -754,8 +756,10 @@
                     self.never.insert(key);
                     self.finish_txn(s, |e| e.rejected += 1);
                 }
-                let rejected =
-                    Answer { outcome: TxnOutcome::Rejected { retry_after: None }, body: Vec::new() };
+                let rejected = Answer {
+                    outcome: TxnOutcome::Rejected { retry_after: None, may_have_run: false },
+                    body: Vec::new(),
+                };
                 if result == Err(RequestError::Unconfirmed) {
                     self.submit(i, key.sender, 9, Operation::end(key, &rejected, 0), Purpose::Settle);
                 }
--- a/copies/tests/composed.rs
+++ b/copies/tests/composed.rs
@@ -484,7 +484,8 @@
                 | HopOutcome::Loop
                 | HopOutcome::Refused
                 | HopOutcome::NeverAccepted
-        ) || end == HopOutcome::Answered && matches!(ending, Some(TxnOutcome::Rejected { .. }));
+        ) || end == HopOutcome::Answered
+            && matches!(ending, Some(TxnOutcome::Rejected { may_have_run: false, .. }));
         if not_run {
             self.not_run.insert((run, number));
         }
@@ -527,7 +528,11 @@
             end.runs.iter().filter(|(_, r)| r.0 <= now).map(|(c, r)| (*c, r.1)).collect();
         for (call, ran) in over {
             end.runs.remove(&call);
-            let ending = if ran { TxnOutcome::Served } else { TxnOutcome::Rejected { retry_after: None } };
+            let ending = if ran {
+                TxnOutcome::Served
+            } else {
+                TxnOutcome::Rejected { retry_after: None, may_have_run: false }
+            };
             let response =
                 end.core.finished(now, call, &Arc::new(Answer { outcome: ending, body: Vec::new() }));
             assert!(response.is_none(), "no answer before its outcome is replicated");
--- a/copies/tests/exhaustive.rs
+++ b/copies/tests/exhaustive.rs
@@ -132,7 +132,10 @@
             // Nobody but this gateway could run the txn, and it does not: should the accept be committed, the txn
             // ends as rejected.
             ("take", None) => {
-                let answer = Answer { outcome: TxnOutcome::Rejected { retry_after: None }, body: Vec::new() };
+                let answer = Answer {
+                    outcome: TxnOutcome::Rejected { retry_after: None, may_have_run: false },
+                    body: Vec::new(),
+                };
                 self.submit(i, "cancel", Operation::end(KEY, &answer, 0));
             }
             ("end", Some(CommandResult::Recorded)) => self.recorded = true,
--- a/gateway/src/clients/client.rs
+++ b/gateway/src/clients/client.rs
@@ -2,11 +2,11 @@
 
 use crate::buffers::Body;
 use crate::counters::{CountGuard, Counters};
-use crate::dispatch_api::Responder;
+use crate::dispatch_api::{Rejection, Responder};
 use crate::rpc::{self, ErrorCode};
 use async_channel::Sender;
 use event_listener::Event;
-use kelpcart::{Span, Time};
+use kelpcart::Time;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -130,8 +130,8 @@
         self.send_answer(id, head, body, tail, Some((deadline, id)));
     }
 
-    fn reject(&self, id: u64, retry_after: Option<Span>) {
-        let wait = retry_after.map(|span| (span.as_micros() / 1_000).to_string());
+    fn reject(&self, id: u64, rejection: Rejection) {
+        let wait = rejection.retry_after.map(|span| (span.as_micros() / 1_000).to_string());
         let fields = wait.as_deref().map(|wait| ("holdoff", wait));
         self.send_error(id, ErrorCode::Backoff, fields.as_slice());
     }
--- a/gateway/src/clients/connection.rs
+++ b/gateway/src/clients/connection.rs
@@ -9,7 +9,7 @@
 use super::{CROSSING_WINDOW, Frontend};
 use crate::clock::Clock;
 use crate::connection_end::ConnectionEnd;
-use crate::dispatch_api::{Event as DispatchEvent, Responder};
+use crate::dispatch_api::{Event as DispatchEvent, Rejection, Responder};
 use crate::rpc::{self, DecodeError, ErrorCode, Message};
 use async_channel::Receiver;
 use async_io::Async;
@@ -383,7 +383,7 @@
             }
             Message::Request { id, .. } if client.open_requests.borrow().len() > MAX_OPEN_REQUESTS => {
                 counters.add("requests over the connection's bound");
-                client.reject(id, None);
+                client.reject(id, Rejection::NOT_STARTED);
                 return Ok(());
             }
             Message::Request { id, method, request } => {
--- a/gateway/src/connection_end.rs
+++ b/gateway/src/connection_end.rs
@@ -1,7 +1,7 @@
 //! All the ways in which a connection, or the hop on it, can end, and the only mapping of them to the module's `HopStatus`.
 //!
 //! Invariant: a hop is never reported as not run unless that is proven: no connection was established, the request was
-//! not completely written, or the cache said so.
+//! not completely written, or the cache or the remote gateway said so.
 
 use kelpcart::interface::HopStatus;
 
@@ -56,8 +56,11 @@
     FarNever,
     /// It was sent, and its outcome can't be determined.
     FarLost,
-    /// Rejected by the remote gateway: a retry is safe.
+    /// Rejected by the remote gateway, and no attempt of its own may have run.
     FarRejected,
+    /// Rejected by the remote gateway after an attempt of its own that may have run: a repeat is safe only as long as
+    /// the txn's effect permits one.
+    FarGaveUp,
     /// Aborted by the remote gateway.
     FarAborted,
     /// The remote gateway considers the request invalid and did not forward it.
@@ -73,7 +76,7 @@
 }
 
 impl ConnectionEnd {
-    pub const ALL: [ConnectionEnd; 31] = [
+    pub const ALL: [ConnectionEnd; 32] = [
         ConnectionEnd::Whole,
         ConnectionEnd::Current,
         ConnectionEnd::Lacking,
@@ -99,6 +102,7 @@
         ConnectionEnd::FarNever,
         ConnectionEnd::FarLost,
         ConnectionEnd::FarRejected,
+        ConnectionEnd::FarGaveUp,
         ConnectionEnd::FarAborted,
         ConnectionEnd::FarInvalid,
         ConnectionEnd::PeerLeft,
@@ -117,6 +121,7 @@
             | ConnectionEnd::FarLoop
             | ConnectionEnd::FarRejected
             | ConnectionEnd::FarInvalid => HopStatus::TurnedAway,
+            ConnectionEnd::FarGaveUp => HopStatus::GivenUp,
             ConnectionEnd::Errored | ConnectionEnd::FarAborted => HopStatus::Errored,
             // A malformed response still shows that the member is alive and took the txn.
             ConnectionEnd::Damaged => HopStatus::Spoilt,
--- a/gateway/src/dispatch_api.rs
+++ b/gateway/src/dispatch_api.rs
@@ -53,6 +53,20 @@
     }
 }
 
+/// The answer to a request that was not served and may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rejection {
+    /// When the requester may come again.
+    pub retry_after: Option<Span>,
+    /// A hop has ended without proof that the txn did not run.
+    pub may_have_run: bool,
+}
+
+impl Rejection {
+    /// No hop was started.
+    pub const NOT_STARTED: Rejection = Rejection { retry_after: None, may_have_run: false };
+}
+
 /// Receives the final answers of a frontend's requests. At most one method is called per message id.
 pub trait Responder {
     /// Unique among all responders of the process.
@@ -60,8 +74,8 @@
     /// The txn completed. Without a body the requester's own copy is current. After `deadline` the requester no longer
     /// waits.
     fn serve(&self, id: u64, body: Option<Body>, deadline: Time);
-    /// The txn did not run and may safely be retried, after the given span if there is one.
-    fn reject(&self, id: u64, retry_after: Option<Span>);
+    /// The txn may safely be retried.
+    fn reject(&self, id: u64, rejection: Rejection);
     /// Whether the txn ran is unknown.
     fn abort(&self, id: u64);
     /// The request is invalid and was not forwarded.
--- a/gateway/src/dispatcher.rs
+++ b/gateway/src/dispatcher.rs
@@ -10,7 +10,9 @@
 use crate::config::{Config, DiscoveryEvent, ListedMember};
 use crate::connection_end::ConnectionEnd;
 use crate::counters::Counters;
-use crate::dispatch_api::{Event, HopFuture, HopRequest, HopResult, Request, Responder, Service, Transport};
+use crate::dispatch_api::{
+    Event, HopFuture, HopRequest, HopResult, Rejection, Request, Responder, Service, Transport,
+};
 use crate::run_history::{RunHistory, TxnIdentity};
 use crate::{http, memory};
 use async_channel::{Receiver, Sender};
@@ -341,7 +343,7 @@
             || self.txn_bytes + txn_bytes(&request) > self.max_txn_bytes
         {
             self.counters.add("requests over the open bound");
-            return responder.reject(message_id, None);
+            return responder.reject(message_id, Rejection::NOT_STARTED);
         }
         self.last_txn_id += 1;
         let txn = self.last_txn_id;
@@ -487,7 +489,8 @@
             Decision::Cancel { txn, hop } => self.cancel_hop(txn, hop, ConnectionEnd::Withdrawn),
             Decision::Reject { txn, retry_after } => {
                 let Some(open) = self.finish_unserved(now, txn, "txns rejected") else { return };
-                open.responder.reject(open.message_id, retry_after);
+                let rejection = Rejection { retry_after, may_have_run: open.may_have_run };
+                open.responder.reject(open.message_id, rejection);
             }
             Decision::Abort { txn } => {
                 let Some(open) = self.finish_unserved(now, txn, "txns aborted") else { return };
--- a/gateway/src/sites/acceptor.rs
+++ b/gateway/src/sites/acceptor.rs
@@ -7,7 +7,7 @@
 use super::{Frame, LinkContext, MIN_SLEEP, random_id, write_frames};
 use crate::buffers::Body;
 use crate::counters::CountGuard;
-use crate::dispatch_api::{Event, Request, Responder};
+use crate::dispatch_api::{Event, Rejection, Request, Responder};
 use async_channel::{Receiver, Sender};
 use event_listener::Event as Wakeup;
 use futures_lite::future;
@@ -627,8 +627,9 @@
         self.finished(id, outcome, body, Some(write_deadline));
     }
 
-    fn reject(&self, id: u64, come_back: Option<Span>) {
-        self.finished(id, TxnOutcome::Rejected { retry_after: come_back }, None, None);
+    fn reject(&self, id: u64, rejection: Rejection) {
+        let Rejection { retry_after, may_have_run } = rejection;
+        self.finished(id, TxnOutcome::Rejected { retry_after, may_have_run }, None, None);
     }
 
     fn abort(&self, id: u64) {
--- a/gateway/src/sites/initiator.rs
+++ b/gateway/src/sites/initiator.rs
@@ -346,7 +346,8 @@
             }
             AnswerCode::Served => Ends::Whole,
             AnswerCode::NotModified => Ends::Current,
-            AnswerCode::Rejected => Ends::FarRejected,
+            AnswerCode::Rejected if answer.not_run => Ends::FarRejected,
+            AnswerCode::Rejected => Ends::FarGaveUp,
             AnswerCode::Invalid => Ends::FarInvalid,
             AnswerCode::Aborted | AnswerCode::Unspecified => Ends::FarAborted,
         };
--- a/gateway/tests/closing.rs
+++ b/gateway/tests/closing.rs
@@ -12,7 +12,7 @@
 use kelpcart_gateway::clients::{Frontend, InputBuffers};
 use kelpcart_gateway::clock::Clock;
 use kelpcart_gateway::counters::Counters;
-use kelpcart_gateway::dispatch_api::{Event, Request, Responder, ResponderKeys, Service};
+use kelpcart_gateway::dispatch_api::{Event, Rejection, Request, Responder, ResponderKeys, Service};
 use std::future::Future;
 use std::io::{ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -338,7 +338,7 @@
         assert_eq!(answer[..5], [0x94, 0x01, n + 1, 0x92, 0xa4], "{answer:?}");
         assert!(client.is_closed_cleanly().await);
         // The dispatcher's own answer comes too late and is dropped: a txn gets one answer.
-        open.responder.reject(open.id, None);
+        open.responder.reject(open.id, Rejection::NOT_STARTED);
     });
 }
 
@@ -433,7 +433,7 @@
             if id <= 30 {
                 fixture.serve(&request, 230_000).await;
             } else {
-                request.responder.reject(request.id, None);
+                request.responder.reject(request.id, Rejection::NOT_STARTED);
             }
             id += 1;
             fixture.run_all_tasks().await;
--- a/gateway/tests/sites.rs
+++ b/gateway/tests/sites.rs
@@ -28,8 +28,14 @@
     acceptor_bulletin: DiscoveryServer,
     authority: Authority,
     listen: SocketAddr,
-    /// Makes bookings keyed txns with this dedup scope; `None`: they are unrepeatable.
-    keyed_scope: Option<&'static str>,
+    /// Makes bookings keyed txns; `None`: they are unrepeatable.
+    dedup: Option<Dedup>,
+}
+
+/// The caches that drop repeats of a keyed txn, and for how long.
+struct Dedup {
+    scope: &'static str,
+    window_ms: u64,
 }
 
 impl Drop for TestSites {
@@ -39,6 +45,25 @@
     }
 }
 
+fn peer(site: &str, address: SocketAddr) -> Value {
+    json!({"name": format!("{site}-1"), "site": site, "address": address.to_string(),
+        "as": ["parent", "origin"], "size": 64.0})
+}
+
+/// Books until a booking has reached one of the origins, and returns its answer and how often it has. One that is rejected
+/// before has not run: the link may not be trusted yet.
+fn book_until_it_runs(client: &mut Client, origins: &[StubCache]) -> (Status, usize) {
+    let began = Instant::now();
+    loop {
+        client.ask("book", 77);
+        let status = client.answer().status;
+        let runs = origins.iter().map(StubCache::take_request_count).sum();
+        if runs > 0 || status != Status::Rejected || began.elapsed() > PATIENCE {
+            return (status, runs);
+        }
+    }
+}
+
 impl TestSites {
     fn new(name: &str) -> TestSites {
         let folder = format!("{}/sites-{name}-{}", env!("CARGO_TARGET_TMPDIR"), std::process::id());
@@ -49,7 +74,7 @@
         let place = |(name, kind)| site.start_member(name, kind).unwrap();
         let places = [("e1", "box"), ("p1", "parent"), ("o", "origin")].map(place).to_vec();
         let authority = Authority::new().unwrap();
-        ["near", "far"].iter().for_each(|site| authority.write(&folder, site).unwrap());
+        ["near", "mid", "far"].iter().for_each(|site| authority.write(&folder, site).unwrap());
         TestSites {
             site,
             places,
@@ -58,7 +83,7 @@
             authority,
             listen: free_udp_address().unwrap(),
             folder,
-            keyed_scope: None,
+            dedup: None,
         }
     }
 
@@ -70,10 +95,10 @@
         for class in all["settings"]["Classes"].as_array_mut().unwrap() {
             (class["SloUs"], class["DeadlineUs"]) = (json!(20_000_000), json!(24_000_000));
         }
-        if let Some(scope) = self.keyed_scope {
+        if let Some(Dedup { scope, window_ms }) = self.dedup {
             let book = &mut all["settings"]["Classes"][2];
             (book["Repeat"], book["DedupScope"]) = (json!("token"), json!(scope));
-            book["MemorySpanUs"] = json!(24_000_000);
+            book["MemorySpanUs"] = json!(window_ms * 1_000);
         }
         all
     }
@@ -101,14 +126,14 @@
     }
 
     /// An acceptor whose bookings run at either of two origins, which are in different zones and cells.
-    fn acceptor_with_origins(&self, origins: [SocketAddr; 2]) -> Gateway {
+    fn acceptor_with_origins(&self, origins: [SocketAddr; 2], accept: &str) -> Gateway {
         let endpoint = |(i, address)| CacheEndpoint { name: format!("origin-{i}"), kind: "origin", address };
         let endpoints: Vec<CacheEndpoint> = origins.into_iter().enumerate().map(endpoint).collect();
         let mut config = self.config("far-1", &self.acceptor_bulletin, &endpoints);
         config["settings"]["Zones"] = json!(["z", "y"]);
         let second = &mut config["known"]["items"][0]["roster"]["endpoints"][1];
         (second["zone"], second["group"]) = (json!("y"), json!(1));
-        self.start_acceptor(&config, json!({"listen": self.listen.to_string(), "accept": ["near"]}))
+        self.start_acceptor(&config, json!({"listen": self.listen.to_string(), "accept": [accept]}))
     }
 
     fn durable_acceptor(&self) -> Gateway {
@@ -117,16 +142,17 @@
     }
 
     fn initiator(&self, relay: &Relay) -> Gateway {
-        let peer = json!({"name": "far-1", "site": "far", "address": relay.address.to_string(),
-            "as": ["parent", "origin"], "size": 64.0});
-        let config = self.config("near-1", &self.initiator_bulletin, &[]);
-        Gateway::start(
-            program(),
-            &self.folder,
-            &config,
-            Some(&self.site_settings("near", json!({"peers": [peer]}))),
-        )
-        .unwrap()
+        self.initiator_to("far", relay.address)
+    }
+
+    fn initiator_to(&self, site: &str, address: SocketAddr) -> Gateway {
+        self.start_site("near", json!({"peers": [peer(site, address)]}))
+    }
+
+    /// A gateway of a site without caches.
+    fn start_site(&self, site: &str, links: Value) -> Gateway {
+        let config = self.config(&format!("{site}-1"), &self.initiator_bulletin, &[]);
+        Gateway::start(program(), &self.folder, &config, Some(&self.site_settings(site, links))).unwrap()
     }
 
     fn relay(&self) -> Relay {
@@ -230,24 +256,42 @@
 fn a_keyed_txn_that_may_have_run_at_another_site_does_not_cross_the_link_again() {
     for scope in ["zone", "cell"] {
         let mut sites = TestSites::new(&format!("keyed-{scope}"));
-        sites.keyed_scope = Some(scope);
+        sites.dedup = Some(Dedup { scope, window_ms: 24_000 });
         let origins = [(); 2].map(|()| StubCache::start(|_| Reply::SendAndClose(Vec::new())));
-        let _acceptor = sites.acceptor_with_origins([origins[0].address, origins[1].address]);
+        let _acceptor = sites.acceptor_with_origins([origins[0].address, origins[1].address], "near");
         let relay = sites.relay();
         let initiator = sites.initiator(&relay);
         wait_for(&initiator, "(far-1) is up", 1);
-        let mut client = Client::of(&initiator);
-        // A rejected txn has not run: the link may not be trusted yet.
-        let began = Instant::now();
-        let status = loop {
-            client.ask("book", 77);
-            let status = client.answer().status;
-            if status != Status::Rejected || began.elapsed() > PATIENCE {
-                break status;
-            }
+        let answer = book_until_it_runs(&mut Client::of(&initiator), &origins);
+        assert_eq!(answer, (Status::Failed, 1), "scope: {scope}");
+    }
+}
+
+/// Guards against a keyed txn that runs again after its key is forgotten: a far gateway's rejection is no proof that no
+/// attempt of its own ran, nor is that of a gateway between the two.
+#[test]
+fn a_keyed_txn_that_ran_at_another_site_is_not_sent_there_after_its_dedup_window() {
+    for through_mid in [false, true] {
+        let mut sites = TestSites::new(&format!("window-{through_mid}"));
+        sites.dedup = Some(Dedup { scope: "all", window_ms: 400 });
+        // The connection ends without an answer once the key is forgotten.
+        let forget_and_close = |_: &_| {
+            std::thread::sleep(Duration::from_millis(600));
+            Reply::SendAndClose(Vec::new())
         };
-        let runs: usize = origins.iter().map(StubCache::take_request_count).sum();
-        assert_eq!((status, runs), (Status::Failed, 1), "scope: {scope}");
+        let origins = [(); 2].map(|()| StubCache::start(forget_and_close));
+        let accept = if through_mid { "mid" } else { "near" };
+        let _acceptor = sites.acceptor_with_origins([origins[0].address, origins[1].address], accept);
+        let mid_listen = free_udp_address().unwrap();
+        let mid_links = json!({"listen": mid_listen.to_string(), "accept": ["near"],
+            "peers": [peer("far", sites.listen)]});
+        let mid = through_mid.then(|| sites.start_site("mid", mid_links));
+        mid.iter().for_each(|mid| wait_for(mid, "(far-1) is up", 1));
+        let (site, address) = if through_mid { ("mid", mid_listen) } else { ("far", sites.listen) };
+        let initiator = sites.initiator_to(site, address);
+        wait_for(&initiator, "-1) is up", 1);
+        let answer = book_until_it_runs(&mut Client::of(&initiator), &origins);
+        assert_eq!(answer, (Status::Rejected, 1), "through a third site: {through_mid}");
     }
 }
 
--- a/sites/src/acceptor.rs
+++ b/sites/src/acceptor.rs
@@ -497,7 +497,7 @@
             AcceptResult::NotAccepted | AcceptResult::Unknown => {
                 let not_accepted = result == AcceptResult::NotAccepted;
                 let outcome = if not_accepted {
-                    TxnOutcome::Rejected { retry_after: None }
+                    TxnOutcome::Rejected { retry_after: None, may_have_run: false }
                 } else {
                     TxnOutcome::Aborted
                 };
@@ -616,7 +616,11 @@
     /// A call that was not passed to the host finishes as not run.
     fn cancel_unstarted(&mut self, now: Time, call: Call) {
         self.actions.push_back(SessionAction::Discard { call });
-        let outcome = TxnOutcome::Rejected { retry_after: None };
+        self.finish_unstarted(now, call);
+    }
+
+    fn finish_unstarted(&mut self, now: Time, call: Call) {
+        let outcome = TxnOutcome::Rejected { retry_after: None, may_have_run: false };
         self.finished(now, call, &Arc::new(Answer { outcome, body: Vec::new() }));
     }
 
@@ -624,11 +628,7 @@
     pub fn persist_failed(&mut self, now: Time, seq: u64) {
         while self.awaiting_disk.front().is_some_and(|(at, _)| *at <= seq) {
             let Some((_, call)) = self.awaiting_disk.pop_front() else { return };
-            self.finished(
-                now,
-                call,
-                &Arc::new(Answer { outcome: TxnOutcome::Rejected { retry_after: None }, body: vec![] }),
-            );
+            self.finish_unstarted(now, call);
         }
     }
 
--- a/sites/src/ledger.rs
+++ b/sites/src/ledger.rs
@@ -21,9 +21,10 @@
     Served,
     /// The requester's cached copy is current.
     NotModified,
-    /// A retry is harmless.
+    /// A retry is harmless, for a keyed txn that may have run only within its dedup window.
     Rejected {
         retry_after: Option<Span>,
+        may_have_run: bool,
     },
     /// It may have run in part.
     Aborted,
--- a/sites/src/wire.rs
+++ b/sites/src/wire.rs
@@ -161,6 +161,9 @@
     /// Number of body bytes that follow the message.
     #[prost(uint32, tag = "5")]
     pub body_len: u32,
+    /// No attempt of the acceptor's site may have run. Earlier releases don't state it.
+    #[prost(bool, tag = "6")]
+    pub not_run: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, prost::Enumeration)]
@@ -309,19 +312,22 @@
 
 impl Answer {
     pub fn new(number: u64, outcome: TxnOutcome, body_len: usize) -> Answer {
-        let (code, retry_after) = match outcome {
-            TxnOutcome::Served => (AnswerCode::Served, None),
-            TxnOutcome::NotModified => (AnswerCode::NotModified, None),
-            TxnOutcome::Rejected { retry_after } => (AnswerCode::Rejected, retry_after),
-            TxnOutcome::Aborted => (AnswerCode::Aborted, None),
-            TxnOutcome::Invalid => (AnswerCode::Invalid, None),
+        let (code, retry_after, not_run) = match outcome {
+            TxnOutcome::Served => (AnswerCode::Served, None, false),
+            TxnOutcome::NotModified => (AnswerCode::NotModified, None, false),
+            TxnOutcome::Rejected { retry_after, may_have_run } => {
+                (AnswerCode::Rejected, retry_after, !may_have_run)
+            }
+            TxnOutcome::Aborted => (AnswerCode::Aborted, None, false),
+            TxnOutcome::Invalid => (AnswerCode::Invalid, None, true),
         };
         let retry_after_us = retry_after.map(Span::as_micros);
-        Answer { number, code: code as i32, retry_after_us, body_len: body_len as u32 }
+        Answer { number, code: code as i32, retry_after_us, body_len: body_len as u32, not_run }
     }
 
     pub fn refused(number: u64, code: AnswerCode) -> Answer {
-        Answer { number, code: code as i32, retry_after_us: None, body_len: 0 }
+        let not_run = code == AnswerCode::Refused;
+        Answer { number, code: code as i32, retry_after_us: None, body_len: 0, not_run }
     }
 
     /// The txn's outcome; `None` if it did not finish at the acceptor.
@@ -329,9 +335,10 @@
         Some(match AnswerCode::try_from(self.code).ok()? {
             AnswerCode::Served => TxnOutcome::Served,
             AnswerCode::NotModified => TxnOutcome::NotModified,
-            AnswerCode::Rejected => {
-                TxnOutcome::Rejected { retry_after: self.retry_after_us.map(Span::from_micros) }
-            }
+            AnswerCode::Rejected => TxnOutcome::Rejected {
+                retry_after: self.retry_after_us.map(Span::from_micros),
+                may_have_run: !self.not_run,
+            },
             AnswerCode::Aborted => TxnOutcome::Aborted,
             AnswerCode::Invalid => TxnOutcome::Invalid,
             AnswerCode::Unspecified | AnswerCode::Refused | AnswerCode::Forgotten => return None,
--- a/sites/tests/cases.rs
+++ b/sites/tests/cases.rs
@@ -559,7 +559,7 @@
     harness.request(4, 2, 3);
     harness.acceptor.persist_failed(at(5), 9);
     let all = harness.actions(5);
-    let reported = |d: &SessionAction| matches!(d, SessionAction::SendAnswer { number: 3, answer, .. } if matches!(answer.outcome, TxnOutcome::Rejected { .. }));
+    let reported = |d: &SessionAction| matches!(d, SessionAction::SendAnswer { number: 3, answer, .. } if matches!(answer.outcome, TxnOutcome::Rejected { may_have_run: false, .. }));
     assert!(runs(&all) == 0 && all.iter().any(reported), "{all:?}");
 }
 
--- a/sites/tests/store.rs
+++ b/sites/tests/store.rs
@@ -40,8 +40,8 @@
                 }
                 2 => {
                     let retry_after = (more % 2 == 0).then(|| Span::from_millis(more.into()));
-                    let endings =
-                        [TxnOutcome::Served, TxnOutcome::Rejected { retry_after }, TxnOutcome::Aborted];
+                    let rejected = TxnOutcome::Rejected { retry_after, may_have_run: more % 4 < 2 };
+                    let endings = [TxnOutcome::Served, rejected, TxnOutcome::Aborted];
                     let answer =
                         Answer { outcome: endings[usize::from(more) % 3], body: vec![more; more.into()] };
                     accepted.insert(key, Some(answer.clone()));
--- a/sites/tests/wire.rs
+++ b/sites/tests/wire.rs
@@ -1,5 +1,6 @@
 //! Messages on a link: whole, split and damaged ones, and values that a peer may not send.
 
+use kelpcart_sites::ledger::TxnOutcome;
 use kelpcart_sites::wire::{self, AnswerCode, DecodeError, Message};
 use quickcheck::{Arbitrary, Gen, QuickCheck, quickcheck};
 
@@ -72,6 +73,19 @@
     assert_eq!((read, at), (messages, bytes.len()));
 }
 
+/// Guards against a rejection that passes for proof: earlier releases send, and ledgers hold, ones that don't state whether
+/// the txn may have run.
+#[test]
+fn a_rejection_is_proof_that_nothing_ran_only_if_it_says_so() {
+    let rejected = |may_have_run| TxnOutcome::Rejected { retry_after: None, may_have_run };
+    for may_have_run in [false, true] {
+        let answer = wire::Answer::new(7, rejected(may_have_run), 0);
+        assert_eq!(answer.outcome(), Some(rejected(may_have_run)));
+        let unstated = wire::Answer { not_run: false, ..answer };
+        assert_eq!(unstated.outcome(), Some(rejected(true)));
+    }
+}
+
 #[test]
 fn invalid_values_are_rejected() {
     let long = |n: usize| "x".repeat(n);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -155,6 +155,8 @@
     Errored,
     /// The member rejected it, for example as overloaded.
     TurnedAway,
+    /// The member, a gateway, rejected it after an attempt of its own that may have run.
+    GivenUp,
     TimedOut,
     /// No connection could be made, or it ended before the request was sent in full.
     Unreachable,
@@ -250,7 +252,8 @@
     Hop { txn: TxnId, member: MemberId, fill: Option<Fill>, start_by: Time, deadline: Time },
     /// Cancels a hop; the host still reports its outcome.
     Cancel { txn: TxnId, hop: u32 },
-    /// Answers the client that its txn was not served and may be repeated.
+    /// Answers the client that its txn was not served and may be repeated. A gateway of another site also needs to be
+    /// told whether a hop may have run.
     Reject { txn: TxnId, retry_after: Option<Span> },
     /// Answers the client that its txn failed and may have run.
     Abort { txn: TxnId },
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -477,6 +477,7 @@
                     | HopStatus::Broken
                     | HopStatus::Errored
                     | HopStatus::TurnedAway
+                    | HopStatus::GivenUp
                     | HopStatus::NeverSent
                     | HopStatus::Spoilt
             );
@@ -579,7 +580,7 @@
             }
             // Over a link, late answers are due to packet loss; the link's congestion window limits the load there.
             HopStatus::Completed if record.info.remote => {}
-            HopStatus::Completed | HopStatus::TurnedAway | HopStatus::Errored => {
+            HopStatus::Completed | HopStatus::TurnedAway | HopStatus::GivenUp | HopStatus::Errored => {
                 record.concurrency_limit =
                     (record.concurrency_limit * LIMIT_DECREASE_FACTOR.powf(step_scale)).max(floor);
             }
@@ -1100,7 +1101,8 @@
         }
     }
 
-    /// No further hop: answers at once, with a rejection where a repeat by the client is harmless.
+    /// No further hop: answers at once, with a rejection where a repeat by the client is harmless. A gateway that sent
+    /// the txn here knows of its own earlier attempts: only hops of this gateway count.
     fn give_up(&mut self, open: &OpenTxn, rule: &RemapRule) -> Decision {
         let txn = open.txn.id;
         let repeat_is_safe = open.may_have_run.is_none()
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -223,12 +223,14 @@
 
 #[test]
 fn keyed_txns_repeat_only_in_their_dedup_scope_and_window() {
-    for (wait, out_of_window) in [(500, false), (3_100, true)] {
-        let mut world = World::new(settings());
-        let patient = Txn { time_left: ms(9_000), ..txn(1, 1, 1) };
-        world.submit(at(0), patient);
-        let next = world.end_hop(at(wait), 1, HopStatus::Errored, None);
-        assert_eq!(matches!(next[0], Decision::Abort { .. }), out_of_window, "{next:?}");
+    for status in [HopStatus::Errored, HopStatus::GivenUp] {
+        for (wait, out_of_window) in [(500, false), (3_100, true)] {
+            let mut world = World::new(settings());
+            let patient = Txn { time_left: ms(9_000), ..txn(1, 1, 1) };
+            world.submit(at(0), patient);
+            let next = world.end_hop(at(wait), 1, status, None);
+            assert_eq!(matches!(next[0], Decision::Abort { .. }), out_of_window, "{next:?}");
+        }
     }
 }
 
