--- a/copies/tests/composed.rs
+++ b/copies/tests/composed.rs
@@ -59,7 +59,7 @@
     Answer(u64, TxnOutcome),
     Refused(u64, RefusalReason),
     Status(u64, TxnStatus),
-    Pong(u64, u32, bool),
+    Pong(wire::Pong),
     Ledger(u64),
 }
 
@@ -335,7 +335,8 @@
             Msg::Cancel(number) => end.core.cancelled(id, number),
             Msg::Ping(number) => {
                 let (credit, leaving) = end.core.pong_state();
-                self.post(id, false, Msg::Pong(number, credit, leaving));
+                let clock_us = Some(now.as_micros());
+                self.post(id, false, Msg::Pong(wire::Pong { number, credit, leaving, clock_us }));
             }
             _ => unreachable!("not a message from an initiator"),
         }
@@ -365,7 +366,7 @@
                 initiator.refused(now, link, number, end);
             }
             Msg::Status(number, status) => initiator.status_received(now, link, number, status),
-            Msg::Pong(number, credit, leaving) => initiator.pong_received(now, link, number, credit, leaving),
+            Msg::Pong(pong) => initiator.pong_received(now, link, &pong),
             Msg::Ledger(ledger) => initiator.ledger_changed(now, link, ledger),
             _ => unreachable!("not a message from an acceptor"),
         }
@@ -439,6 +440,7 @@
             gateway: format!("n{initiator}"),
             run_id: *run,
             next_number: core.next_number(),
+            states_attempts: true,
         };
         self.post(id, true, Msg::Hello(hello));
     }
@@ -461,6 +463,8 @@
             body_bytes: 10,
             deadline: until,
             sla_deadline: until,
+            first_attempt: None,
+            start_by: until,
             path: &[],
         };
         let number = self.initiators[initiator].0.submit(self.now, link, &want);
@@ -607,7 +611,8 @@
             match todo {
                 SessionAction::AcceptSession { session, credit, leaving, ledger } => {
                     let ledger = ledger.unwrap_or(1 + i as u64);
-                    let welcome = Welcome { ledger, credit, leaving, knows_past_ledgers: true };
+                    let clock = Some(now);
+                    let welcome = Welcome { ledger, credit, leaving, knows_past_ledgers: true, clock };
                     self.post(session, false, Msg::Welcome(welcome));
                 }
                 SessionAction::RefuseSession { session, reason: why } => {
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -137,6 +137,8 @@
         size: optional(body, "BytesK", number)?.filter(|&kb| kb > 0.0),
         time_left: span(body, "LeftUs")?,
         max_age: None,
+        earlier_attempt: EarlierAttempt::None,
+        start_by: None,
     })
 }
 
--- a/gateway/src/caches.rs
+++ b/gateway/src/caches.rs
@@ -186,10 +186,10 @@
             Progress { timeout_end: Cell::new(ConnectionEnd::LateUnsent), local_wait: Cell::default() };
         let _notify = NotifyOnDrop(&self.connection_freed);
         // Boxed, since each wrapper around a future would hold its size twice, for every hop that waits.
-        let run = self.clock.timeout_at(hop.deadline, Box::pin(self.execute(&hop, &progress)));
+        let run = self.clock.timeout_at(hop.times.deadline, Box::pin(self.execute(&hop, &progress)));
         // No first byte may be written after `start_by`.
         let too_late = async {
-            self.clock.sleep_until(hop.start_by).await;
+            self.clock.sleep_until(hop.times.start_by).await;
             if hop.started.get() {
                 future::pending::<()>().await;
             }
@@ -250,7 +250,7 @@
             part: hop.request.part,
             trace_id: &hop.request.request_id,
             host: &host,
-            time_limit: hop.deadline - self.clock.now(),
+            time_limit: hop.times.deadline - self.clock.now(),
             fill: hop.fill.as_ref(),
             etag: hop.request.client_etag.as_deref().filter(|_| !hop.is_write),
             idempotency_key: hop.request.idempotency_key.as_deref(),
--- a/gateway/src/connection_end.rs
+++ b/gateway/src/connection_end.rs
@@ -61,6 +61,9 @@
     /// Rejected by the remote gateway after an attempt of its own that may have run: a repeat is safe only as long as
     /// the txn's effect permits one.
     FarGaveUp,
+    /// The remote gateway is of an earlier release, which can't be told until when the txn may be sent: nothing was
+    /// sent.
+    FarOutdated,
     /// Aborted by the remote gateway.
     FarAborted,
     /// The remote gateway considers the request invalid and did not forward it.
@@ -76,7 +79,7 @@
 }
 
 impl ConnectionEnd {
-    pub const ALL: [ConnectionEnd; 32] = [
+    pub const ALL: [ConnectionEnd; 33] = [
         ConnectionEnd::Whole,
         ConnectionEnd::Current,
         ConnectionEnd::Lacking,
@@ -103,6 +106,7 @@
         ConnectionEnd::FarLost,
         ConnectionEnd::FarRejected,
         ConnectionEnd::FarGaveUp,
+        ConnectionEnd::FarOutdated,
         ConnectionEnd::FarAborted,
         ConnectionEnd::FarInvalid,
         ConnectionEnd::PeerLeft,
@@ -130,6 +134,7 @@
             }
             ConnectionEnd::FarDown | ConnectionEnd::FarNever => HopStatus::Unreachable,
             ConnectionEnd::FarFull
+            | ConnectionEnd::FarOutdated
             | ConnectionEnd::Over
             | ConnectionEnd::NoSocket
             | ConnectionEnd::LateUnsent
--- a/gateway/src/dispatch_api.rs
+++ b/gateway/src/dispatch_api.rs
@@ -7,7 +7,7 @@
 use crate::buffers::Body;
 use crate::config::DiscoveryEvent;
 use crate::connection_end::ConnectionEnd;
-use kelpcart::interface::{CacheStatus, Fill, MemberId, TxnId};
+use kelpcart::interface::{CacheStatus, EarlierAttempt, Fill, MemberId, TxnId};
 use kelpcart::{Span, Time};
 use std::cell::Cell;
 use std::future::Future;
@@ -38,6 +38,9 @@
     pub max_age: Option<Span>,
     /// The sites that the txn has crossed, oldest first.
     pub via: Vec<String>,
+    pub earlier_attempt: EarlierAttempt,
+    /// Nothing of the txn may be sent after this time, if the requester sets one.
+    pub start_by: Option<Time>,
 }
 
 impl Request {
@@ -128,16 +131,23 @@
     Shutdown,
 }
 
+#[derive(Clone, Copy, Debug)]
+pub struct HopTimes {
+    /// When the first attempt of the txn that may have run was sent.
+    pub first_attempt: Option<Time>,
+    /// The first byte is sent by this time, or the hop does not start.
+    pub start_by: Time,
+    /// The end of the txn's SLA time.
+    pub sla_deadline: Time,
+    pub deadline: Time,
+}
+
 /// One hop, as the module ordered it.
 pub struct HopRequest {
     pub member: MemberId,
-    /// The first byte is sent by this time, or the hop does not start.
-    pub start_by: Time,
+    pub times: HopTimes,
     /// Set just before the first byte is sent: from then on the hop can't be reported as never sent.
     pub started: Rc<Cell<bool>>,
-    pub deadline: Time,
-    /// The end of the txn's SLA time.
-    pub sla_deadline: Time,
     pub rule: Rc<str>,
     pub is_write: bool,
     /// The txn must not run twice.
--- a/gateway/src/dispatcher.rs
+++ b/gateway/src/dispatcher.rs
@@ -11,7 +11,7 @@
 use crate::connection_end::ConnectionEnd;
 use crate::counters::Counters;
 use crate::dispatch_api::{
-    Event, HopFuture, HopRequest, HopResult, Rejection, Request, Responder, Service, Transport,
+    Event, HopFuture, HopRequest, HopResult, HopTimes, Rejection, Request, Responder, Service, Transport,
 };
 use crate::run_history::{RunHistory, TxnIdentity};
 use crate::{http, memory};
@@ -352,6 +352,7 @@
         let (object, group, part, size) =
             (request.object, request.group.into(), request.part, request.size_kb);
         let (time_left, max_age) = (deadline - now, request.max_age);
+        let (earlier_attempt, start_by) = (request.earlier_attempt, request.start_by);
         let transfer_s = request
             .size_kb
             .filter(|_| self.client_rate_kb_per_s > 0.0)
@@ -374,8 +375,22 @@
                 may_have_run: false,
             },
         );
-        self.gateway
-            .submit(now, Txn { id: txn, rule, object, group, part, is_write, size, time_left, max_age });
+        self.gateway.submit(
+            now,
+            Txn {
+                id: txn,
+                rule,
+                object,
+                group,
+                part,
+                is_write,
+                size,
+                time_left,
+                max_age,
+                earlier_attempt,
+                start_by,
+            },
+        );
     }
 
     /// Removes a txn from all tables. Afterwards it can't be answered again.
@@ -483,8 +498,11 @@
 
     fn execute(&mut self, now: Time, decision: Decision) {
         match decision {
-            Decision::Hop { txn, member, fill, start_by, deadline } => {
-                self.start_hop(now, txn, member, fill, [start_by, deadline]);
+            Decision::Hop { txn, member, fill, first_attempt, start_by, deadline } => {
+                let Some(open) = self.open_txns.get(&txn) else { return };
+                let (sla_deadline, deadline) = (open.sla_deadline, deadline.min(open.deadline));
+                let times = HopTimes { first_attempt, start_by, sla_deadline, deadline };
+                self.start_hop(now, txn, member, fill, times);
             }
             Decision::Cancel { txn, hop } => self.cancel_hop(txn, hop, ConnectionEnd::Withdrawn),
             Decision::Reject { txn, retry_after } => {
@@ -501,33 +519,22 @@
         }
     }
 
-    fn start_hop(
-        &mut self,
-        now: Time,
-        txn: TxnId,
-        member: MemberId,
-        fill: Option<Fill>,
-        [start_by, limit]: [Time; 2],
-    ) {
+    fn start_hop(&mut self, now: Time, txn: TxnId, member: MemberId, fill: Option<Fill>, times: HopTimes) {
         let Some(open) = self.open_txns.get_mut(&txn) else { return };
         let hop = open.hop_count;
         open.hop_count += 1;
-        let deadline = limit.min(open.deadline);
         let Rule { name: rule, is_write, unrepeatable, .. } = self.rules[open.rule].clone();
         log::trace!(
             "txn {txn} hop {hop} to member {member}: rule {rule}, fill source {:?}",
             fill.as_ref().map(|f| &*f.source)
         );
-        let sla_deadline = open.sla_deadline;
         let (request, started) = (Rc::clone(&open.request), Rc::<Cell<bool>>::default());
         let source = fill.as_ref().map(|fill| Arc::clone(&fill.source));
         let to = member.clone();
         let hop_request = HopRequest {
             member: to,
-            start_by,
+            times,
             started: Rc::clone(&started),
-            deadline,
-            sla_deadline,
             rule,
             is_write,
             unrepeatable,
@@ -535,7 +542,7 @@
             fill,
         };
         let mut task = None;
-        if hop >= self.max_hops || deadline <= now {
+        if hop >= self.max_hops || times.deadline <= now {
             self.local_results.push_back((txn, hop, ConnectionEnd::LateUnsent));
         } else {
             task =
@@ -551,8 +558,9 @@
                     }
                 });
         }
+        let (ordered_at, deadline) = (now, times.deadline);
         self.active_hops
-            .insert((txn, hop), ActiveHop { member, source, started, task, ordered_at: now, deadline });
+            .insert((txn, hop), ActiveHop { member, source, started, task, ordered_at, deadline });
     }
 
     fn spawn_hop(&self, txn: TxnId, hop: u32, running: HopFuture) -> Task<()> {
--- a/gateway/src/fleet.rs
+++ b/gateway/src/fleet.rs
@@ -393,7 +393,7 @@
         }
         let fleet = Rc::clone(&self.0);
         let now = fleet.clock.now();
-        let until = now + (job.sla_deadline - now) * fleet.wait_part;
+        let until = now + (job.times.sla_deadline - now) * fleet.wait_part;
         let object = rank::key(&format!("{}/{}/{}", job.rule, job.request.object_name, job.request.part));
         let cache = (BudgetKind::FillsAtCache, rank::key(&job.member));
         let first = fleet.request((BudgetKind::Fill, object), until);
--- a/gateway/src/sites/acceptor.rs
+++ b/gateway/src/sites/acceptor.rs
@@ -11,6 +11,7 @@
 use async_channel::{Receiver, Sender};
 use event_listener::Event as Wakeup;
 use futures_lite::future;
+use kelpcart::interface::EarlierAttempt;
 use kelpcart::{Span, Time};
 use kelpcart_copies::client::{self, RequestError};
 use kelpcart_copies::command::{CommandResult, Operation, RegisterSender, TxnKey};
@@ -41,6 +42,8 @@
     connection: Connection,
     control: Sender<Frame>,
     welcomed: Cell<bool>,
+    /// Whether requests state earlier attempts.
+    states_attempts: bool,
 }
 
 /// A request that waits for the core's admission.
@@ -246,8 +249,16 @@
                     let (site, gateway) = (self.settings.site.clone(), self.settings.gateway.clone());
                     let (version, ledger) = (wire::VERSION, ledger.unwrap_or(self.ledger));
                     let knows_past_ledgers = self.copies.is_some();
-                    let welcome =
-                        wire::Welcome { version, site, gateway, ledger, credit, leaving, knows_past_ledgers };
+                    let welcome = wire::Welcome {
+                        version,
+                        site,
+                        gateway,
+                        ledger,
+                        credit,
+                        leaving,
+                        knows_past_ledgers,
+                        clock_us: Some(now.as_micros()),
+                    };
                     if let Some(entry) = self.sessions.borrow().get(&session) {
                         entry.welcomed.set(true);
                     }
@@ -476,7 +487,19 @@
         // Pings and status replies go before everything else.
         _ = send.set_priority(CONTROL_PRIORITY);
         let (control, frames) = async_channel::unbounded();
-        let entry = Rc::new(Session { connection: connection.clone(), control, welcomed: Cell::new(false) });
+        if !hello.states_attempts {
+            log::warn!(
+                "{} of {} is of an earlier release: keyed txns are rejected",
+                hello.gateway,
+                hello.site
+            );
+        }
+        let entry = Rc::new(Session {
+            connection: connection.clone(),
+            control,
+            welcomed: Cell::new(false),
+            states_attempts: hello.states_attempts,
+        });
         self.sessions.borrow_mut().insert(session, Rc::clone(&entry));
         let proven = quic::certifies_site(&connection, &hello.site);
         self.with_core(|core, now| core.hello(now, session, &hello, proven));
@@ -560,7 +583,8 @@
             }
             Message::Ping(number) => {
                 let (credit, leaving) = self.core.borrow().pong_state();
-                let pong = Message::Pong(wire::Pong { number, credit, leaving });
+                let clock_us = Some(self.context.clock.now().as_micros());
+                let pong = Message::Pong(wire::Pong { number, credit, leaving, clock_us });
                 self.control(session, wire::encode(pong).into());
             }
             _ => return false,
@@ -573,6 +597,12 @@
         if let Some(reply) = reply {
             self.replies.borrow_mut().insert((session, number), reply);
         }
+        let states_attempts = self.sessions.borrow().get(&session).is_some_and(|s| s.states_attempts);
+        let earlier_attempt = match r.first_attempt_us {
+            Some(sent_at) => EarlierAttempt::SentAt(Time::from_micros(sent_at)),
+            None if states_attempts => EarlierAttempt::None,
+            None => EarlierAttempt::Unknown,
+        };
         let request = Request {
             request_id: format!("{:016x}", r.trace_id),
             request_number: r.trace_id,
@@ -587,6 +617,8 @@
             body: r.body,
             max_age: r.max_age_us.map(Span::from_micros),
             via: r.path,
+            earlier_attempt,
+            start_by: r.start_by_us.map(Time::from_micros),
         };
         let importance = r.importance as u8;
         let meta = RequestMeta { number, unrepeatable: r.unrepeatable, importance, path: &request.via };
--- a/gateway/src/sites/initiator.rs
+++ b/gateway/src/sites/initiator.rs
@@ -12,7 +12,7 @@
 use futures_lite::future;
 use kelpcart::interface::MemberId;
 use kelpcart::{Span, Time};
-use kelpcart_sites::initiator::{HopOutcome, HopSpec, Initiator, LinkAction, Welcome};
+use kelpcart_sites::initiator::{AcceptorAttempts, HopOutcome, HopSpec, Initiator, LinkAction, Welcome};
 use kelpcart_sites::quic::{self, Connection, Endpoint, RecvStream};
 use kelpcart_sites::settings::{Carrier, Sites};
 use kelpcart_sites::wire::{self, AnswerCode, Message, TxnStatus};
@@ -136,8 +136,10 @@
             unrepeatable: job.unrepeatable,
             size_kb: job.request.size_kb.filter(|_| !job.is_write),
             body_bytes: if job.is_write { job.request.body.len() } else { 0 },
-            deadline: job.deadline,
-            sla_deadline: job.sla_deadline,
+            deadline: job.times.deadline,
+            sla_deadline: job.times.sla_deadline,
+            first_attempt: job.times.first_attempt,
+            start_by: job.times.start_by,
             path: &job.request.via,
         };
         let number = self.core.borrow_mut().submit(self.context.clock.now(), link, &spec);
@@ -163,7 +165,9 @@
                     self.context.tasks.spawn(Rc::clone(self).dial(link, generation)).detach();
                 }
                 LinkAction::Disconnect { link } => self.close(link, "silent"),
-                LinkAction::Send { link, number, time_left } => self.send_request(link, number, time_left),
+                LinkAction::Send { link, number, time_left, attempts } => {
+                    self.send_request(link, number, time_left, attempts);
+                }
                 LinkAction::Cancel { link, number } => self.send_message(link, Message::Cancel(number)),
                 LinkAction::QueryStatus { link, ledger, numbers } => {
                     self.context.counters.add("questions about hops in doubt");
@@ -206,6 +210,7 @@
             HopOutcome::Down => Ends::FarDown.into(),
             HopOutcome::Full => Ends::FarFull.into(),
             HopOutcome::Loop => Ends::FarLoop.into(),
+            HopOutcome::Outdated => Ends::FarOutdated.into(),
             HopOutcome::Refused => Ends::FarTurned.into(),
             HopOutcome::NeverAccepted => Ends::FarNever.into(),
             HopOutcome::Lost => Ends::FarLost.into(),
@@ -215,7 +220,7 @@
         _ = hop.reply.try_send(hop_result);
     }
 
-    fn send_request(self: &Rc<Self>, link: usize, number: u64, time_left: Span) {
+    fn send_request(self: &Rc<Self>, link: usize, number: u64, time_left: Span, attempts: AcceptorAttempts) {
         let open = self.links.borrow()[link].open.clone();
         let mut pending = self.pending.borrow_mut();
         let Some(hop) = pending.get_mut(&number) else { return };
@@ -223,7 +228,7 @@
             drop(pending);
             return self.core.borrow_mut().send_failed(self.context.clock.now(), number);
         };
-        let request = self.request(&hop.job, number, time_left);
+        let request = self.request(&hop.job, number, time_left, attempts);
         let importance = request.importance;
         let bytes = wire::encode(Message::Request(request));
         if self.settings.carrier == Carrier::OneStream {
@@ -234,7 +239,13 @@
         hop.task = Some(self.context.tasks.spawn(work));
     }
 
-    fn request(&self, job: &HopRequest, number: u64, time_left: Span) -> wire::Request {
+    fn request(
+        &self,
+        job: &HopRequest,
+        number: u64,
+        time_left: Span,
+        attempts: AcceptorAttempts,
+    ) -> wire::Request {
         let request = &job.request;
         let mut path = request.via.clone();
         path.push(self.settings.site.clone());
@@ -254,6 +265,8 @@
             unrepeatable: job.unrepeatable,
             idempotency_key: request.idempotency_key.clone(),
             importance: self.settings.importance(&job.rule).into(),
+            first_attempt_us: attempts.first_attempt.map(Time::as_micros),
+            start_by_us: attempts.start_by.map(Time::as_micros),
         }
     }
 
@@ -317,9 +330,7 @@
                 self.with_core(|core, now| core.status_received(now, link, reply.number, status));
             }
             Message::Pong(pong) => {
-                self.with_core(|core, now| {
-                    core.pong_received(now, link, pong.number, pong.credit, pong.leaving)
-                });
+                self.with_core(|core, now| core.pong_received(now, link, &pong));
             }
             Message::Ledger(ledger) => self.with_core(|core, now| core.ledger_changed(now, link, ledger)),
             Message::Leaving(_) => {
@@ -418,6 +429,7 @@
             gateway: self.settings.gateway.clone(),
             run_id: self.run_id,
             next_number: self.core.borrow().next_number(),
+            states_attempts: true,
         });
         quic::write(&mut send, &wire::encode(hello)).await.map_err(|e| e.to_string())?;
         let welcome = match quic::read(&mut recv).await.map_err(|e| e.to_string())? {
@@ -439,9 +451,10 @@
         }
         log::info!("link to {} ({}) is up", peer.name, welcome.gateway);
         self.context.counters.add("links made");
-        let wire::Welcome { ledger, credit, leaving, knows_past_ledgers, .. } = welcome;
+        let wire::Welcome { ledger, credit, leaving, knows_past_ledgers, clock_us, .. } = welcome;
+        let clock = clock_us.map(Time::from_micros);
         self.with_core(|core, now| {
-            core.connected(now, link, &Welcome { ledger, credit, leaving, knows_past_ledgers })
+            core.connected(now, link, &Welcome { ledger, credit, leaving, knows_past_ledgers, clock })
         });
         let clock = self.context.clock;
         let write = async {
--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -11,7 +11,7 @@
 use kelpcart_gateway::clock::Clock;
 use kelpcart_gateway::config::{self, parse_event};
 use kelpcart_gateway::connection_end::ConnectionEnd;
-use kelpcart_gateway::dispatch_api::HopRequest;
+use kelpcart_gateway::dispatch_api::{HopRequest, HopTimes};
 use quickcheck::{Gen, QuickCheck};
 use serde_json::json;
 use stand_ins::*;
@@ -400,20 +400,10 @@
     let hop = |wait: Span| {
         let (member, deadline, rule, request) =
             ("e1".into(), clock.now() + wait, "segment".into(), Rc::default());
-        let (start_by, started) = (deadline, Rc::default());
+        let started = Rc::default();
+        let times = HopTimes { first_attempt: None, start_by: deadline, sla_deadline: deadline, deadline };
         let (is_write, unrepeatable, fill) = (false, false, None);
-        caches.run_hop(HopRequest {
-            member,
-            start_by,
-            started,
-            deadline,
-            sla_deadline: deadline,
-            rule,
-            is_write,
-            unrepeatable,
-            request,
-            fill,
-        })
+        caches.run_hop(HopRequest { member, times, started, rule, is_write, unrepeatable, request, fill })
     };
     // No buffers for the body: the response has arrived, and the deadline passes.
     let held = block_on(pool.allocate(2 * buffers::BUFFER_BYTES));
--- a/gateway/tests/sites.rs
+++ b/gateway/tests/sites.rs
@@ -13,6 +13,9 @@
 use kelpcart_rig::keys::Authority;
 use kelpcart_rig::link_emulator::LinkConditions;
 use kelpcart_rig::relay::Relay;
+use kelpcart_sites::quic::{self, Connection, Endpoint, Keys, RecvStream};
+use kelpcart_sites::settings::{Congestion, KeyFiles};
+use kelpcart_sites::wire::{self, AnswerCode, Message};
 use serde_json::{Value, json};
 use stand_ins::{Reply, StubCache};
 use std::net::SocketAddr;
@@ -295,6 +298,93 @@
     }
 }
 
+/// Guards against a rejection that passes for proof when a ledger replays it after a cut.
+#[test]
+fn a_keyed_txn_whose_rejection_is_replayed_from_the_ledger_does_not_run_again() {
+    let mut sites = TestSites::new("replayed");
+    sites.dedup = Some(Dedup { scope: "all", window_ms: 400 });
+    let (origin, close) = StubCache::closing_on_command();
+    let acceptor = sites.acceptor_with_origins([origin.address; 2], "near");
+    let relay = sites.relay();
+    let initiator = sites.initiator(&relay);
+    wait_for(&initiator, "(far-1) is up", 1);
+    let (mut client, began) = (Client::of(&initiator), Instant::now());
+    client.ask("book", 77);
+    while origin.take_request_count() == 0 {
+        assert!(began.elapsed() < PATIENCE);
+        if client.answer_within(Duration::from_millis(20)).is_some() {
+            client.ask("book", 77);
+        }
+    }
+    relay.set_conditions(|w| w.blocked = [true; 2]);
+    wait_for(&initiator, "link to far-1 closed", 1);
+    // The attempt ends without an answer, after the key is forgotten.
+    close.send(()).unwrap();
+    while !acceptor.counters().contains("txns rejected") {
+        assert!(began.elapsed() < PATIENCE);
+    }
+    relay.set_conditions(|w| w.blocked = [false; 2]);
+    assert_eq!((client.answer().status, origin.take_request_count()), (Status::Rejected, 0));
+    assert!(initiator.counters().contains("end FarGaveUp 1"), "{}", initiator.counters());
+}
+
+/// Guards against a keyed txn that runs late: on a link that takes longer than the dedup window, the far gateway knows when
+/// the window ends and does not start it.
+#[test]
+fn a_keyed_txn_that_is_on_its_way_for_its_whole_dedup_window_does_not_run() {
+    for (window_ms, runs) in [(400, 0), (24_000, 1)] {
+        let mut sites = TestSites::new(&format!("late-{window_ms}"));
+        sites.dedup = Some(Dedup { scope: "all", window_ms });
+        let (acceptor, relay) = (sites.acceptor(json!({})), sites.relay());
+        let initiator = sites.initiator(&relay);
+        wait_for(&initiator, "(far-1) is up", 1);
+        relay.set_conditions(|w| w.delay_ms = 500.0);
+        let mut client = Client::of(&initiator);
+        let began = Instant::now();
+        let (status, trace) = loop {
+            let trace = client.ask("book", 77);
+            let status = client.answer().status;
+            let crossed = acceptor.counters().contains("far requests ");
+            if crossed && (runs == 0 || status == Status::Served) {
+                break (status, trace);
+            }
+            assert!(status == Status::Rejected && began.elapsed() < PATIENCE, "{status:?}");
+        };
+        let expected = if runs == 0 { Status::Rejected } else { Status::Served };
+        assert_eq!((status, sites.ran(trace)), (expected, runs), "window of {window_ms} ms");
+    }
+}
+
+/// Guards against a repeat that comes from an earlier release, whose requests don't state earlier attempts.
+#[test]
+fn a_keyed_txn_of_an_earlier_release_does_not_run_and_an_unrepeatable_one_does() {
+    for (dedup, runs) in [(Some(Dedup { scope: "all", window_ms: 24_000 }), 0), (None, 1)] {
+        let mut sites = TestSites::new(&format!("from-earlier-{runs}"));
+        sites.dedup = dedup;
+        let _acceptor = sites.acceptor(json!({}));
+        let request = wire::Request {
+            number: 1,
+            rule: "book".to_owned(),
+            trace_id: 5,
+            body: b"two nights".to_vec(),
+            time_left_us: 20_000_000,
+            path: vec!["near".to_owned()],
+            unrepeatable: true,
+            ..wire::Request::default()
+        };
+        let messages = [hello(1, "near", false), wire::encode(Message::Request(request))];
+        let answer = connect_to_acceptor(&sites, &messages, async |_connection, mut recv| {
+            loop {
+                if let Message::Answer(answer) = quic::read(&mut recv).await.unwrap() {
+                    break answer;
+                }
+            }
+        });
+        let expected = if runs == 0 { AnswerCode::Rejected } else { AnswerCode::Served };
+        assert_eq!((answer.code, answer.not_run, sites.ran(5)), (expected as i32, runs == 0, runs));
+    }
+}
+
 #[test]
 fn a_durable_ledger_keeps_the_outcome_of_a_booking_after_a_kill() {
     let sites = TestSites::new("disk");
@@ -424,37 +514,50 @@
     }
 }
 
-/// Connects as a peer, sends these messages, and waits for the line in the acceptor's log.
-fn send_to_acceptor(sites: &TestSites, acceptor: &Gateway, messages: &[Vec<u8>], log_line: &str) {
-    use kelpcart_sites::quic::{self, Endpoint, Keys};
-    use kelpcart_sites::settings::{Congestion, KeyFiles};
+/// The first message of a peer; earlier releases don't state attempts.
+fn hello(version: u32, site: &str, states_attempts: bool) -> Vec<u8> {
+    let (site, gateway, run_id, next_number) = (site.to_owned(), "n9".to_owned(), 99, 1);
+    wire::encode(Message::Hello(wire::Hello { version, site, gateway, run_id, next_number, states_attempts }))
+}
+
+/// Connects as a peer, sends these messages, and goes on with the connection and its control stream.
+fn connect_to_acceptor<T>(
+    sites: &TestSites,
+    messages: &[Vec<u8>],
+    go_on: impl AsyncFnOnce(Connection, RecvStream) -> T,
+) -> T {
     let file = |name: &str| sites.folder.join(name);
     let files = KeyFiles { certificate: file("near.pem"), key: file("near.key"), roots: file("roots.pem") };
     let keys = Keys::read(&files, Congestion::Delay).unwrap();
     let endpoint = Endpoint::start(None, &keys).unwrap();
     let work = async {
         let connection = endpoint.dial(&keys, sites.listen, "far").await.unwrap();
-        let (mut send, _recv) = connection.open_bi().await.unwrap();
+        let (mut send, recv) = connection.open_bi().await.unwrap();
         for bytes in messages {
             quic::write(&mut send, bytes).await.unwrap();
         }
-        connection.closed().await;
+        go_on(connection, recv).await
+    };
+    let drive = async {
+        endpoint.drive().await;
+        panic!("the endpoint has ended")
     };
-    async_io::block_on(futures_lite::future::or(work, endpoint.drive()));
+    async_io::block_on(futures_lite::future::or(work, drive))
+}
+
+/// Sends these messages as a peer, and waits for the line in the acceptor's log.
+fn send_to_acceptor(sites: &TestSites, acceptor: &Gateway, messages: &[Vec<u8>], log_line: &str) {
+    connect_to_acceptor(sites, messages, async |connection, _| _ = connection.closed().await);
     wait_for(acceptor, log_line, 1);
 }
 
 #[test]
 fn a_peer_that_sends_invalid_messages_only_loses_its_connection() {
-    use kelpcart_sites::wire::{self, Message};
     let sites = TestSites::new("hostile");
     let (acceptor, relay) = (sites.acceptor(json!({})), sites.relay());
     let initiator = sites.initiator(&relay);
     wait_for(&initiator, "(far-1) is up", 1);
-    let hello = |version, site: &str| {
-        let (site, gateway) = (site.to_owned(), "n9".to_owned());
-        wire::encode(Message::Hello(wire::Hello { version, site, gateway, run_id: 99, next_number: 1 }))
-    };
+    let hello = |version, site| hello(version, site, true);
     send_to_acceptor(&sites, &acceptor, &[hello(7, "near")], "version 1 is spoken here, not 7");
     send_to_acceptor(&sites, &acceptor, &[hello(1, "far")], "the certificate is not that site's");
     send_to_acceptor(
--- a/routes/src/world.rs
+++ b/routes/src/world.rs
@@ -166,7 +166,20 @@
         let (id, group, write) = (self.next_txn, object % 256, self.fleet.settings.rules[rule].is_write);
         let time_left = self.fleet.settings.rules[rule].sla * 4.0;
         let size = (self.fleet.settings.client_rate > 0.0).then_some(1.0);
-        Txn { id, rule, object, group, part: 0, is_write: write, size, time_left, max_age: None }
+        let (max_age, earlier_attempt, start_by) = (None, EarlierAttempt::None, None);
+        Txn {
+            id,
+            rule,
+            object,
+            group,
+            part: 0,
+            is_write: write,
+            size,
+            time_left,
+            max_age,
+            earlier_attempt,
+            start_by,
+        }
     }
 
     /// The module's explanation for a txn that would arrive now.
--- a/sites/src/initiator.rs
+++ b/sites/src/initiator.rs
@@ -9,10 +9,11 @@
 //! parent does: after trial pings, then in capped steps.
 
 use crate::pace::Pacer;
+use crate::peer_clock::PeerClock;
 use crate::queue::{Queue, QueuedHop};
 use crate::rtt::RttEstimator;
 use crate::settings::{Limits, Sites};
-use crate::wire::{MAX_ANSWER_BODY_BYTES, TxnStatus};
+use crate::wire::{MAX_ANSWER_BODY_BYTES, Pong, TxnStatus};
 use kelpcart::{Span, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -55,6 +56,8 @@
     Full,
     /// Nothing was sent: the hop has already crossed the peer's site, or too many sites.
     Loop,
+    /// Nothing was sent: the acceptor is of an earlier release, which can't keep to the hop's attempt times.
+    Outdated,
     /// Sent, but the acceptor had no room or is leaving: it did not run and will not.
     Refused,
     /// Sent, and the acceptor confirms that it never ran and never will.
@@ -79,6 +82,7 @@
         link: usize,
         number: u64,
         time_left: Span,
+        attempts: AcceptorAttempts,
     },
     Cancel {
         link: usize,
@@ -117,6 +121,15 @@
     pub leaving: bool,
     /// Whether it also answers status queries about earlier ledgers.
     pub knows_past_ledgers: bool,
+    /// A reading of its clock. `None`: it is of an earlier release.
+    pub clock: Option<Time>,
+}
+
+/// Attempt times of a hop on the acceptor's clock, as its request states them.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct AcceptorAttempts {
+    pub first_attempt: Option<Time>,
+    pub start_by: Option<Time>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -144,10 +157,22 @@
     pub deadline: Time,
     /// End of the SLA time.
     pub sla_deadline: Time,
+    /// When the first attempt of the txn that may have run was sent.
+    pub first_attempt: Option<Time>,
+    /// Nothing of the txn may be sent after this time, at the acceptor's site either.
+    pub start_by: Time,
     /// Sites crossed before this one.
     pub path: &'a [String],
 }
 
+impl HopSpec<'_> {
+    /// Whether the acceptor has to know the attempt times: a second run would do harm, and one may have
+    /// started, or the start of this one is limited.
+    fn needs_attempt_times(&self) -> bool {
+        self.unrepeatable && (self.first_attempt.is_some() || self.start_by < self.deadline)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum HopState {
     Queued,
@@ -168,6 +193,8 @@
     size_kb: Option<f64>,
     expected_bytes: f64,
     deadline: Time,
+    first_attempt: Option<Time>,
+    start_by: Time,
     /// When the hop is finished if nothing else finishes it: at its deadline, or earlier once it can't be
     /// sent and answered in time.
     expires_at: Time,
@@ -180,6 +207,16 @@
     ledger: u64,
 }
 
+impl Hop {
+    /// What the request states of attempts. A repeatable hop that has not run needs nothing.
+    fn attempts_on(&self, clock: PeerClock) -> AcceptorAttempts {
+        AcceptorAttempts {
+            first_attempt: self.first_attempt.map(|at| clock.earliest(at)),
+            start_by: self.unrepeatable.then(|| clock.earliest(self.start_by)),
+        }
+    }
+}
+
 struct Link {
     site: String,
     phase: LinkPhase,
@@ -187,6 +224,7 @@
     pace: Pacer,
     queue: Queue,
     ledger: Option<u64>,
+    clock: Option<PeerClock>,
     /// The acceptor also answers status queries about earlier ledgers.
     knows_past_ledgers: bool,
     credit: u32,
@@ -275,6 +313,7 @@
             pace: Pacer::default(),
             queue: Queue::new(l.queue, (l.queue_kb * 1024) as f64),
             ledger: None,
+            clock: None,
             knows_past_ledgers: false,
             credit: 0,
             leaving: false,
@@ -327,6 +366,8 @@
             size_kb: spec.size_kb,
             expected_bytes: bytes,
             deadline,
+            first_attempt: spec.first_attempt,
+            start_by: spec.start_by,
             expires_at: deadline,
             state: HopState::Queued,
             sent_at: None,
@@ -343,6 +384,8 @@
             self.finish(number, HopOutcome::Loop);
         } else if l.phase != LinkPhase::Up || l.leaving {
             self.finish(number, HopOutcome::Down);
+        } else if l.clock.is_none() && spec.needs_attempt_times() {
+            self.finish(number, HopOutcome::Outdated);
         } else {
             // Admission control, which protects the acceptor and the client's time: a hop that can't be
             // answered in time is finished at once, and a queued one as soon as that becomes certain.
@@ -358,7 +401,7 @@
                 self.finish(number, HopOutcome::Full);
             } else {
                 let latest = if can_meet_sla { deadline } else { now + (spec.sla_deadline - now) };
-                let expires_at = deadline.saturating_sub(min_time).min(latest).max(now);
+                let expires_at = deadline.saturating_sub(min_time).min(latest).min(spec.start_by).max(now);
                 let hop = self.hops.get_mut(&number);
                 if let Some(before) = hop.map(|hop| std::mem::replace(&mut hop.expires_at, expires_at)) {
                     self.by_expiry.remove(&(before, number));
@@ -420,7 +463,7 @@
             // Leaves time for the answer's way back: the acceptor's budget is reduced by one RTT time-out.
             let remaining = hop.deadline - now;
             let time_left = hop.deadline.saturating_sub(l.rtt.timeout().min(remaining * 0.5)) - now;
-            if time_left < Span::from_millis(1) {
+            if time_left < Span::from_millis(1) || now >= hop.start_by {
                 self.finish(first.number, HopOutcome::Full);
                 continue;
             }
@@ -434,7 +477,8 @@
             hop.ledger = l.ledger.unwrap_or(0);
             hop.sent_at = Some(now);
             l.pace.on_sent(hop.expected_bytes);
-            self.actions.push_back(LinkAction::Send { link, number: first.number, time_left });
+            let attempts = l.clock.map(|clock| hop.attempts_on(clock)).unwrap_or_default();
+            self.actions.push_back(LinkAction::Send { link, number: first.number, time_left, attempts });
         }
     }
 
@@ -526,11 +570,12 @@
         self.links[link].awaiting_since = None;
     }
 
-    pub fn pong_received(&mut self, now: Time, link: usize, number: u64, credit: u32, leaving: bool) {
+    pub fn pong_received(&mut self, now: Time, link: usize, pong: &Pong) {
         self.peer_active(now, link);
         let l = &mut self.links[link];
-        (l.credit, l.leaving) = (credit.max(1), l.leaving || leaving);
-        let Some(at) = l.outstanding_pings.iter().position(|p| p.0 == number) else { return };
+        (l.credit, l.leaving) = (pong.credit.max(1), l.leaving || pong.leaving);
+        l.clock = pong.clock_us.map(|us| PeerClock::new(Time::from_micros(us), now));
+        let Some(at) = l.outstanding_pings.iter().position(|p| p.0 == pong.number) else { return };
         let (_, sent) = l.outstanding_pings[at];
         l.outstanding_pings.drain(..=at);
         let in_time = now - sent <= l.rtt.timeout() * SUSPECT_AFTER_TIMEOUTS;
@@ -562,7 +607,7 @@
 
     /// A connection is established, and the acceptor has identified itself.
     pub fn connected(&mut self, now: Time, link: usize, welcome: &Welcome) {
-        let Welcome { ledger, credit, leaving, knows_past_ledgers } = *welcome;
+        let Welcome { ledger, credit, leaving, knows_past_ledgers, clock } = *welcome;
         let l = &mut self.links[link];
         if !matches!(l.phase, LinkPhase::Dialling(_)) {
             return;
@@ -576,6 +621,7 @@
         }
         (l.ledger, l.credit, l.leaving, l.knows_past_ledgers) =
             (Some(ledger), credit.max(1), leaving, knows_past_ledgers);
+        l.clock = clock.map(|reading| PeerClock::new(reading, now));
         (l.awaiting_since, l.next_ping, l.settled) = (None, now, 1);
         l.outstanding_pings.clear();
         l.pace.on_reconnect();
--- a/sites/src/lib.rs
+++ b/sites/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod initiator;
 pub mod ledger;
 pub mod pace;
+pub mod peer_clock;
 pub mod queue;
 pub mod quic;
 pub mod rtt;
--- a/sites/src/wire.rs
+++ b/sites/src/wire.rs
@@ -79,6 +79,9 @@
     /// First number that the initiator has not used yet.
     #[prost(uint64, tag = "5")]
     pub next_number: u64,
+    /// Requests of txns that may have run before hold `first_attempt_us`. Earlier releases don't state it.
+    #[prost(bool, tag = "6")]
+    pub states_attempts: bool,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -100,6 +103,10 @@
     /// Whether status queries about earlier ledgers are answered, too.
     #[prost(bool, tag = "7")]
     pub knows_past_ledgers: bool,
+    /// The acceptor's clock in microseconds. Absent: it is of an earlier release, which knows neither
+    /// `first_attempt_us` nor `start_by_us`.
+    #[prost(fixed64, optional, tag = "8")]
+    pub clock_us: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -148,6 +155,12 @@
     /// The key by which caches recognize a repeated keyed txn.
     #[prost(string, optional, tag = "15")]
     pub idempotency_key: Option<String>,
+    /// When the first attempt that may have run was sent, on the acceptor's clock and never later than it was.
+    #[prost(fixed64, optional, tag = "16")]
+    pub first_attempt_us: Option<u64>,
+    /// Nothing of the txn may be sent after this time, on the acceptor's clock.
+    #[prost(fixed64, optional, tag = "17")]
+    pub start_by_us: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -215,6 +228,9 @@
     pub credit: u32,
     #[prost(bool, tag = "3")]
     pub leaving: bool,
+    /// As in the welcome.
+    #[prost(fixed64, optional, tag = "4")]
+    pub clock_us: Option<u64>,
 }
 
 /// The texts are sent to the peer as the reason of a QUIC close: they stay as earlier releases send them.
--- a/sites/tests/cases.rs
+++ b/sites/tests/cases.rs
@@ -2,16 +2,23 @@
 
 use kelpcart::{Span, Time};
 use kelpcart_sites::acceptor::{Acceptor, Call, RefusalReason, RequestMeta, SessionAction};
-use kelpcart_sites::initiator::{HopOutcome, HopSpec, Initiator, LinkAction, LinkPhase, Welcome};
+use kelpcart_sites::initiator::{
+    AcceptorAttempts, HopOutcome, HopSpec, Initiator, LinkAction, LinkPhase, Welcome,
+};
 use kelpcart_sites::ledger::{Admission, Answer, Bounds, Change, Key, Ledger, Lookup, TxnOutcome};
 use kelpcart_sites::settings::Sites;
-use kelpcart_sites::wire::{Hello, TxnStatus, VERSION};
+use kelpcart_sites::wire::{Hello, Pong, TxnStatus, VERSION};
 use serde_json::json;
 use std::collections::VecDeque;
 use std::sync::Arc;
 
 fn welcome(ledger: u64) -> Welcome {
-    Welcome { ledger, credit: 64, leaving: false, knows_past_ledgers: false }
+    Welcome { ledger, credit: 64, leaving: false, knows_past_ledgers: false, clock: Some(at(0)) }
+}
+
+/// A pong whose clock reads the initiator's time `ms`.
+fn pong_at(number: u64, ms: u64) -> Pong {
+    Pong { number, credit: 64, leaving: false, clock_us: Some(at(ms).as_micros()) }
 }
 
 fn at(ms: u64) -> Time {
@@ -54,7 +61,7 @@
         _ => None,
     });
     if let Some(number) = ping {
-        initiator.pong_received(at(answered_at), 0, number, 64, false);
+        initiator.pong_received(at(answered_at), 0, &pong_at(number, answered_at));
     }
     ping.is_some()
 }
@@ -67,6 +74,8 @@
         body_bytes: 0,
         deadline: at(deadline),
         sla_deadline: at(deadline),
+        first_attempt: None,
+        start_by: at(deadline),
         path: &[],
     }
 }
@@ -116,6 +125,53 @@
     assert_eq!(outcomes(&link_actions(&mut initiator, 4_000)), []);
 }
 
+/// Guards against a hop that starts too late because it waited for a link, or because its message took long.
+#[test]
+fn a_hop_is_not_sent_after_its_start_limit_and_states_it_on_the_acceptors_clock() {
+    let mut initiator = initiator();
+    let limited = HopSpec { first_attempt: Some(at(90)), start_by: at(400), ..spec(true, 3_000) };
+    let in_flight: Vec<u64> = (0..64).map(|_| initiator.submit(at(100), 0, &limited)).collect();
+    let waiting = initiator.submit(at(100), 0, &limited);
+    let all = link_actions(&mut initiator, 100);
+    // The acceptor's clock read 100 ms when a pong was written that had come by 100 ms.
+    let stated = AcceptorAttempts { first_attempt: Some(at(90)), start_by: Some(at(400)) };
+    let states = |a: &&LinkAction| matches!(a, LinkAction::Send { attempts, .. } if *attempts == stated);
+    assert_eq!((sent(&all), all.iter().filter(states).count()), (in_flight.clone(), 64));
+    initiator.answered(at(400), 0, in_flight[0], 10.0);
+    let all = link_actions(&mut initiator, 400);
+    assert!(sent(&all).is_empty() && outcomes(&all).contains(&(waiting, HopOutcome::Full)), "{all:?}");
+    // One that is never its turn is given back at its limit.
+    let later = HopSpec { start_by: at(500), ..limited };
+    let two = [(); 2].map(|()| initiator.submit(at(410), 0, &later));
+    assert_eq!(sent(&link_actions(&mut initiator, 410)), two[..1]);
+    assert!(outcomes(&link_actions(&mut initiator, 500)).contains(&(two[1], HopOutcome::Full)));
+    // A pong that took 200 ms on its way: the acceptor's clock may be that far ahead.
+    initiator.pong_received(at(600), 0, &pong_at(99, 400));
+    initiator.answered(at(600), 0, in_flight[1], 10.0);
+    initiator.submit(at(600), 0, &HopSpec { start_by: at(900), ..limited });
+    let all = link_actions(&mut initiator, 600);
+    let sent =
+        |a: &LinkAction| matches!(a, LinkAction::Send { attempts, .. } if attempts.start_by == Some(at(700)));
+    assert!(all.iter().any(sent), "{all:?}");
+}
+
+/// Guards against a repeat at a far gateway of an earlier release, which would count its window anew.
+#[test]
+fn an_acceptor_that_states_no_clock_gets_no_repeat_and_no_hop_with_a_start_limit() {
+    let mut initiator = Initiator::new(&settings("east", "west", false), 7, at(0));
+    link_actions(&mut initiator, 0);
+    initiator.connected(at(0), 0, &Welcome { clock: None, ..welcome(70) });
+    let repeat = HopSpec { first_attempt: Some(at(0)), ..spec(true, 3_000) };
+    let limited = HopSpec { start_by: at(400), ..spec(true, 3_000) };
+    let others = [spec(true, 3_000), HopSpec { unrepeatable: false, ..repeat }];
+    for (unsent, spec) in [(true, repeat), (true, limited)].into_iter().chain(others.map(|s| (false, s))) {
+        let number = initiator.submit(at(10), 0, &spec);
+        let all = link_actions(&mut initiator, 10);
+        assert_eq!(outcomes(&all) == [(number, HopOutcome::Outdated)], unsent, "{all:?}");
+        assert_eq!(sent(&all).is_empty(), unsent, "{all:?}");
+    }
+}
+
 #[test]
 fn only_never_accepted_counts_as_not_run() {
     for (status, outcome) in
@@ -281,7 +337,7 @@
         let now = link_actions(&mut initiator, t);
         for act in &now {
             if let LinkAction::Ping { link: 0, number } = act {
-                initiator.pong_received(at(t), 0, *number, 64, false);
+                initiator.pong_received(at(t), 0, &pong_at(*number, t));
             }
         }
         all.extend(now);
@@ -415,7 +471,14 @@
 }
 
 fn hello() -> Hello {
-    Hello { version: VERSION, site: "east".to_owned(), gateway: "e1".to_owned(), run_id: 5, next_number: 1 }
+    Hello {
+        version: VERSION,
+        site: "east".to_owned(),
+        gateway: "e1".to_owned(),
+        run_id: 5,
+        next_number: 1,
+        states_attempts: true,
+    }
 }
 
 impl Harness {
--- a/sites/tests/model.rs
+++ b/sites/tests/model.rs
@@ -9,10 +9,10 @@
 
 use kelpcart::{Span, Time};
 use kelpcart_sites::acceptor::{Acceptor, Call, RefusalReason, RequestMeta, SessionAction};
-use kelpcart_sites::initiator::{HopOutcome, HopSpec, Initiator, LinkAction, Welcome};
+use kelpcart_sites::initiator::{AcceptorAttempts, HopOutcome, HopSpec, Initiator, LinkAction, Welcome};
 use kelpcart_sites::ledger::{Answer, Change, Key, TxnOutcome};
 use kelpcart_sites::settings::Sites;
-use kelpcart_sites::wire::{Hello, TxnStatus, VERSION};
+use kelpcart_sites::wire::{self, Hello, TxnStatus, VERSION};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -22,6 +22,8 @@
 const ACCEPTORS: usize = 2;
 const ENTRIES: usize = 14;
 const QUEUE: usize = 6;
+/// How far the acceptors' clocks are ahead of the initiators'.
+const CLOCK_LEAD: Span = Span::from_millis(70_000);
 
 #[derive(Clone, Debug)]
 enum Msg {
@@ -30,12 +32,12 @@
     Settle(u64),
     Cancel(u64),
     Ping(u64),
-    Welcome { ledger: u64, credit: u32, leaving: bool },
+    Welcome { ledger: u64, credit: u32, leaving: bool, clock: Time },
     Accepted(u64),
     Answer { number: u64, body: Vec<u8>, served: bool },
     Refused { number: u64, reason: RefusalReason },
     StatusReply { number: u64, status: TxnStatus },
-    Pong { number: u64, credit: u32, leaving: bool },
+    Pong(wire::Pong),
     Leaving,
 }
 
@@ -96,6 +98,7 @@
 struct HopRecord {
     unrepeatable: bool,
     deadline: Time,
+    attempts: AcceptorAttempts,
     runs: u32,
     outcome: Option<HopOutcome>,
     cancelled: bool,
@@ -222,6 +225,9 @@
         let deadline = self.now + Span::from_millis(self.rng.random_range(50..1_500));
         let path = if self.rng.random_bool(0.03) { vec!["west".to_owned()] } else { Vec::new() };
         let (importance, size_kb) = (self.rng.random_range(0..9), Some(self.rng.random_range(0.1..50.0)));
+        let first_attempt = self.rng.random_bool(0.3).then_some(self.now);
+        let start_by = self.now + Span::from_millis(self.rng.random_range(0..1_500));
+        let start_by = start_by.min(deadline);
         let spec = HopSpec {
             importance,
             unrepeatable,
@@ -229,10 +235,18 @@
             body_bytes: 10,
             deadline,
             sla_deadline: deadline,
+            first_attempt,
+            start_by,
             path: &path,
         };
         let number = self.initiators[i].core.submit(self.now, link, &spec);
-        let record = HopRecord { unrepeatable, deadline, ..HopRecord::default() };
+        // As the acceptor's clock shows them.
+        let on_acceptor = |at: Time| at + CLOCK_LEAD;
+        let attempts = AcceptorAttempts {
+            first_attempt: first_attempt.map(on_acceptor),
+            start_by: Some(on_acceptor(start_by)),
+        };
+        let record = HopRecord { unrepeatable, deadline, attempts, ..HopRecord::default() };
         self.hops.insert((self.initiators[i].run, number), record);
     }
 
@@ -282,7 +296,8 @@
             Msg::Cancel(number) => acceptor.core.cancelled(id, number),
             Msg::Ping(number) => {
                 let (credit, leaving) = acceptor.core.pong_state();
-                self.send_to_initiator(id, Msg::Pong { number, credit, leaving });
+                let clock_us = Some((now + CLOCK_LEAD).as_micros());
+                self.send_to_initiator(id, Msg::Pong(wire::Pong { number, credit, leaving, clock_us }));
             }
             _ => unreachable!(),
         }
@@ -298,10 +313,10 @@
             return;
         }
         match msg {
-            Msg::Welcome { ledger, credit, leaving } => initiator.core.connected(
+            Msg::Welcome { ledger, credit, leaving, clock } => initiator.core.connected(
                 now,
                 acceptor,
-                &Welcome { ledger, credit, leaving, knows_past_ledgers: false },
+                &Welcome { ledger, credit, leaving, knows_past_ledgers: false, clock: Some(clock) },
             ),
             Msg::Accepted(number) => _ = initiator.core.accepted(now, number),
             Msg::Answer { number, body, served } => {
@@ -324,9 +339,7 @@
             Msg::StatusReply { number, status } => {
                 initiator.core.status_received(now, acceptor, number, status)
             }
-            Msg::Pong { number, credit, leaving } => {
-                initiator.core.pong_received(now, acceptor, number, credit, leaving)
-            }
+            Msg::Pong(pong) => initiator.core.pong_received(now, acceptor, &pong),
             Msg::Leaving => initiator.core.peer_leaving(now, acceptor),
             _ => unreachable!(),
         }
@@ -575,6 +588,7 @@
                     gateway: "e".to_owned(),
                     run_id: run,
                     next_number: self.initiators[initiator].core.next_number(),
+                    states_attempts: true,
                 };
                 self.acceptors[link].core.hello(self.now, id, &hello, true);
             }
@@ -583,9 +597,25 @@
                     self.connections.get_mut(&id).unwrap().initiator_open = false;
                 }
             }
-            LinkAction::Send { link, number, time_left } => {
+            LinkAction::Send { link, number, time_left, attempts } => {
                 assert!(time_left > Span::ZERO);
-                let unrepeatable = self.hops[&(run, number)].unrepeatable;
+                let record = &self.hops[&(run, number)];
+                let unrepeatable = record.unrepeatable;
+                assert!(
+                    record.attempts.start_by > Some(self.now + CLOCK_LEAD),
+                    "{record:?} at {:?}",
+                    self.now
+                );
+                // Stated where it matters, and never later than it is.
+                let is_stated = |stated: Option<Time>, actual: Option<Time>| {
+                    stated.is_some() == actual.is_some() && stated <= actual
+                };
+                assert!(
+                    is_stated(attempts.first_attempt, record.attempts.first_attempt),
+                    "{attempts:?} {record:?}"
+                );
+                let start_by = record.attempts.start_by.filter(|_| unrepeatable);
+                assert!(is_stated(attempts.start_by, start_by), "{attempts:?} {record:?}");
                 if connection(self, link).is_none() {
                     return self.initiators[initiator].core.send_failed(self.now, number);
                 }
@@ -608,6 +638,7 @@
                     HopOutcome::Down
                         | HopOutcome::Full
                         | HopOutcome::Loop
+                        | HopOutcome::Outdated
                         | HopOutcome::Refused
                         | HopOutcome::NeverAccepted
                 );
@@ -617,6 +648,7 @@
                     HopOutcome::Down => "down",
                     HopOutcome::Full => "full",
                     HopOutcome::Loop => "loop",
+                    HopOutcome::Outdated => "outdated",
                     HopOutcome::Refused => "refused",
                     HopOutcome::NeverAccepted => "never accepted",
                     HopOutcome::Lost => "lost",
@@ -631,7 +663,8 @@
         let ledger = self.acceptors[acceptor].ledger;
         match action {
             SessionAction::AcceptSession { session, credit, leaving, .. } => {
-                self.send_to_initiator(session, Msg::Welcome { ledger, credit, leaving });
+                let clock = self.now + CLOCK_LEAD;
+                self.send_to_initiator(session, Msg::Welcome { ledger, credit, leaving, clock });
             }
             SessionAction::RefuseSession { session, .. } => {
                 self.count("session refused");
--- a/sites/tests/wire.rs
+++ b/sites/tests/wire.rs
@@ -21,6 +21,8 @@
         unrepeatable: true,
         importance: 9,
         idempotency_key: Some("66807aca08cfaa19".to_owned()),
+        first_attempt_us: Some(1_700_000_000_000_000),
+        start_by_us: Some(1_700_000_000_400_000),
     }
 }
 
@@ -31,6 +33,7 @@
         gateway: "e1".to_owned(),
         run_id: 5,
         next_number: 1,
+        states_attempts: true,
     };
     let welcome = wire::Welcome {
         version: wire::VERSION,
@@ -40,6 +43,7 @@
         credit: 64,
         leaving: false,
         knows_past_ledgers: true,
+        clock_us: Some(1_700_000_000_000_000),
     };
     vec![
         Message::Hello(hello),
@@ -51,7 +55,12 @@
         Message::StatusQuery(wire::StatusQuery { numbers: vec![7, 8], ledger: 0 }),
         Message::StatusReply(wire::StatusReply { number: 7, status: 1 }),
         Message::Ping(1),
-        Message::Pong(wire::Pong { number: 1, credit: 3, leaving: true }),
+        Message::Pong(wire::Pong {
+            number: 1,
+            credit: 3,
+            leaving: true,
+            clock_us: Some(1_700_000_000_000_000),
+        }),
         Message::Settle(9),
         Message::Cancel(7),
         Message::Leaving(true),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -130,7 +130,18 @@
     pub remote: bool,
 }
 
-/// A client's request.
+/// Whether a txn may have run before it came to this gateway, as its sender states.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EarlierAttempt {
+    #[default]
+    None,
+    /// The first attempt that may have run was sent at this time.
+    SentAt(Time),
+    /// The sender can't state it: one may have been sent at any time.
+    Unknown,
+}
+
+/// A request of a client, or of a gateway of another site that passes one on.
 #[derive(Clone, Debug)]
 pub struct Txn {
     pub id: TxnId,
@@ -146,6 +157,9 @@
     pub time_left: Span,
     /// The oldest copy that the client accepts, where it states one.
     pub max_age: Option<Span>,
+    pub earlier_attempt: EarlierAttempt,
+    /// Nothing of the txn may be sent after this time, where its sender states one.
+    pub start_by: Option<Time>,
 }
 
 /// How a hop ended.
@@ -249,7 +263,15 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
     /// Sends the txn to `member`. Nothing of it may be sent after `start_by`.
-    Hop { txn: TxnId, member: MemberId, fill: Option<Fill>, start_by: Time, deadline: Time },
+    Hop {
+        txn: TxnId,
+        member: MemberId,
+        fill: Option<Fill>,
+        /// When the first attempt that may have run was sent, here or by an earlier gateway.
+        first_attempt: Option<Time>,
+        start_by: Time,
+        deadline: Time,
+    },
     /// Cancels a hop; the host still reports its outcome.
     Cancel { txn: TxnId, hop: u32 },
     /// Answers the client that its txn was not served and may be repeated. A gateway of another site also needs to be
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -217,6 +217,17 @@
     }
 }
 
+/// When the first attempt of a txn that may have run was sent, by this gateway or before it. One of which nothing is
+/// known counts as sent long ago.
+fn first_attempt(open: &OpenTxn) -> Option<Time> {
+    let earlier = match open.txn.earlier_attempt {
+        EarlierAttempt::None => None,
+        EarlierAttempt::SentAt(sent_at) => Some(sent_at),
+        EarlierAttempt::Unknown => Some(Time::default()),
+    };
+    earlier.into_iter().chain(open.may_have_run.map(|first| first.sent_at)).min()
+}
+
 fn cold_start_settings(settings: &Settings, role: Role) -> &ColdStart {
     if role == Role::Parent { &settings.parent_cold_start } else { &settings.cache_cold_start }
 }
@@ -335,7 +346,14 @@
     }
 
     /// A txn has arrived from a client; the next `poll` decides on it.
-    pub fn submit(&mut self, now: Time, txn: Txn) {
+    pub fn submit(&mut self, now: Time, mut txn: Txn) {
+        // The sender of an unrepeatable txn passes it on only if it has not run, also where it can't state that.
+        let rule = self.settings.rules.get(txn.rule);
+        if txn.earlier_attempt == EarlierAttempt::Unknown
+            && rule.is_some_and(|rule| rule.effect == Effect::Unrepeatable)
+        {
+            txn.earlier_attempt = EarlierAttempt::None;
+        }
         self.state.arrivals_since_step += 1.0;
         let capacity = RETRY_BURST * (RETRY_TOKENS_PER_TXN * self.state.arrival_rate).max(1.0);
         self.retry_tokens = (self.retry_tokens + RETRY_TOKENS_PER_TXN).min(capacity);
@@ -904,13 +922,18 @@
 
     /// A keyed txn that may have run stays with the caches that drop its repeat, within their dedup window.
     fn within_dedup_scope(&self, open: &OpenTxn, now: Time, i: usize) -> bool {
-        let Some(first) = open.may_have_run else { return true };
+        let Some(first_sent_at) = first_attempt(open) else { return true };
         let rule = &self.settings.rules[open.txn.rule];
         match rule.effect {
             Effect::Repeatable => true,
             Effect::Unrepeatable => false,
             Effect::Keyed => {
-                now - first.sent_at < rule.dedup_window && self.drops_repeats_of(first, i, rule.dedup_scope)
+                // Where an earlier gateway sent it is unknown here.
+                let ran_elsewhere = open.txn.earlier_attempt != EarlierAttempt::None;
+                let drops_earlier = !ran_elsewhere || rule.dedup_scope == DedupScope::All;
+                let drops_own =
+                    open.may_have_run.is_none_or(|first| self.drops_repeats_of(first, i, rule.dedup_scope));
+                now - first_sent_at < rule.dedup_window && drops_earlier && drops_own
             }
         }
     }
@@ -962,11 +985,11 @@
         // out. Does harm where one cache is slow and the others are not.
         let predicted = Span::from_secs_f64(self.state.duration_model.predict(transfer_secs));
         let in_time = now + predicted < open.deadline && (open.hop_count > 0 || predicted < sla);
-        let must_not_repeat = rule.effect == Effect::Unrepeatable && open.may_have_run.is_some();
-        let plan =
-            (has_retry_token && in_time && !must_not_repeat && open.hop_count < self.settings.max_hops)
-                .then(|| self.plan_hop(now, &open, &rule))
-                .flatten();
+        let must_not_repeat = rule.effect == Effect::Unrepeatable && first_attempt(&open).is_some();
+        let may_start = !must_not_repeat && open.txn.start_by.is_none_or(|by| now < by);
+        let plan = (has_retry_token && in_time && may_start && open.hop_count < self.settings.max_hops)
+            .then(|| self.plan_hop(now, &open, &rule))
+            .flatten();
         let Some((member, source, fill)) = plan else { return self.give_up(&open, &rule) };
         self.retry_tokens -= indicator(open.hop_count > 0);
         let (load, hop_id, mean_transfer_secs) =
@@ -1016,15 +1039,24 @@
         self.state.hops.insert(hop_id, hop);
         open.hop_count += 1;
         open.hops_in_flight += 1;
-        let deadline = open.deadline;
-        // A hop of a keyed txn may wait, e.g. for a connection, until members no longer recognise its repeat.
-        let start_by = match open.may_have_run {
-            Some(first) if rule.effect == Effect::Keyed => deadline.min(first.sent_at + rule.dedup_window),
-            _ => deadline,
-        };
+        let (deadline, first_attempt) = (open.deadline, first_attempt(&open));
+        let start_by = self.start_by(now, &open, &rule, member);
         self.state.open_txns.insert(id, open);
         let member = Arc::clone(&self.state.members[member].info.id);
-        Decision::Hop { txn: id, member, fill, start_by, deadline }
+        Decision::Hop { txn: id, member, fill, first_attempt, start_by, deadline }
+    }
+
+    /// The latest time at which a hop may be sent. One of a keyed txn may wait, e.g. for a connection, until members no
+    /// longer recognise its repeat. A remote gateway may still hold a hop that was given up here and is repeated
+    /// elsewhere, so the dedup window binds the first hop there too.
+    fn start_by(&self, now: Time, open: &OpenTxn, rule: &RemapRule, member: usize) -> Time {
+        let latest = open.txn.start_by.map_or(open.deadline, |by| by.min(open.deadline));
+        if rule.effect != Effect::Keyed {
+            return latest;
+        }
+        let is_remote = self.state.members[member].info.remote;
+        let counted_from = first_attempt(open).or(is_remote.then_some(now));
+        counted_from.map_or(latest, |first| latest.min(first + rule.dedup_window))
     }
 
     /// Picks the next hop: cache, fill source and how the copy is kept.
--- a/src/state.rs
+++ b/src/state.rs
@@ -176,7 +176,7 @@
     /// The parent was asked only for a copy that it has and had none.
     pub parent_lacked: bool,
     pub origin_failed: bool,
-    /// The first hop that may have run.
+    /// The first hop of this gateway that may have run.
     pub may_have_run: Option<Destination>,
 }
 
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -234,6 +234,57 @@
     }
 }
 
+/// Guards against a second run of a txn that another gateway has sent before: what it states binds like own hops, and what
+/// an earlier release can't state is taken for a run at any time. The answer to the sender is a rejection: no hop ran here.
+#[test]
+fn a_txn_that_was_attempted_elsewhere_gets_a_hop_only_where_and_while_its_repeat_is_dropped() {
+    use EarlierAttempt::{None as Never, SentAt, Unknown};
+    let (recent, old) = (SentAt(at(500)), SentAt(at(0)));
+    let (keyed, once) = (Effect::Keyed, Effect::Unrepeatable);
+    for (effect, scope, earlier_attempt, start_by, hop_until) in [
+        (keyed, DedupScope::All, Never, None, Some(9_000)),
+        (keyed, DedupScope::All, recent, None, Some(3_500)),
+        (keyed, DedupScope::All, recent, Some(2_500), Some(2_500)),
+        (keyed, DedupScope::All, Never, Some(999), None),
+        (keyed, DedupScope::All, old, None, None),
+        (keyed, DedupScope::All, Unknown, None, None),
+        (keyed, DedupScope::Zone, recent, None, None),
+        (once, DedupScope::All, recent, None, None),
+        (once, DedupScope::All, Unknown, None, Some(9_000)),
+        (Effect::Repeatable, DedupScope::All, old, None, Some(9_000)),
+    ] {
+        // At 3,000 ms the window of `old` has passed.
+        let now = if earlier_attempt == old { 3_000 } else { 1_000 };
+        let set = RemapRule { dedup_scope: scope, ..rule(effect) };
+        let mut world = World::new(Settings { rules: vec![set], ..settings() });
+        let (time_left, start_by) = (ms(9_000 - now), start_by.map(at));
+        let decisions = world.submit(at(now), Txn { time_left, earlier_attempt, start_by, ..txn(1, 0, 1) });
+        let until = match &decisions[0] {
+            Decision::Hop { first_attempt, start_by, .. } => {
+                // Else a further gateway would refuse it.
+                assert!(effect != once || first_attempt.is_none());
+                Some(*start_by)
+            }
+            Decision::Reject { .. } => None,
+            other => panic!("{other:?}"),
+        };
+        assert_eq!(until, hop_until.map(at), "{effect:?} {scope:?} {earlier_attempt:?}");
+    }
+}
+
+/// Guards against a hop that a far gateway still holds when it was given up here and its repeat has run: the dedup window
+/// counts from the first hop over a link.
+#[test]
+fn the_first_hop_of_a_keyed_txn_over_a_link_starts_within_the_dedup_window() {
+    let mut world = remote_site();
+    let Decision::Hop { first_attempt, start_by, .. } =
+        world.submit(at(0), Txn { time_left: ms(9_000), ..txn(1, 1, 1) })[0]
+    else {
+        panic!("no hop")
+    };
+    assert_eq!((first_attempt, start_by), (None, at(3_000)));
+}
+
 /// Guards against a second run outside the dedup scope: a cache's entry that is removed, or that names no cell, must not pass
 /// for one of the cell of another cache.
 #[test]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -82,7 +82,8 @@
 
 pub fn txn(id: TxnId, rule: usize, object: u64) -> Txn {
     let (group, part, is_write, size, time_left) = (object % 8, 0, false, Some(100.0), ms(2_000));
-    Txn { id, rule, object, group, part, is_write, size, time_left, max_age: None }
+    let (max_age, earlier_attempt, start_by) = (None, EarlierAttempt::None, None);
+    Txn { id, rule, object, group, part, is_write, size, time_left, max_age, earlier_attempt, start_by }
 }
 
 pub struct World {
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -172,7 +172,7 @@
     fn check(&mut self, decisions: Vec<Decision>) {
         for decision in decisions {
             match decision {
-                Decision::Hop { txn, member, fill, start_by, deadline } => {
+                Decision::Hop { txn, member, fill, first_attempt, start_by, deadline } => {
                     // Read before this hop is recorded, as it would be its own first one otherwise.
                     let (open, first) =
                         (&self.open[&txn], self.open[&txn].may_have_run.as_ref().map(|ran| ran.1));
@@ -180,6 +180,7 @@
                     let dedup_end =
                         first.filter(|_| rule.effect == Effect::Keyed).map(|at| at + rule.dedup_window);
                     assert!(start_by <= dedup_end.unwrap_or(open.deadline));
+                    assert_eq!(first_attempt, first);
                     self.check_hop(txn, &member, fill.as_ref());
                     assert!(deadline <= self.open[&txn].deadline);
                 }
