No first byte of a hop is sent after its start limit

What callers saw: nothing; found by following the start limit of a hop through the gateway. A keyed txn that may have run could be sent to a cache after its key was forgotten.

Cause: a hop waits for its connection or for the limit's timer, and where both are ready at one poll the connection is looked at first; an idle connection is not waited for at all. Nothing compared the time before the first byte.

Evidence: in the test, a hop whose limit has passed finds an idle connection and ends Whole.

Change: the time is compared just before the first byte; a hop that is too late ends as Overtaken, so that the module decides anew. The test shares the setup of waits_for_local_resources_do_not_count_as_cache_latency, whose checks and figures are unchanged.

Why it works: nothing waits between the comparison and the write.

--- a/gateway/src/caches.rs
+++ b/gateway/src/caches.rs
@@ -260,6 +260,10 @@
         if hop.is_write {
             bytes.extend_from_slice(&hop.request.body);
         }
+        // The caller's timer for this may be ready only together with the connection.
+        if self.clock.now() >= hop.times.start_by {
+            return ConnectionEnd::Overtaken.into();
+        }
         hop.started.set(true);
         if connection.stream.write_all(&bytes).await.is_err() {
             return if reused { ConnectionEnd::KeptClosed } else { ConnectionEnd::CutUnsent }.into();
--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -5,7 +5,7 @@
 
 use async_io::block_on;
 use futures_lite::future;
-use kelpcart::Span;
+use kelpcart::{Span, Time};
 use kelpcart_gateway::buffers::{self, Pool};
 use kelpcart_gateway::caches::{Caches, ConnectionLimits};
 use kelpcart_gateway::clock::Clock;
@@ -381,14 +381,12 @@
     }
 }
 
-#[test]
-fn waits_for_local_resources_do_not_count_as_cache_latency() {
-    let (edge, release) = StubCache::answering_on_command(b"x");
-    let (clock, counters, pool) = (Clock::start(), Rc::default(), Pool::new(2 * buffers::BUFFER_BYTES));
+/// The hops of one cache, with one connection at most.
+fn caches_with(edge: &StubCache, clock: Clock, pool: &Rc<Pool>) -> Rc<Caches> {
     let second = Span::from_millis(1_000);
     let limits =
         ConnectionLimits { connect_timeout: second * 20.0, idle_timeout: second, max_connections: 1 };
-    let caches = Caches::new(clock, Rc::clone(&pool), counters, limits);
+    let caches = Caches::new(clock, Rc::clone(pool), Rc::default(), limits);
     let entry = endpoint(&Member("e1", "box", edge.address), "up");
     let roster = json!({"no": 1, "roster": {"index": 0, "snapshot": true, "endpoints": [entry]}});
     let Ok((_, Some(config::DiscoveryEvent::Roster { list, .. }))) =
@@ -397,14 +395,39 @@
         panic!("no roster")
     };
     caches.update_members(true, &list);
-    let hop = |wait: Span| {
-        let (member, deadline, rule, request) =
-            ("e1".into(), clock.now() + wait, "segment".into(), Rc::default());
-        let started = Rc::default();
-        let times = HopTimes { first_attempt: None, start_by: deadline, sla_deadline: deadline, deadline };
-        let (is_write, unrepeatable, fill) = (false, false, None);
-        caches.run_hop(HopRequest { member, times, started, rule, is_write, unrepeatable, request, fill })
-    };
+    caches
+}
+
+fn hop_request(start_by: Time, deadline: Time) -> HopRequest {
+    let (member, rule, request, started) = ("e1".into(), "segment".into(), Rc::default(), Rc::default());
+    let times = HopTimes { first_attempt: None, start_by, sla_deadline: deadline, deadline };
+    let (is_write, unrepeatable, fill) = (false, false, None);
+    HopRequest { member, times, started, rule, is_write, unrepeatable, request, fill }
+}
+
+/// Guards against a first byte after the start limit: a process that stood still finds a connection and the limit's timer
+/// ready at once.
+#[test]
+fn a_hop_whose_start_limit_has_passed_is_not_sent_though_a_connection_is_ready() {
+    let edge = StubCache::start(|_| ok_response(b"x"));
+    let (clock, pool) = (Clock::start(), Pool::new(2 * buffers::BUFFER_BYTES));
+    let caches = caches_with(&edge, clock, &pool);
+    let deadline = clock.now() + Span::from_millis(20_000);
+    assert_eq!(block_on(caches.run_hop(hop_request(deadline, deadline))).end, ConnectionEnd::Whole);
+    // A connection is used again only some time after its last response.
+    block_on(clock.sleep(Span::from_millis(100)));
+    let late = hop_request(clock.now(), deadline);
+    assert_eq!(block_on(caches.run_hop(late)).end, ConnectionEnd::Overtaken);
+    assert_eq!(edge.take_request_count(), 1);
+}
+
+#[test]
+fn waits_for_local_resources_do_not_count_as_cache_latency() {
+    let (edge, release) = StubCache::answering_on_command(b"x");
+    let (clock, pool, second) =
+        (Clock::start(), Pool::new(2 * buffers::BUFFER_BYTES), Span::from_millis(1_000));
+    let caches = caches_with(&edge, clock, &pool);
+    let hop = |wait: Span| caches.run_hop(hop_request(clock.now() + wait, clock.now() + wait));
     // No buffers for the body: the response has arrived, and the deadline passes.
     let held = block_on(pool.allocate(2 * buffers::BUFFER_BYTES));
     release.send(()).unwrap();
