The list of proofs that a hop did not run names FarOutdated

FarGaveUp is not in the list: the test checks that it is no proof.

Change: the list has one entry more; what it checks of all other ends is unchanged.

--- a/gateway/tests/parsers.rs
+++ b/gateway/tests/parsers.rs
@@ -291,6 +291,7 @@
         ConnectionEnd::FarFull,
         ConnectionEnd::FarTurned,
         ConnectionEnd::FarLoop,
+        ConnectionEnd::FarOutdated,
         ConnectionEnd::FarNever,
         ConnectionEnd::FarRejected,
         ConnectionEnd::FarInvalid,
