Links: the state of one link is a module of its own

Moved as it was, in methods with a name each; no figure, order of random draws or text of an action changed. Tests changed in their imports alone.

Measured: kelpcart-sites and -copies, the gateway's sites (16 of 16) and copies (7 of 7) tests pass, the model among them; clippy is clean.

--- a/copies/tests/composed.rs
+++ b/copies/tests/composed.rs
@@ -9,8 +9,9 @@
 use kelpcart_copies::node::{Node, Out};
 use kelpcart_copies::settings::Copies;
 use kelpcart_sites::acceptor::{Acceptor, Call, RefusalReason, RequestMeta, SessionAction, SessionId};
-use kelpcart_sites::initiator::{HopOutcome, HopSpec, Initiator, LinkAction, Welcome};
+use kelpcart_sites::initiator::{HopOutcome, HopSpec, Initiator, LinkAction};
 use kelpcart_sites::ledger::{Answer, Key, TxnOutcome};
+use kelpcart_sites::link::Welcome;
 use kelpcart_sites::settings::Sites;
 use kelpcart_sites::wire::{self, TxnStatus};
 use rand::{Rng, SeedableRng};
--- a/sites/src/initiator.rs
+++ b/sites/src/initiator.rs
@@ -8,36 +8,16 @@
 //! A link's failure is detected from its own acknowledgements (RFC 6298). A suspected link returns like a
 //! parent does: after trial pings, then in capped steps.
 
-use crate::pace::Pacer;
+use crate::link::{EWMA_WEIGHT, Link, LinkPhase, LinkStats, Welcome};
 use crate::peer_clock::PeerClock;
-use crate::queue::{Queue, QueuedHop};
-use crate::rtt::RttEstimator;
+use crate::queue::QueuedHop;
 use crate::settings::{Limits, Sites};
 use crate::wire::{MAX_ANSWER_BODY_BYTES, Pong, TxnStatus};
 use kelpcart::{Span, Time};
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// A link is suspected after this many RTT time-outs without a message from the acceptor while one is
-/// expected.
-const SUSPECT_AFTER_TIMEOUTS: f64 = 3.0;
-/// Consecutive timely pongs before a suspected link carries txns again.
-const TRIAL_PONGS: u32 = 3;
-/// Lower bound of the share of the acceptor's credit that is used. Same value as the module's standby share
-/// for parents.
-const MIN_CREDIT_SHARE: f64 = 0.05;
-/// Increase of the used share of credit per `STEP_INTERVAL`. Half of the module's capped step for parents.
-const CREDIT_SHARE_STEP: f64 = 0.075;
-const STEP_INTERVAL: Span = Span::from_millis(1_000);
-/// Lower bound of the ping interval on a busy link.
-const MIN_BUSY_PING_INTERVAL: Span = Span::from_millis(50);
-/// Growth factor of the reconnect delay. Each delay is jittered down by up to half its length.
-const RECONNECT_BACKOFF_FACTOR: f64 = 2.0;
-/// Unanswered pings that are tracked; the oldest is dropped beyond that.
-const MAX_OUTSTANDING_PINGS: usize = 16;
-/// Weight of a new sample in the EWMA of answer times and sizes.
-const EWMA_WEIGHT: f64 = 0.125;
 /// Assumed answer size before the first answer.
 const INITIAL_ANSWER_BYTES: f64 = 16.0 * 1024.0;
 const SETTLE_INTERVAL: Span = Span::from_millis(500);
@@ -112,19 +92,6 @@
     },
 }
 
-/// State that an acceptor reports when a connection is established.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Welcome {
-    /// Status queries are valid only for hops sent while this ledger was current.
-    pub ledger: u64,
-    pub credit: u32,
-    pub leaving: bool,
-    /// Whether it also answers status queries about earlier ledgers.
-    pub knows_past_ledgers: bool,
-    /// A reading of its clock. `None`: it is of an earlier release.
-    pub clock: Option<Time>,
-}
-
 /// Attempt times of a hop on the acceptor's clock, as its request states them.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct AcceptorAttempts {
@@ -132,19 +99,6 @@
     pub start_by: Option<Time>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum LinkPhase {
-    /// No connection; the next attempt starts at this time.
-    Idle(Time),
-    /// Connecting; the attempt is abandoned at this time.
-    Dialling(Time),
-    Up,
-    /// Timely pongs received since the link was suspected.
-    Trial(u32),
-    /// Suspected since this time.
-    Suspected(Time),
-}
-
 /// A hop to be sent over a link.
 pub struct HopSpec<'a> {
     pub importance: u8,
@@ -217,55 +171,6 @@
     }
 }
 
-struct Link {
-    site: String,
-    phase: LinkPhase,
-    rtt: RttEstimator,
-    pace: Pacer,
-    queue: Queue,
-    ledger: Option<u64>,
-    clock: Option<PeerClock>,
-    /// The acceptor also answers status queries about earlier ledgers.
-    knows_past_ledgers: bool,
-    credit: u32,
-    leaving: bool,
-    credit_share: f64,
-    was_up: bool,
-    stable: bool,
-    next_step: Time,
-    in_flight: BTreeSet<u64>,
-    /// Time of the first message sent since anything was last received.
-    awaiting_since: Option<Time>,
-    /// Pings without a pong. A pong names its ping, so that a late one is not matched to another ping.
-    outstanding_pings: VecDeque<(u64, Time)>,
-    /// EWMA of the time from sending a request to its answer, in seconds; `None` before the first.
-    mean_answer_secs: Option<f64>,
-    next_ping: Time,
-    attempts: u32,
-    settled: u64,
-}
-
-impl Link {
-    fn connected(&self) -> bool {
-        matches!(self.phase, LinkPhase::Up | LinkPhase::Trial(_) | LinkPhase::Suspected(_))
-    }
-
-    /// Mean time from sending a request to its answer, including the round trip.
-    fn mean_answer_time(&self) -> Span {
-        Span::from_secs_f64(self.mean_answer_secs.unwrap_or(0.0))
-    }
-
-    /// How long a hop that arrives now waits for credit used by those before it.
-    fn credit_wait(&self) -> Span {
-        let before = (self.in_flight.len() + self.queue.len() + 1).saturating_sub(self.max_in_flight());
-        self.mean_answer_time() * (before as f64 / self.max_in_flight() as f64)
-    }
-
-    fn max_in_flight(&self) -> usize {
-        ((f64::from(self.credit) * self.credit_share).floor() as usize).max(1)
-    }
-}
-
 /// Bytes in flight of hops of this importance and above. Less important ones yield to them in the
 /// acceptor's send order.
 fn bytes_in_flight(link: &Link, hops: &BTreeMap<u64, Hop>, importance: u8) -> f64 {
@@ -273,18 +178,6 @@
     out.filter(|h| h.importance >= importance).map(|h| h.expected_bytes).sum()
 }
 
-/// Snapshot of a link for counters and tests.
-#[derive(Clone, Copy, Debug)]
-pub struct LinkStats {
-    pub phase: LinkPhase,
-    pub credit_share: f64,
-    pub in_flight: usize,
-    pub queued: usize,
-    pub round_trip: Span,
-    pub rate: Option<f64>,
-    pub leaving: bool,
-}
-
 pub struct Initiator {
     limits: Limits,
     rng: Pcg64Mcg,
@@ -305,34 +198,10 @@
 
 impl Initiator {
     pub fn new(sites: &Sites, seed: u64, now: Time) -> Initiator {
-        let l = &sites.limits;
-        let link = |site: &String| Link {
-            site: site.clone(),
-            phase: LinkPhase::Idle(now),
-            rtt: RttEstimator::default(),
-            pace: Pacer::default(),
-            queue: Queue::new(l.queue, (l.queue_kb * 1024) as f64),
-            ledger: None,
-            clock: None,
-            knows_past_ledgers: false,
-            credit: 0,
-            leaving: false,
-            credit_share: 1.0,
-            was_up: false,
-            stable: true,
-            next_step: now + STEP_INTERVAL,
-            in_flight: BTreeSet::new(),
-            awaiting_since: None,
-            outstanding_pings: VecDeque::new(),
-            mean_answer_secs: None,
-            next_ping: now,
-            attempts: 0,
-            settled: 1,
-        };
         Initiator {
-            limits: l.clone(),
+            limits: sites.limits.clone(),
             rng: Pcg64Mcg::seed_from_u64(seed),
-            links: sites.peers.iter().map(|p| link(&p.site)).collect(),
+            links: sites.peers.iter().map(|p| Link::new(&p.site, &sites.limits, now)).collect(),
             hops: BTreeMap::new(),
             by_expiry: BTreeSet::new(),
             unrepeatable: BTreeSet::new(),
@@ -549,9 +418,7 @@
         let l = &mut self.links[hop.link];
         if let Some(bytes) = bytes {
             l.pace.on_received(now, (bytes - hop.received_bytes).max(0.0) + REQUEST_OVERHEAD_BYTES);
-            let elapsed = (now - sent).as_secs_f64();
-            l.mean_answer_secs =
-                Some(l.mean_answer_secs.map_or(elapsed, |mean| mean + (elapsed - mean) * EWMA_WEIGHT));
+            l.record_answer_time((now - sent).as_secs_f64());
         }
         l.pace.on_finished(now, sent, hop.expected_bytes, bytes.is_some());
     }
@@ -573,26 +440,10 @@
     pub fn pong_received(&mut self, now: Time, link: usize, pong: &Pong) {
         self.peer_active(now, link);
         let l = &mut self.links[link];
-        (l.credit, l.leaving) = (pong.credit.max(1), l.leaving || pong.leaving);
-        l.clock = pong.clock_us.map(|us| PeerClock::new(Time::from_micros(us), now));
-        let Some(at) = l.outstanding_pings.iter().position(|p| p.0 == pong.number) else { return };
-        let (_, sent) = l.outstanding_pings[at];
-        l.outstanding_pings.drain(..=at);
-        let in_time = now - sent <= l.rtt.timeout() * SUSPECT_AFTER_TIMEOUTS;
-        l.rtt.sample(now - sent);
-        match l.phase {
-            LinkPhase::Suspected(_) if in_time => l.phase = LinkPhase::Trial(1),
-            LinkPhase::Trial(n) if in_time && n + 1 < TRIAL_PONGS => l.phase = LinkPhase::Trial(n + 1),
-            LinkPhase::Trial(_) if in_time => {
-                l.phase = LinkPhase::Up;
-                (l.attempts, l.stable, l.next_step, l.was_up) = (0, true, now + STEP_INTERVAL, true);
-                self.actions.push_back(LinkAction::LinkUp { link });
-            }
-            LinkPhase::Trial(_) => l.phase = LinkPhase::Suspected(now),
-            _ => {}
-        }
-        if matches!(l.phase, LinkPhase::Trial(_)) {
-            l.next_ping = now;
+        l.update_from_pong(now, pong);
+        let Some(sent) = l.take_ping(pong.number) else { return };
+        if l.on_round_trip(now, sent) {
+            self.actions.push_back(LinkAction::LinkUp { link });
         }
         self.send_queued(now, link);
     }
@@ -607,25 +458,14 @@
 
     /// A connection is established, and the acceptor has identified itself.
     pub fn connected(&mut self, now: Time, link: usize, welcome: &Welcome) {
-        let Welcome { ledger, credit, leaving, knows_past_ledgers, clock } = *welcome;
         let l = &mut self.links[link];
         if !matches!(l.phase, LinkPhase::Dialling(_)) {
             return;
         }
-        // The first connection is trusted at once. After a failure the link goes through trial pings.
-        l.phase = if l.was_up { LinkPhase::Trial(0) } else { LinkPhase::Up };
-        (l.was_up, l.stable, l.next_step) = (true, true, now + STEP_INTERVAL);
-        if l.phase == LinkPhase::Up {
-            l.attempts = 0;
+        if l.on_connected(now, welcome) {
             self.actions.push_back(LinkAction::LinkUp { link });
         }
-        (l.ledger, l.credit, l.leaving, l.knows_past_ledgers) =
-            (Some(ledger), credit.max(1), leaving, knows_past_ledgers);
-        l.clock = clock.map(|reading| PeerClock::new(reading, now));
-        (l.awaiting_since, l.next_ping, l.settled) = (None, now, 1);
-        l.outstanding_pings.clear();
-        l.pace.on_reconnect();
-        self.query_in_doubt(link, ledger);
+        self.query_in_doubt(link, welcome.ledger);
     }
 
     /// Queries the outcome of hops in doubt that this acceptor can know. Those sent under a ledger that it
@@ -695,21 +535,9 @@
         if matches!(l.phase, LinkPhase::Idle(_)) {
             return;
         }
-        if l.connected() {
-            l.credit_share = MIN_CREDIT_SHARE;
-        }
-        // Jittered, so that gateways do not reconnect simultaneously.
-        let first = Span::from_millis(self.limits.reconnect_ms);
-        let wait = first * RECONNECT_BACKOFF_FACTOR.powi(l.attempts.min(16) as i32);
-        let wait = wait.min(Span::from_millis(self.limits.reconnect_most_ms));
-        let wait = wait * self.rng.random_range(0.5..1.0);
-        l.attempts += 1;
-        l.phase = LinkPhase::Idle(now + wait);
-        l.awaiting_since = None;
-        l.outstanding_pings.clear();
+        l.on_disconnected(now, &self.limits, &mut self.rng);
         let queued = l.queue.drain();
         let out = std::mem::take(&mut l.in_flight);
-        l.pace.on_reconnect();
         queued.into_iter().for_each(|number| self.finish(number, HopOutcome::Down));
         let of_link = |h: &Hop| {
             h.link == link && matches!(h.state, HopState::Sent | HopState::Queried | HopState::Running)
@@ -790,36 +618,18 @@
             }
             _ => {}
         }
-        let silent =
-            l.awaiting_since.is_some_and(|since| now - since >= l.rtt.timeout() * SUSPECT_AFTER_TIMEOUTS);
-        if silent && !matches!(l.phase, LinkPhase::Suspected(_)) {
-            l.phase = LinkPhase::Suspected(now);
-            l.credit_share = (l.credit_share / 2.0).max(MIN_CREDIT_SHARE);
-            l.stable = false;
+        if l.suspect_if_silent(now) {
             let queued = l.queue.drain();
             queued.into_iter().for_each(|number| self.finish(number, HopOutcome::Down));
             self.fail_repeatable(now, link);
         }
         let l = &mut self.links[link];
-        if now >= l.next_ping {
+        if l.is_ping_due(now) {
             self.ping_count += 1;
-            let busy = !l.in_flight.is_empty() || l.phase != LinkPhase::Up;
-            let wait =
-                if busy { l.rtt.timeout().max(MIN_BUSY_PING_INTERVAL) } else { self.limits.idle_ping() };
-            l.next_ping = now + wait.min(self.limits.idle_ping());
-            l.outstanding_pings.push_back((self.ping_count, now));
-            if l.outstanding_pings.len() > MAX_OUTSTANDING_PINGS {
-                l.outstanding_pings.pop_front();
-            }
-            l.awaiting_since.get_or_insert(now);
+            l.on_ping_sent(now, self.ping_count, &self.limits);
             self.actions.push_back(LinkAction::Ping { link, number: self.ping_count });
         }
-        if l.phase == LinkPhase::Up && now >= l.next_step {
-            l.next_step = now + STEP_INTERVAL;
-            if l.stable {
-                l.credit_share = (l.credit_share + CREDIT_SHARE_STEP).min(1.0);
-            }
-            l.stable = true;
+        if l.step_credit(now) {
             self.send_queued(now, link);
         }
     }
@@ -852,41 +662,13 @@
     }
 
     pub fn next_wake(&self) -> Time {
-        let of_link = |l: &Link| match l.phase {
-            LinkPhase::Idle(at) | LinkPhase::Dialling(at) => at,
-            phase => {
-                let mut at = l.next_ping;
-                if let LinkPhase::Suspected(since) = phase {
-                    at = at.min(since + self.limits.dark_after());
-                } else {
-                    // Only a link that is up takes steps. Waking a link on trial at `next_step` would make
-                    // the host call in a loop.
-                    if phase == LinkPhase::Up {
-                        at = at.min(l.next_step);
-                    }
-                    let silence_limit =
-                        l.awaiting_since.map(|since| since + l.rtt.timeout() * SUSPECT_AFTER_TIMEOUTS);
-                    at = silence_limit.map_or(at, |limit| at.min(limit));
-                }
-                at
-            }
-        };
-        let links = self.links.iter().map(of_link).min();
+        let links = self.links.iter().map(|l| l.next_wake(&self.limits)).min();
         let hops = self.by_expiry.first().map(|t| t.0);
         [links, hops].into_iter().flatten().fold(self.next_settle, Time::min)
     }
 
     pub fn link_stats(&self, link: usize) -> LinkStats {
-        let l = &self.links[link];
-        LinkStats {
-            phase: l.phase,
-            credit_share: l.credit_share,
-            in_flight: l.in_flight.len(),
-            queued: l.queue.len(),
-            round_trip: l.rtt.smoothed(),
-            rate: l.pace.rate(),
-            leaving: l.leaving,
-        }
+        self.links[link].stats()
     }
 
     pub fn sizes(&self) -> [(&'static str, usize); 8] {
--- a/sites/src/lib.rs
+++ b/sites/src/lib.rs
@@ -1,7 +1,7 @@
 //! Links between sites: how a gateway sends txns to gateways of another site over a slow, lossy link, and
 //! accepts theirs.
 //!
-//! `initiator`, `acceptor`, `ledger`, `rtt`, `pace`, `delay` and `queue` are the core, without I/O or
+//! `initiator`, `link`, `acceptor`, `ledger`, `rtt`, `pace`, `delay` and `queue` are the core, without I/O or
 //! clock. `wire` holds the messages, `settings` the operator's file, `store` the ledger on disk and `quic`
 //! the transport.
 
@@ -9,6 +9,7 @@
 pub mod delay;
 pub mod initiator;
 pub mod ledger;
+pub mod link;
 pub mod pace;
 pub mod peer_clock;
 pub mod queue;
--- a/sites/tests/cases.rs
+++ b/sites/tests/cases.rs
@@ -2,10 +2,9 @@
 
 use kelpcart::{Span, Time};
 use kelpcart_sites::acceptor::{Acceptor, Call, RefusalReason, RequestMeta, SessionAction};
-use kelpcart_sites::initiator::{
-    AcceptorAttempts, HopOutcome, HopSpec, Initiator, LinkAction, LinkPhase, Welcome,
-};
+use kelpcart_sites::initiator::{AcceptorAttempts, HopOutcome, HopSpec, Initiator, LinkAction};
 use kelpcart_sites::ledger::{Admission, Answer, Bounds, Change, Key, Ledger, Lookup, TxnOutcome};
+use kelpcart_sites::link::{LinkPhase, Welcome};
 use kelpcart_sites::settings::Sites;
 use kelpcart_sites::wire::{Hello, Pong, TxnStatus, VERSION};
 use serde_json::json;
--- a/sites/tests/model.rs
+++ b/sites/tests/model.rs
@@ -9,8 +9,9 @@
 
 use kelpcart::{Span, Time};
 use kelpcart_sites::acceptor::{Acceptor, Call, RefusalReason, RequestMeta, SessionAction};
-use kelpcart_sites::initiator::{AcceptorAttempts, HopOutcome, HopSpec, Initiator, LinkAction, Welcome};
+use kelpcart_sites::initiator::{AcceptorAttempts, HopOutcome, HopSpec, Initiator, LinkAction};
 use kelpcart_sites::ledger::{Answer, Change, Key, TxnOutcome};
+use kelpcart_sites::link::Welcome;
 use kelpcart_sites::settings::Sites;
 use kelpcart_sites::wire::{self, Hello, TxnStatus, VERSION};
 use rand::{Rng, SeedableRng};
