Txns of hosts without links are built with defaults

Cause: the fields that only links set (age, earlier attempt, start limit) stood in four places that never set them, two of them line for line.

--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -136,9 +136,7 @@
         is_write: optional(body, "Mutates", flag)?.unwrap_or(false),
         size: optional(body, "BytesK", number)?.filter(|&kb| kb > 0.0),
         time_left: span(body, "LeftUs")?,
-        max_age: None,
-        earlier_attempt: EarlierAttempt::None,
-        start_by: None,
+        ..Txn::default()
     })
 }
 
--- a/routes/src/world.rs
+++ b/routes/src/world.rs
@@ -166,20 +166,7 @@
         let (id, group, write) = (self.next_txn, object % 256, self.fleet.settings.rules[rule].is_write);
         let time_left = self.fleet.settings.rules[rule].sla * 4.0;
         let size = (self.fleet.settings.client_rate > 0.0).then_some(1.0);
-        let (max_age, earlier_attempt, start_by) = (None, EarlierAttempt::None, None);
-        Txn {
-            id,
-            rule,
-            object,
-            group,
-            part: 0,
-            is_write: write,
-            size,
-            time_left,
-            max_age,
-            earlier_attempt,
-            start_by,
-        }
+        Txn { id, rule, object, group, is_write: write, size, time_left, ..Txn::default() }
     }
 
     /// The module's explanation for a txn that would arrive now.
--- a/scale/src/benchmarks/module.rs
+++ b/scale/src/benchmarks/module.rs
@@ -235,22 +235,9 @@
         let (object, rule, part, write) = (self.rng.random_range(0..OBJECTS), 0, 0, false);
         let (id, group, size) = (self.counts.submitted, object % 256, Some(OBJECT_KB));
         let time_left = self.case.txn_time_left();
-        let (max_age, earlier_attempt, start_by) = (None, EarlierAttempt::None, None);
         self.gateway.submit(
             self.now,
-            Txn {
-                id,
-                rule,
-                object,
-                group,
-                part,
-                is_write: write,
-                size,
-                time_left,
-                max_age,
-                earlier_attempt,
-                start_by,
-            },
+            Txn { id, rule, object, group, part, is_write: write, size, time_left, ..Txn::default() },
         );
         self.handle_decisions(self.now, on_hop);
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -142,7 +142,7 @@
 }
 
 /// A request of a client, or of a gateway of another site that passes one on.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Txn {
     pub id: TxnId,
     /// Index in `Settings::rules`.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -82,8 +82,7 @@
 
 pub fn txn(id: TxnId, rule: usize, object: u64) -> Txn {
     let (group, part, is_write, size, time_left) = (object % 8, 0, false, Some(100.0), ms(2_000));
-    let (max_age, earlier_attempt, start_by) = (None, EarlierAttempt::None, None);
-    Txn { id, rule, object, group, part, is_write, size, time_left, max_age, earlier_attempt, start_by }
+    Txn { id, rule, object, group, part, is_write, size, time_left, ..Txn::default() }
 }
 
 pub struct World {
